--- /dev/null
+++ b/src/main/java/rushproxy/Balancer.java
@@ -0,0 +1,110 @@
+package rushproxy;
+
+import java.util.List;
+
+/**
+ * The interface of the decision module: events come in as method calls, decisions go out through {@link
+ * Actions}. Times are microseconds of one clock that only moves forward; nothing else tells the module
+ * the time.
+ */
+public interface Balancer {
+    enum Semantics { SAFE, KEYED, UNSAFE }
+
+    /** Which upstreams drop repeats of a keyed request. */
+    enum Group { ALL, ZONE, CELL }
+
+    enum UpstreamState { GONE, READY, DRAINING }
+
+    enum ListKind { DELTA, FULL, FAILED, CACHED }
+
+    enum Reports { NONE, INLINE, ON_PROBE }
+
+    enum Outcome {
+        OK(true), ERROR(true), REJECTED(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
+        CANCELLED(true), NOT_SENT(false);
+
+        /** False where the outcome proves that the attempt never ran. */
+        public final boolean mayHaveRun;
+
+        Outcome(boolean mayHaveRun) {
+            this.mayHaveRun = mayHaveRun;
+        }
+    }
+
+    record RequestClass(String name, Semantics semantics, Group group, long windowUs, long aimUs,
+                        double aimStretch, long deadlineUs, double worth, double lateWorth, boolean stream) {}
+
+    record Tenant(String name, double share, double quotaPerSecond) {}
+
+    record Limits(int maxAttempts, boolean secondCopies, boolean cancelling, boolean probing, boolean peers,
+                  boolean retryAfter, long maxRetryAfterUs, long connIdleUs, double cpuUsPerRequest) {}
+
+    /** {@code closeOnDrainUs} is 0 where idle connections to a draining upstream may stay open. */
+    record Rules(long drainGraceUs, double coldShare, long rampUs, double fallMultiple, long fallWindowUs,
+                 long askEveryUs, long answerSlackUs, long closeOnDrainUs) {}
+
+    /** Points of the result for each unit of use; 0 where it is free. */
+    record Prices(double crossZone, double peer, double probe, double connection, double handshake) {}
+
+    record Settings(int me, int balancers, String zone, List<String> zones, List<String> kinds,
+                    List<RequestClass> classes, List<Tenant> tenants, Limits limits, Rules rules,
+                    Reports reports, boolean discoveryOnRequest, boolean worthByWork,
+                    double overShareWorth, Prices prices, long tickUs) {}
+
+    /** One line of the list. {@code startedUs} is 0 where it started long ago. */
+    record Upstream(String id, String zone, String kind, int cell, long startedUs, double weight,
+                    UpstreamState state) {}
+
+    /**
+     * {@code costHintUs} is 0 where there is none; {@code remainingUs} is the time until the client gives
+     * up.
+     */
+    record Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
+                   String tenant, String requestClass) {}
+
+    /** A load report; a value that the site does not report is negative. */
+    record LoadReport(double inFlight, double queued, double utilisation) {}
+
+    interface Actions {
+        void send(String request, String upstream, long untilUs);
+
+        void refuse(String request, long retryAfterUs);
+
+        void fail(String request);
+
+        void cancel(String request, int attempt);
+
+        void probe(String upstream);
+
+        void subscribe();
+
+        /** A message to the peer of this number. */
+        void tell(int peer, byte[] message);
+
+        /** Closes this instance's idle connections to the upstream. */
+        void close(String upstream);
+
+        void timer(String mark, long delayUs);
+
+        void log(String text);
+    }
+
+    void onList(long now, ListKind kind, List<Upstream> entries);
+
+    void onRequest(long now, Request request);
+
+    /** {@code done}: the request is over, by this outcome or already before it. */
+    void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs,
+                   boolean done, LoadReport report);
+
+    void onStreamStart(long now, String request, int attempt, String upstream, long latencyUs);
+
+    void onProbe(long now, String upstream, Outcome outcome, long latencyUs, LoadReport report);
+
+    /** The client has left, or the answer is overdue: the request is over. */
+    void onExpired(long now, String request);
+
+    void onPeer(long now, int peer, byte[] message);
+
+    void onTimer(long now, String mark);
+}
--- /dev/null
+++ b/src/main/java/rushproxy/Main.java
@@ -0,0 +1,16 @@
+package rushproxy;
+
+import rushproxy.wire.SimHost;
+
+/** Command line: {@code simhost} hosts many instances on the simulator's wire. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] args) throws Exception {
+        if (args.length == 1 && args[0].equals("simhost")) {
+            System.exit(new SimHost(System.in, System.out, System.err).run());
+        }
+        System.err.println("usage: java -jar rushproxy.jar simhost");
+        System.exit(2);
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/State.java
@@ -0,0 +1,97 @@
+package rushproxy;
+
+import java.util.*;
+import rushproxy.Balancer.*;
+
+/** What {@link Policy} remembers of servers, requests and attempts: plain data. */
+final class State {
+    private State() {}
+
+    /** What servers of one listed kind have in common. */
+    static final class Kind {
+        /** Time on such a server of work that takes one unit of time on a standard core. */
+        double slow = 1;
+        double cores;
+        /** The least slowness seen for long: that of uncrowded servers. */
+        double least = 1;
+        int answers;
+        long heardAt;
+
+        Kind(double cores) {
+            this.cores = cores;
+        }
+    }
+
+    static final class Server {
+        final String id;
+        final Kind kind;
+        Upstream entry;
+        boolean ready;
+        double share;
+        /** Own requests in flight, and their attempts in the order of their sends. */
+        int own;
+        final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
+        /** How much slower than its kind. */
+        double apart = 1;
+        long heardAt;
+        double reported;
+        long reportedAt = Long.MIN_VALUE / 2;
+        int failures, ejections;
+        long ejectedUntil;
+        /** Place in the order of the servers that all sidecars share. */
+        final int order;
+        /** Its zone's number in the settings, 0 where they do not name it. */
+        final int zone;
+        /** Last send or outcome; 0: no connection was used yet. */
+        long usedAt;
+        /** Time of a probe without an answer yet. */
+        long askedAt;
+        /** Own work sent in the last slot of the cold server's budget. */
+        long coldSlot;
+        double coldSent;
+
+        double slow() {
+            return kind.slow * apart;
+        }
+
+        Server(Upstream entry, Kind kind, int zone, int order) {
+            id = entry.id();
+            this.kind = kind;
+            this.order = order;
+            this.zone = Math.max(0, zone);
+            this.entry = entry;
+        }
+    }
+
+    /** A request from its acceptance to its final answer. */
+    static final class Req {
+        Request request;
+        RequestClass spec;
+        double work;
+        /** An answer after this is worth nothing more than a late one. */
+        long usefulUntil;
+        long deadline;
+        /** Waiting requests go by this: the aim, later for those of little worth. */
+        long order;
+        boolean waiting, over, streaming;
+        /** The pair asked for its load, when, and how many pairs were. */
+        Server first, second;
+        long askedAt, askNext;
+        int pairs;
+        final List<Attempt> attempts = new ArrayList<>(1);
+    }
+
+    static final class Attempt {
+        Req req;
+        Server server;
+        /** The server's line of the list at the send. */
+        Upstream entry;
+        long sentAt;
+        double held, expected;
+        /** What was expected of a server of slowness 1. */
+        double plain;
+        /** How long the connection had been idle at the send; 0 where it was in use or new. */
+        long idle;
+        boolean ended, mayHaveRun = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/wire/SettingsReader.java
@@ -0,0 +1,125 @@
+package rushproxy.wire;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rushproxy.Balancer.Group;
+import rushproxy.Balancer.Limits;
+import rushproxy.Balancer.Prices;
+import rushproxy.Balancer.Reports;
+import rushproxy.Balancer.RequestClass;
+import rushproxy.Balancer.Rules;
+import rushproxy.Balancer.Semantics;
+import rushproxy.Balancer.Settings;
+import rushproxy.Balancer.Tenant;
+
+/** Turns the path=value pairs of {@code ENLIST} into settings. Unknown paths are skipped. */
+final class SettingsReader {
+    private final Map<String, String> values = new HashMap<>();
+
+    SettingsReader(Fields fields) {
+        while (fields.more()) {
+            String pair = fields.text();
+            int equals = pair.indexOf('=');
+            if (equals <= 0) {
+                throw new WireException("setting '" + pair + "' is not of the form path=value");
+            }
+            values.put(pair.substring(0, equals), pair.substring(equals + 1));
+        }
+    }
+
+    Settings read() {
+        List<RequestClass> classes = new ArrayList<>();
+        for (int i = 0; i < (int) need("profiles.count"); i++) {
+            String p = "profiles." + i + ".";
+            classes.add(new RequestClass(word(p + "name"), semantics(word(p + "semantics")),
+                    group(values.getOrDefault(p + "group", "all")), (long) real(p + "window_us", 0),
+                    (long) need(p + "objective_us"), real(p + "aim_stretch", 0), (long) need(p + "give_up_us"),
+                    real(p + "importance", 1), real(p + "late_worth", 0), flag(p + "stream", false)));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < (int) real("accounts.count", 0); i++) {
+            String p = "accounts." + i + ".";
+            tenants.add(new Tenant(word(p + "name"), real(p + "share", 0), real(p + "quota_rps", 0)));
+        }
+        Limits limits = new Limits((int) real("limits.max_attempts", 1), flag("limits.second_copies", false),
+                flag("limits.cancelling", false), flag("limits.probing", false), flag("limits.peers", false),
+                flag("limits.retry_after", false), (long) real("limits.max_retry_after_us", 0),
+                (long) real("limits.conn_idle_us", 15_000_000), real("limits.cpu_us_per_request", 0));
+        Rules rules = new Rules((long) need("rules.drain_grace_us"), need("rules.cold_share"),
+                (long) need("rules.ramp_time_us"), need("rules.fall_multiple"), (long) need("rules.fall_us"),
+                (long) real("rules.ask_every_us", 0), (long) real("rules.answer_slack_us", 0),
+                (long) real("rules.close_on_drain_within_us", 0));
+        Prices prices = new Prices(real("tariffs.cross_zone", 0), real("tariffs.peer", 0), real("tariffs.probe", 0),
+                real("tariffs.connection", 0), real("tariffs.handshake", 0));
+        return new Settings((int) need("me"), (int) need("balancers"), word("zone"),
+                Arrays.asList(values.getOrDefault("azs", word("zone")).split(",")),
+                Arrays.asList(values.getOrDefault("kinds", "").split(",")), classes, tenants, limits, rules,
+                reports(values.getOrDefault("load_info.how", "off")),
+                values.getOrDefault("discovery", "pushed").equals("on_request"),
+                values.getOrDefault("counted_by", "request").equals("work"), real("over_share_worth", 1),
+                prices, (long) real("period_us", 1000));
+    }
+
+    List<String> reportFields() {
+        return Arrays.asList(values.getOrDefault("load_info.fields", "").split(","));
+    }
+
+    private String word(String path) {
+        String value = values.get(path);
+        if (value == null) {
+            throw new WireException("setting '" + path + "' is missing");
+        }
+        return value;
+    }
+
+    private double need(String path) {
+        word(path);
+        return real(path, 0);
+    }
+
+    private double real(String path, double absent) {
+        String value = values.get(path);
+        if (value == null || value.equals("-")) {
+            return absent;
+        }
+        try {
+            return Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw new WireException("setting '" + path + "' is no number: '" + value + "'");
+        }
+    }
+
+    private boolean flag(String path, boolean absent) {
+        String value = values.get(path);
+        return value == null ? absent : value.equals("true") || value.equals("1");
+    }
+
+    private static Semantics semantics(String word) {
+        return switch (word) {
+            case "safe" -> Semantics.SAFE;
+            case "keyed" -> Semantics.KEYED;
+            case "unsafe" -> Semantics.UNSAFE;
+            default -> throw new WireException("semantics '" + word + "' is unknown");
+        };
+    }
+
+    private static Group group(String word) {
+        return switch (word) {
+            case "all", "-" -> Group.ALL;
+            case "zone" -> Group.ZONE;
+            case "cell" -> Group.CELL;
+            default -> throw new WireException("group '" + word + "' is unknown");
+        };
+    }
+
+    private static Reports reports(String word) {
+        return switch (word) {
+            case "inline" -> Reports.INLINE;
+            case "on_probe" -> Reports.ON_PROBE;
+            default -> Reports.NONE;
+        };
+    }
+}
