Add the real sidecar: one event loop round the module on real sockets

Settings and load reports are read by the adapter's own code, which takes them as a map or by name now.

--- a/src/main/java/rushproxy/Main.java
+++ b/src/main/java/rushproxy/Main.java
@@ -1,8 +1,9 @@
 package rushproxy;
 
+import rushproxy.sidecar.Sidecar;
 import rushproxy.wire.SimHost;
 
-/** Command line: {@code simhost} hosts many instances on the simulator's wire. */
+/** Command line: {@code serve} runs a sidecar, {@code simhost} hosts many instances on the simulator's wire. */
 public final class Main {
     private Main() {}
 
@@ -10,7 +11,10 @@
         if (args.length == 1 && args[0].equals("simhost")) {
             System.exit(new SimHost(System.in, System.out, System.err).run());
         }
-        System.err.println("usage: java -jar rushproxy.jar simhost");
+        if (args.length == 1 && args[0].equals("serve")) {
+            System.exit(Sidecar.serve(System.getenv()));
+        }
+        System.err.println("usage: java -jar rushproxy.jar serve|simhost");
         System.exit(2);
     }
 }
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -0,0 +1,105 @@
+package rushproxy.sidecar;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** The application's side: listens, and says goodbye without losing what clients have sent. */
+final class ClientServer {
+    /** The application opens connections for this long after the stop has been asked for, and a little longer. */
+    private static final long SERVE_ON_MS = 600;
+    /** A connection this young or this busy may have a request on its way. */
+    private static final long QUIET_MS = 150;
+    private static final long LOOK_MS = 20;
+
+    private final EventLoop loop;
+    private final Requests requests;
+    private final Clock clock;
+    private final Set<String> classes;
+    private final BooleanSupplier canServe;
+    private final int maxConnections;
+    private final Set<ClientConnection> connections = new HashSet<>();
+    private Channel listener;
+    private long stopAtUs;
+    private long acceptedUs;
+
+    ClientServer(EventLoop loop, Clock clock, Requests requests, Set<String> classes, BooleanSupplier canServe,
+                 int maxConnections) {
+        this.loop = loop;
+        this.clock = clock;
+        this.requests = requests;
+        this.classes = classes;
+        this.canServe = canServe;
+        this.maxConnections = maxConnections;
+    }
+
+    InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 256)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted(channel);
+                    }
+                }).bind(address).sync().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    private void accepted(Channel channel) {
+        acceptedUs = clock.now();
+        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this);
+        connections.add(connection);
+        // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
+        listener.config().setAutoRead(connections.size() < maxConnections);
+        channel.closeFuture().addListener(f -> {
+            connections.remove(connection);
+            listener.config().setAutoRead(connections.size() < maxConnections);
+        });
+        channel.pipeline().addLast(connection.arrivals(), new HttpServerCodec(),
+                new HttpObjectAggregator(Headers.MAX_BODY), connection);
+    }
+
+    boolean ready() {
+        return !stopping() && canServe.getAsBoolean();
+    }
+
+    boolean stopping() {
+        return stopAtUs > 0;
+    }
+
+    /** Serves on while the application still comes, answers what is held, closes what is quiet, then says so. */
+    void stop(Runnable stopped) {
+        stopAtUs = clock.now() + SERVE_ON_MS * 1000;
+        look(stopped);
+    }
+
+    private void look(Runnable stopped) {
+        long now = clock.now();
+        if (now >= stopAtUs) {
+            // Closing the listener would reset what waits in its backlog: only once none has come for a while.
+            if (listener.isOpen() && now - acceptedUs >= QUIET_MS * 1000) {
+                listener.close();
+            }
+            for (ClientConnection c : Set.copyOf(connections)) {
+                c.closeIfQuiet(now - QUIET_MS * 1000);
+            }
+            if (connections.isEmpty() && !listener.isOpen()) {
+                stopped.run();
+                return;
+            }
+        }
+        loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -0,0 +1,96 @@
+package rushproxy.sidecar;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import rushproxy.Balancer.Settings;
+import rushproxy.wire.SettingsReader;
+import rushproxy.wire.WireException;
+
+/** What a sidecar is told at its start. {@code peerListen} and {@code peersAll} are null where there are none. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
+              UpstreamList known, Settings settings, long dialTimeoutUs) {
+
+    /** A configuration that no sidecar can start with; the message is one line and names the field. */
+    static final class Broken extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Broken(String message) {
+            super(message.replaceAll("\\s+", " "));
+        }
+    }
+
+    static Config read(Map<String, String> environment) throws Broken {
+        String path = environment.get("BALANCER_CONFIG");
+        if (path == null || path.isEmpty()) {
+            throw new Broken("BALANCER_CONFIG is not set");
+        }
+        byte[] text;
+        try {
+            text = Files.readAllBytes(Path.of(path));
+        } catch (IOException | InvalidPathException e) {
+            throw new Broken("BALANCER_CONFIG can't be read: " + e);
+        }
+        try {
+            return parse(Json.parse(text), environment);
+        } catch (IllegalArgumentException e) {
+            throw new Broken("configuration: " + e.getMessage());
+        } catch (WireException e) {
+            throw new Broken("configuration, settings: " + e.getMessage());
+        }
+    }
+
+    private static Config parse(Json json, Map<String, String> environment) {
+        String name = environment.getOrDefault("BALANCER_NAME", json.textOr("name", "sidecar"));
+        SettingsReader reader = new SettingsReader(json.object("settings").flat());
+        Settings settings = reader.read();
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (String peer : json.textsOrNone("peers")) {
+            peers.add(address("peers", peer));
+        }
+        int sockets = (int) (json.has("limits") ? json.object("limits").numberOr("sockets", 1024) : 1024);
+        return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
+                told(json, environment, "discovery", "BALANCER_DISCOVERY"), seed(json.text("seed")), sockets,
+                optional(json, "peer_listen"), peers, optional(json, "peers_all"),
+                known(json), settings, reader.dialTimeoutUs());
+    }
+
+    private static UpstreamList known(Json json) {
+        try {
+            return UpstreamList.of(json.object("known"));
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("'known': " + e.getMessage());
+        }
+    }
+
+    private static InetSocketAddress told(Json json, Map<String, String> environment, String field, String variable) {
+        String text = environment.get(variable);
+        return text == null ? address(field, json.text(field)) : address(variable, text);
+    }
+
+    private static InetSocketAddress optional(Json json, String field) {
+        return json.has(field) ? address(field, json.text(field)) : null;
+    }
+
+    private static InetSocketAddress address(String field, String text) {
+        try {
+            return UpstreamList.address(text);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("'" + field + "' is no address: '" + text + "'");
+        }
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("'seed' is no hexadecimal number: '" + text + "'");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -0,0 +1,195 @@
+package rushproxy.sidecar;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import rushproxy.Balancer.ListKind;
+import rushproxy.Balancer.Upstream;
+
+/**
+ * The watch on discovery: one call after the other without a gap, as soon as the module has asked for it. A call
+ * that fails in any way is told to the module, which decides when to ask again; the list it has still holds.
+ */
+final class Discovery {
+    private static final String PATH = "/registry/instances";
+    /** A list of some thousand upstreams; more is no list. */
+    private static final int MAX_ANSWER = 1 << 20;
+    private static final int CONNECT_MS = 1_000;
+    /** Discovery may keep a call in its queue for seconds, beyond the wait asked for. */
+    private static final long ANSWER_MS = 4_000;
+    private static final long MOST_WAIT_MS = 20_000;
+    private static final long AGAIN_MS = 1_000;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Decisions decisions;
+    private final Upstreams upstreams;
+    private final long waitMs;
+    private final InetSocketAddress address;
+    private final Bootstrap bootstrap;
+    private long generation;
+    /** After an answer that made no sense the whole list is asked for. */
+    private boolean doubt;
+    /** The module has asked and waits for an answer, be it one without changes. */
+    private boolean asked;
+    private Channel channel;
+    private Future<?> timeout;
+    /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
+    private long call;
+    private long calls;
+
+    Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, InetSocketAddress address,
+              long generation, long askEveryUs) {
+        this.loop = loop;
+        this.clock = clock;
+        this.decisions = decisions;
+        this.upstreams = upstreams;
+        this.address = address;
+        this.generation = generation;
+        waitMs = askEveryUs <= 0 ? MOST_WAIT_MS : Math.min(MOST_WAIT_MS, askEveryUs / 1000);
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), new Handler());
+                    }
+                });
+    }
+
+    void subscribe() {
+        asked = true;
+        if (call == 0) {
+            begin();
+        }
+    }
+
+    private void begin() {
+        long number = ++calls;
+        call = number;
+        timeout = loop.schedule(() -> failed(number, "no answer"), ANSWER_MS + (doubt ? 0 : waitMs),
+                TimeUnit.MILLISECONDS);
+        if (channel != null && channel.isActive()) {
+            write(number);
+            return;
+        }
+        ChannelFuture connecting = bootstrap.connect(address);
+        channel = connecting.channel();
+        connecting.addListener(f -> {
+            if (f.isSuccess() && call == number) {
+                write(number);
+            } else if (!f.isSuccess()) {
+                failed(number, "no connection");
+            }
+        });
+    }
+
+    private void write(long number) {
+        String uri = doubt ? PATH : PATH + "?index=" + generation + "&wait=" + waitMs;
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+        request.headers().set("Host", "discovery");
+        channel.writeAndFlush(request).addListener(f -> {
+            if (!f.isSuccess()) {
+                failed(number, "the connection broke");
+            }
+        });
+    }
+
+    private void failed(long number, String why) {
+        if (call != number || number == 0) {
+            return;
+        }
+        end();
+        // What may still come on it answers a call that is over.
+        channel.close();
+        channel = null;
+        asked = false;
+        Log.line("a call to discovery failed: " + why);
+        // Without a working module nobody would ask again.
+        decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()),
+                () -> loop.schedule(this::subscribe, AGAIN_MS, TimeUnit.MILLISECONDS));
+    }
+
+    private void end() {
+        call = 0;
+        timeout.cancel(false);
+    }
+
+    private void answered(FullHttpResponse response) {
+        UpstreamList list;
+        try {
+            if (response.status().code() != 200 || !response.decoderResult().isSuccess()) {
+                failed(call, "status " + response.status().code());
+                return;
+            }
+            list = UpstreamList.of(Json.parse(ByteBufUtil.getBytes(response.content())));
+            boolean known = doubt ? list.whole() : list.whole() || list.generation() >= generation;
+            if (!known || list.whole() && list.entries().isEmpty()) {
+                throw new IllegalArgumentException("it does not follow on the list before");
+            }
+        } catch (RuntimeException e) {
+            doubt = true;
+            failed(call, "its answer is no list: " + e.getMessage());
+            return;
+        }
+        end();
+        doubt = false;
+        generation = list.generation();
+        if (!HttpUtil.isKeepAlive(response)) {
+            channel.close();
+            channel = null;
+        }
+        upstreams.update(list);
+        if (asked || list.whole() || !list.entries().isEmpty()) {
+            asked = false;
+            List<Upstream> entries = list.entries().stream().map(UpstreamList.Entry::upstream).toList();
+            decisions.call(m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries), () -> { });
+        }
+        if (call == 0) {
+            begin();
+        }
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (call != 0 && ctx.channel() == channel) {
+                answered(response);
+            } else {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == channel) {
+                failed(call, "the connection ended");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Json.java
@@ -0,0 +1,113 @@
+package rushproxy.sidecar;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Reads JSON objects field by field; a field of the wrong kind is named in the exception. */
+final class Json {
+    private final Map<String, Object> fields;
+
+    private Json(Map<String, Object> fields) {
+        this.fields = fields;
+    }
+
+    static Json parse(byte[] text) {
+        try {
+            Map<String, Object> fields = JSON.std.mapFrom(text);
+            if (fields == null) {
+                throw new IllegalArgumentException("no JSON object");
+            }
+            return new Json(fields);
+        } catch (IOException e) {
+            String reason = String.valueOf(e.getMessage());
+            throw new IllegalArgumentException("no JSON object: " + reason.lines().findFirst().orElse(""));
+        }
+    }
+
+    boolean has(String name) {
+        return fields.get(name) != null;
+    }
+
+    String text(String name) {
+        return of(name, String.class, "a text");
+    }
+
+    String textOr(String name, String absent) {
+        return has(name) ? text(name) : absent;
+    }
+
+    long number(String name) {
+        return of(name, Number.class, "a number").longValue();
+    }
+
+    long numberOr(String name, long absent) {
+        return has(name) ? number(name) : absent;
+    }
+
+    double realOr(String name, double absent) {
+        return has(name) ? of(name, Number.class, "a number").doubleValue() : absent;
+    }
+
+    boolean flag(String name) {
+        return of(name, Boolean.class, "true or false");
+    }
+
+    @SuppressWarnings("unchecked")
+    Json object(String name) {
+        return new Json(of(name, Map.class, "an object"));
+    }
+
+    @SuppressWarnings("unchecked")
+    List<Json> objects(String name) {
+        return ((List<Object>) of(name, List.class, "a list")).stream().map(o -> {
+            if (!(o instanceof Map)) {
+                throw new IllegalArgumentException("'" + name + "' holds what is no object");
+            }
+            return new Json((Map<String, Object>) o);
+        }).toList();
+    }
+
+    @SuppressWarnings("unchecked")
+    List<String> textsOrNone(String name) {
+        return has(name) ? ((List<Object>) of(name, List.class, "a list")).stream().map(String::valueOf).toList()
+                : List.of();
+    }
+
+    private <T> T of(String name, Class<T> type, String what) {
+        Object value = fields.get(name);
+        if (value == null) {
+            throw new IllegalArgumentException("'" + name + "' is missing");
+        }
+        if (!type.isInstance(value)) {
+            throw new IllegalArgumentException("'" + name + "' is not " + what);
+        }
+        return type.cast(value);
+    }
+
+    /** All values by their paths, in the form of the simulator's pairs. */
+    Map<String, String> flat() {
+        Map<String, String> out = new TreeMap<>();
+        flatten("", fields, out);
+        return out;
+    }
+
+    private static void flatten(String path, Object value, Map<String, String> out) {
+        if (value instanceof Map<?, ?> map) {
+            map.forEach((k, v) -> flatten(path.isEmpty() ? "" + k : path + "." + k, v, out));
+        } else if (value instanceof List<?> list) {
+            if (list.stream().noneMatch(Map.class::isInstance)) {
+                out.put(path, String.join(",", list.stream().map(String::valueOf).toList()));
+                return;
+            }
+            out.put(path + ".count", "" + list.size());
+            for (int i = 0; i < list.size(); i++) {
+                flatten(path + "." + i, list.get(i), out);
+            }
+        } else if (value != null) {
+            out.put(path, value.toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/LoadReports.java
@@ -0,0 +1,36 @@
+package rushproxy.sidecar;
+
+import rushproxy.Balancer.LoadReport;
+import rushproxy.wire.LoadValues;
+
+/** Reads a load report of the form {@code TEXT inflight=7, queue=2, util=0.61}. */
+final class LoadReports {
+    private static final String FORM = "TEXT ";
+
+    private LoadReports() {}
+
+    /** Null where the text is no such report: a malformed one says nothing of its upstream. */
+    static LoadReport read(String text) {
+        if (text == null || !text.startsWith(FORM)) {
+            return null;
+        }
+        LoadValues values = new LoadValues();
+        for (String pair : text.substring(FORM.length()).split(",")) {
+            int equals = pair.indexOf('=');
+            if (equals < 0) {
+                return null;
+            }
+            double value;
+            try {
+                value = Double.parseDouble(pair.substring(equals + 1).trim());
+            } catch (NumberFormatException e) {
+                return null;
+            }
+            if (!(value >= 0) || Double.isInfinite(value)) {
+                return null;
+            }
+            values.put(pair.substring(0, equals).trim(), value);
+        }
+        return values.report();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -0,0 +1,68 @@
+package rushproxy.sidecar;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Short messages between sidecars. A peer's number is its place in the configuration. */
+final class Peers {
+    private static final int MAX_BYTES = 256;
+
+    private final Clock clock;
+    private final Decisions decisions;
+    private final List<InetSocketAddress> peers;
+    private final InetSocketAddress all;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+    private Channel channel;
+
+    Peers(Clock clock, Decisions decisions, List<InetSocketAddress> peers, InetSocketAddress all) {
+        this.clock = clock;
+        this.decisions = decisions;
+        this.peers = peers;
+        this.all = all;
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.put(peers.get(i), i);
+        }
+    }
+
+    InetSocketAddress listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
+        channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Handler())
+                .bind(address).sync().channel();
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    /** To one peer, or to all where the number is -1. What can't be sent is lost, as any datagram may be. */
+    void tell(int peer, byte[] message) {
+        InetSocketAddress to = peer == -1 ? all : peer >= 0 && peer < peers.size() ? peers.get(peer) : null;
+        if (channel != null && to != null && message.length <= MAX_BYTES) {
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), to));
+        }
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            Integer number = numbers.get(packet.sender());
+            if (number == null || packet.content().readableBytes() > MAX_BYTES) {
+                return;
+            }
+            byte[] message = ByteBufUtil.getBytes(packet.content());
+            decisions.call(m -> m.onPeer(clock.now(), number, message), () -> { });
+        }
+
+        /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -0,0 +1,167 @@
+package rushproxy.sidecar;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import rushproxy.Balancer;
+import rushproxy.Balancer.ListKind;
+import rushproxy.Balancer.RequestClass;
+import rushproxy.Policy;
+
+/** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
+public final class Sidecar {
+    /** Descriptors for the program itself: its files, its listeners and its selector. */
+    private static final int OWN_DESCRIPTORS = 64;
+    /** An answer to a probe that takes longer tells nothing of now. */
+    private static final long PROBE_US = 50_000;
+
+    private final Config config;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final Decisions decisions = new Decisions();
+    private final Upstreams upstreams;
+    private final Requests requests;
+    private final Discovery discovery;
+    private final Peers peers;
+    private final ClientServer clients;
+    private InetSocketAddress listening;
+
+    Sidecar(Config config) {
+        this.config = config;
+        Balancer.Settings settings = config.settings();
+        int perSide = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2);
+        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(), perSide);
+        requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
+        discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
+                settings.rules().askEveryUs());
+        peers = new Peers(clock, decisions, config.peers(), config.peersAll());
+        clients = new ClientServer(loop, clock, requests,
+                settings.classes().stream().map(RequestClass::name).collect(Collectors.toSet()),
+                upstreams::anyReady, perSide);
+    }
+
+    /** Runs one sidecar until it is asked to end; only a start that fails returns. */
+    public static int serve(Map<String, String> environment) throws InterruptedException {
+        Config config;
+        try {
+            config = Config.read(environment);
+        } catch (Config.Broken e) {
+            Log.line(e.getMessage());
+            return 2;
+        }
+        Sidecar sidecar = new Sidecar(config);
+        try {
+            sidecar.start();
+        } catch (Exception e) {
+            Log.line("can't start: " + e);
+            return 1;
+        }
+        CountDownLatch empty = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            sidecar.stop(empty::countDown);
+            try {
+                empty.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            // A stop that was asked for and went well is no failure, whatever signal asked.
+            Runtime.getRuntime().halt(0);
+        }));
+        new CountDownLatch(1).await();
+        return 0;
+    }
+
+    void start() throws InterruptedException {
+        upstreams.update(config.known());
+        loop.submit(() -> decisions.start(actions -> {
+            Balancer module = new Policy(config.settings(), config.seed(), clock.now(), actions);
+            module.onList(clock.now(), ListKind.CACHED,
+                    config.known().entries().stream().map(UpstreamList.Entry::upstream).toList());
+            return module;
+        }, new Hands())).sync();
+        if (config.peerListen() != null) {
+            peers.listen(loop, config.peerListen());
+        }
+        listening = clients.listen(config.listen());
+    }
+
+    InetSocketAddress listening() {
+        return listening;
+    }
+
+    /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
+    void stop(Runnable stopped) {
+        loop.execute(() -> clients.stop(stopped));
+    }
+
+    /** Carries out what the module decides. */
+    private final class Hands implements Balancer.Actions {
+        @Override
+        public void send(String request, String upstream, long untilUs) {
+            requests.send(request, upstream, untilUs);
+        }
+
+        @Override
+        public void refuse(String request, long retryAfterUs) {
+            requests.refuse(request, retryAfterUs);
+        }
+
+        @Override
+        public void fail(String request) {
+            requests.fail(request);
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            requests.cancel(request, attempt);
+        }
+
+        @Override
+        public void probe(String upstream) {
+            upstreams.start(new Upstreams.Call(upstream, clock.now() + PROBE_US, true, left -> probe(),
+                    (call, outcome, report, body) -> decisions.call(m -> m.onProbe(clock.now(), upstream, outcome,
+                            clock.now() - call.sentUs, report), () -> { })));
+        }
+
+        private static FullHttpRequest probe() {
+            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/stats");
+        }
+
+        @Override
+        public void subscribe() {
+            discovery.subscribe();
+        }
+
+        @Override
+        public void tell(int peer, byte[] message) {
+            peers.tell(peer, message);
+        }
+
+        @Override
+        public void close(String upstream) {
+            upstreams.close(upstream);
+        }
+
+        @Override
+        public void timer(String mark, long delayUs) {
+            loop.schedule(() -> decisions.call(m -> m.onTimer(clock.now(), mark), requests::failHeld), delayUs,
+                    TimeUnit.MICROSECONDS);
+        }
+
+        @Override
+        public void log(String text) {
+            Log.line(text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -0,0 +1,306 @@
+package rushproxy.sidecar;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import rushproxy.Balancer.LoadReport;
+import rushproxy.Balancer.Outcome;
+import rushproxy.Balancer.UpstreamState;
+
+/** Connections to the upstreams, and the calls on them: attempts and probes. */
+final class Upstreams {
+    /** Idle connections are dropped this much before an upstream may drop them: a request then can't cross it. */
+    private static final long IDLE_MARGIN_US = 2_000_000;
+    private static final long SWEEP_MS = 1_000;
+
+    /** Told once how a call ended; {@code body} is set with {@code OK} alone and is released afterwards. */
+    interface Result {
+        void ended(Call call, Outcome outcome, LoadReport report, ByteBuf body);
+    }
+
+    /** One message to an upstream, until its outcome. */
+    static final class Call {
+        final String upstream;
+        private final long untilUs;
+        /** Makes the message, told how long an answer is waited for. */
+        private final LongFunction<FullHttpRequest> message;
+        private final Result result;
+        private final boolean reportInBody;
+        long sentUs;
+        private Target target;
+        private Channel channel;
+        private Future<?> timeout;
+        private boolean written;
+        private boolean ended;
+
+        Call(String upstream, long untilUs, boolean reportInBody, LongFunction<FullHttpRequest> message,
+             Result result) {
+            this.upstream = upstream;
+            this.untilUs = untilUs;
+            this.message = message;
+            this.reportInBody = reportInBody;
+            this.result = result;
+        }
+
+        /** True for a probe, whose answer's body is the load report. */
+        boolean reportInBody() {
+            return reportInBody;
+        }
+
+        boolean ended() {
+            return ended;
+        }
+
+        void end(Outcome outcome, LoadReport report, ByteBuf body) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            if (timeout != null) {
+                timeout.cancel(false);
+            }
+            result.ended(this, outcome, report, body);
+        }
+
+        /** Ends a call that gets no answer any more: a late one must find nobody, so its connection goes. */
+        private void abandon(Outcome outcome) {
+            if (!ended) {
+                if (channel != null) {
+                    channel.close();
+                }
+                end(outcome, null, null);
+            }
+        }
+
+        void cancel() {
+            abandon(Outcome.CANCELLED);
+        }
+
+        /** The hinge of all outcomes: without its last byte written a request has never run. */
+        void broke() {
+            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
+        }
+
+        private void timedOut() {
+            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+        }
+    }
+
+    /** An upstream as the list has it now; another address or start makes it another one. */
+    private static final class Target {
+        final InetSocketAddress address;
+        final long startedUs;
+        UpstreamState state;
+        final ArrayDeque<Channel> idle = new ArrayDeque<>();
+
+        Target(UpstreamList.Entry entry) {
+            address = entry.address();
+            startedUs = entry.upstream().startedUs();
+        }
+
+        boolean is(UpstreamList.Entry entry) {
+            return address.equals(entry.address()) && startedUs == entry.upstream().startedUs();
+        }
+    }
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final long idleUs;
+    private final int maxConnections;
+    private final Bootstrap bootstrap;
+    private final Map<String, Target> targets = new HashMap<>();
+    private int connections;
+
+    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, int maxConnections) {
+        this.loop = loop;
+        this.clock = clock;
+        this.maxConnections = maxConnections;
+        idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Headers.MAX_BODY),
+                                new UpstreamConnection());
+                    }
+                });
+        loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Connections to what drained, went or is now another process are of no more use. */
+    void update(UpstreamList list) {
+        Set<String> named = new HashSet<>();
+        for (UpstreamList.Entry e : list.entries()) {
+            String id = e.upstream().id();
+            named.add(id);
+            Target t = targets.get(id);
+            if (t == null || !t.is(e)) {
+                forget(t);
+                t = new Target(e);
+                targets.put(id, t);
+            }
+            t.state = e.upstream().state();
+            if (t.state != UpstreamState.READY) {
+                close(t);
+            }
+        }
+        if (list.whole()) {
+            targets.entrySet().removeIf(e -> {
+                if (named.contains(e.getKey())) {
+                    return false;
+                }
+                forget(e.getValue());
+                return true;
+            });
+        }
+    }
+
+    boolean anyReady() {
+        return targets.values().stream().anyMatch(t -> t.state == UpstreamState.READY);
+    }
+
+    private void forget(Target t) {
+        if (t != null) {
+            t.state = UpstreamState.GONE;
+            close(t);
+        }
+    }
+
+    private void close(Target t) {
+        for (Channel c; (c = t.idle.poll()) != null; ) {
+            c.close();
+        }
+    }
+
+    void close(String upstream) {
+        Target t = targets.get(upstream);
+        if (t != null) {
+            close(t);
+        }
+    }
+
+    void start(Call call) {
+        long now = clock.now();
+        call.sentUs = now;
+        call.target = targets.get(call.upstream);
+        if (call.target == null || call.target.state != UpstreamState.READY) {
+            call.end(Outcome.NOT_SENT, null, null);
+            return;
+        }
+        call.timeout = loop.schedule(call::timedOut, call.untilUs - now, TimeUnit.MICROSECONDS);
+        Channel channel = takeIdle(call.target, now);
+        if (channel != null) {
+            call.channel = channel;
+            write(call);
+        } else {
+            connect(call);
+        }
+    }
+
+    /** The most recently used first, so that the others grow old enough to be dropped. */
+    private Channel takeIdle(Target t, long now) {
+        for (Channel c; (c = t.idle.pollFirst()) != null; ) {
+            if (c.isActive() && now - connection(c).idleSinceUs < idleUs) {
+                return c;
+            }
+            c.close();
+        }
+        return null;
+    }
+
+    private static UpstreamConnection connection(Channel c) {
+        return c.pipeline().get(UpstreamConnection.class);
+    }
+
+    private void connect(Call call) {
+        if (connections >= maxConnections && !dropOldestIdle()) {
+            call.end(Outcome.NOT_SENT, null, null);
+            return;
+        }
+        connections++;
+        ChannelFuture connecting = bootstrap.connect(call.target.address);
+        call.channel = connecting.channel();
+        call.channel.closeFuture().addListener(f -> connections--);
+        connecting.addListener(f -> {
+            if (call.ended) {
+                call.channel.close();
+            } else if (!f.isSuccess()) {
+                call.broke();
+            } else if (call.target.state != UpstreamState.READY || clock.now() >= call.untilUs) {
+                // The list changed or time ran out while the connection came up: nothing may be sent any more.
+                call.abandon(call.target.state != UpstreamState.READY ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
+            } else {
+                write(call);
+            }
+        });
+    }
+
+    private boolean dropOldestIdle() {
+        Target oldest = null;
+        for (Target t : targets.values()) {
+            if (!t.idle.isEmpty() && (oldest == null || connection(t.idle.peekLast()).idleSinceUs
+                    < connection(oldest.idle.peekLast()).idleSinceUs)) {
+                oldest = t;
+            }
+        }
+        if (oldest != null) {
+            oldest.idle.pollLast().close();
+        }
+        return oldest != null;
+    }
+
+    private void write(Call call) {
+        FullHttpRequest message = call.message.apply(call.untilUs - clock.now());
+        message.headers().set("Host", "api.internal").set("Content-Length", message.content().readableBytes());
+        connection(call.channel).begin(call, this::release);
+        call.channel.writeAndFlush(message).addListener(f -> {
+            if (f.isSuccess()) {
+                call.written = true;
+            } else {
+                call.channel.close();
+                call.broke();
+            }
+        });
+    }
+
+    private void release(Call call, Channel channel) {
+        if (call.target.state == UpstreamState.READY && call.written) {
+            connection(channel).idleSinceUs = clock.now();
+            call.target.idle.addFirst(channel);
+        } else {
+            channel.close();
+        }
+    }
+
+    private void dropIdle() {
+        long now = clock.now();
+        for (Target t : targets.values()) {
+            t.idle.removeIf(c -> {
+                boolean drop = !c.isActive() || now - connection(c).idleSinceUs >= idleUs;
+                if (drop) {
+                    c.close();
+                }
+                return drop;
+            });
+        }
+    }
+}
--- a/src/main/java/rushproxy/wire/SettingsReader.java
+++ b/src/main/java/rushproxy/wire/SettingsReader.java
@@ -15,11 +15,20 @@
 import rushproxy.Balancer.Settings;
 import rushproxy.Balancer.Tenant;
 
-/** Turns the path=value pairs of {@code ENLIST} into settings. Unknown paths are skipped. */
-final class SettingsReader {
-    private final Map<String, String> values = new HashMap<>();
+/**
+ * Turns path=value pairs, those of {@code ENLIST} or of a sidecar's configuration, into settings. Unknown paths are
+ * skipped.
+ */
+public final class SettingsReader {
+    private final Map<String, String> values;
+
+    /** Settings already taken apart: lists of plain values joined with commas, lists of objects counted. */
+    public SettingsReader(Map<String, String> values) {
+        this.values = values;
+    }
 
     SettingsReader(Fields fields) {
+        this(new HashMap<>());
         while (fields.more()) {
             String pair = fields.text();
             int equals = pair.indexOf('=');
@@ -30,7 +39,7 @@
         }
     }
 
-    Settings read() {
+    public Settings read() {
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < (int) need("profiles.count"); i++) {
             String p = "profiles." + i + ".";
@@ -63,6 +72,11 @@
                 prices, (long) real("period_us", 1000));
     }
 
+    /** A connection that is not up within this time never comes up. */
+    public long dialTimeoutUs() {
+        return (long) real("limits.dial_timeout_us", 250_000);
+    }
+
     List<String> reportFields() {
         return Arrays.asList(values.getOrDefault("load_info.fields", "").split(","));
     }
--- a/src/main/java/rushproxy/wire/SimHost.java
+++ b/src/main/java/rushproxy/wire/SimHost.java
@@ -262,25 +262,16 @@
         if (row == null) {
             return null;
         }
-        double inFlight = -1;
-        double queued = -1;
-        double utilisation = -1;
+        LoadValues values = new LoadValues();
         String[] parts = row.split(",");
         for (int i = 0; i < parts.length && i < names.size(); i++) {
-            double value;
             try {
-                value = parts[i].equals("-") ? -1 : Double.parseDouble(parts[i]);
+                values.put(names.get(i), parts[i].equals("-") ? -1 : Double.parseDouble(parts[i]));
             } catch (NumberFormatException e) {
                 throw new WireException("load report '" + row + "' holds a value that is no number");
             }
-            switch (names.get(i)) {
-                case "busy_reqs" -> inFlight = value;
-                case "pending" -> queued = value;
-                case "cpu_share" -> utilisation = value;
-                default -> { }
-            }
         }
-        return new LoadReport(inFlight, queued, utilisation);
+        return values.report();
     }
 
     /** Writes one instance's actions into the reply. */
