--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -73,7 +73,8 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        ahead.add(new Arrival((FullHttpRequest) message, readingSinceUs));
+        // Where several came in one read, the first has used up its start: the others began with the read too.
+        ahead.add(new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs));
         readingSinceUs = 0;
         if (ahead.size() >= MOST_AHEAD) {
             channel.config().setAutoRead(false);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +25,7 @@
     private static final long PROBE_US = 50_000;
 
     private final Config config;
+    private final Module module;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
@@ -37,8 +37,14 @@
     private final ClientServer clients;
     private InetSocketAddress listening;
 
-    Sidecar(Config config) {
+    /** Makes the module that decides; its actions may be used from then on. */
+    interface Module {
+        Balancer create(Config config, long now, Balancer.Actions actions);
+    }
+
+    Sidecar(Config config, Module module) {
         this.config = config;
+        this.module = module;
         Balancer.Settings settings = config.settings();
         int perSide = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2);
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(), perSide);
@@ -60,7 +66,8 @@
             Log.line(e.getMessage());
             return 2;
         }
-        Sidecar sidecar = new Sidecar(config);
+        Sidecar sidecar = new Sidecar(config,
+                (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
         try {
             sidecar.start();
         } catch (Exception e) {
@@ -85,10 +92,10 @@
     void start() throws InterruptedException {
         upstreams.update(config.known());
         loop.submit(() -> decisions.start(actions -> {
-            Balancer module = new Policy(config.settings(), config.seed(), clock.now(), actions);
-            module.onList(clock.now(), ListKind.CACHED,
+            Balancer made = module.create(config, clock.now(), actions);
+            made.onList(clock.now(), ListKind.CACHED,
                     config.known().entries().stream().map(UpstreamList.Entry::upstream).toList());
-            return module;
+            return made;
         }, new Hands())).sync();
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
@@ -105,6 +112,11 @@
         loop.execute(() -> clients.stop(stopped));
     }
 
+    /** Ends at once, whatever is held. */
+    void end() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
     /** Carries out what the module decides. */
     private final class Hands implements Balancer.Actions {
         @Override
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -0,0 +1,89 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class DiscoveryTest {
+    private static final String UP = Rig.entry("u0", "127.0.0.1:9", "Ready", 0);
+
+    @Test
+    void theWatchGoesOnFromEachVersion() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = new Rig((m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1 -> line.answer("200 OK", "", Rig.list(41, false));
+                case 2 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
+                case 3 -> line.answer("200 OK", "Connection: close\r\n", Rig.list(44, true, UP));
+                default -> { }
+            }
+        })) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            assertEquals("list CACHED u0=READY", rig.await("list"));
+            // The first answer tells the module that it is subscribed, even without a change.
+            assertEquals("list DELTA ", rig.await("list"));
+            assertEquals("list DELTA u0=DRAINING", rig.await("list"));
+            assertEquals("list FULL u0=READY", rig.await("list"));
+            for (int index : new int[] {41, 41, 42, 44}) {
+                String path = rig.discovery.next().path();
+                assertTrue(path.startsWith("/registry/instances?index=" + index + "&wait="), path);
+            }
+        }
+    }
+
+    /** A bad answer is a failed call; taken for an empty list it would end all service. */
+    @Test
+    void aBadAnswerIsAFailedCallAndThenTheWholeListIsAskedFor() throws Exception {
+        String[] bad = {"no json", "", "{}", "[]", "null", "{\"generation\":50,\"reset\":true,\"instances\":[]}",
+            "{\"generation\":50,\"reset\":true}", Rig.list(40, false, UP), Rig.list(50, false, UP.replace("Ready", "?")),
+            Rig.list(50, true, UP.replace("127.0.0.1:9", "nowhere")), "{\"generation\":50,\"reset\":true,\"instances\":[7]}"};
+        for (String answer : bad) {
+            AtomicInteger calls = new AtomicInteger();
+            try (Rig rig = new Rig((m, line) -> {
+                switch (calls.incrementAndGet()) {
+                    case 1 -> line.answer("200 OK", "", answer);
+                    case 2 -> line.answer("200 OK", "", Rig.list(60, true, UP));
+                    default -> { }
+                }
+            })) {
+                rig.upstream((m, line) -> { });
+                rig.start();
+                rig.await("list CACHED");
+                assertEquals("list FAILED ", rig.await("list"), answer);
+                assertEquals("list FULL u0=READY", rig.await("list"));
+                rig.discovery.next();
+                assertEquals("/registry/instances", rig.discovery.next().path(), answer);
+                assertTrue(rig.discovery.next().path().contains("?index=60&wait="));
+            }
+        }
+    }
+
+    @Test
+    void callsThatFailAreToldAndTheVersionIsKept() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = new Rig((m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1 -> line.answer("503 Down", "", "");
+                case 2 -> line.reset();
+                case 3 -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n");
+                case 4 -> line.answer("200 OK", "", Rig.list(43, false, UP));
+                default -> { }
+            }
+        })) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            rig.await("list CACHED");
+            for (int i = 0; i < 3; i++) {
+                assertEquals("list FAILED ", rig.await("list"));
+                assertTrue(rig.discovery.next().path().contains("?index=41&wait="));
+            }
+            assertEquals("list DELTA u0=READY", rig.await("list"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -0,0 +1,166 @@
+package rushproxy.sidecar;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A server on loopback that answers each message as the test says: an upstream or discovery. */
+final class Peer implements AutoCloseable {
+    /** What a test does with one message; to write nothing leaves the sender waiting. */
+    interface Script {
+        void handle(Message message, Line line) throws IOException;
+    }
+
+    record Message(String head, String body) {
+        String path() {
+            return head.split(" ")[1];
+        }
+
+        /** Null where there is no such header. */
+        String header(String name) {
+            return head.lines().skip(1).filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
+                    .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+        }
+    }
+
+    /** One connection as its server sees it. */
+    record Line(Socket socket) {
+        void raw(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+        }
+
+        void answer(String status, String headers, String body) throws IOException {
+            raw("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    final BlockingQueue<Message> messages = new LinkedBlockingQueue<>();
+    final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final ServerSocket server;
+    volatile Script script;
+
+    Peer(Script script) throws IOException {
+        this.script = script;
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        start(this::accept);
+    }
+
+    private static void start(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    InetSocketAddress socketAddress() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    Message next() throws InterruptedException {
+        Message m = messages.poll(20, TimeUnit.SECONDS);
+        if (m == null) {
+            throw new AssertionError("no message came");
+        }
+        return m;
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                accepted.add(socket);
+                start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // closed
+        }
+    }
+
+    private void serve(Socket socket) {
+        try {
+            for (Message m; (m = read(socket.getInputStream())) != null; ) {
+                messages.add(m);
+                script.handle(m, new Line(socket));
+            }
+        } catch (IOException e) {
+            // the other side ended
+        }
+    }
+
+    /** One HTTP message with a body of its stated length; null where the stream ends before one. */
+    static Message read(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return null;
+            }
+            head.append((char) c);
+        }
+        Message m = new Message(head.toString(), "");
+        String length = m.header("Content-Length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return new Message(m.head, new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+
+    /** A client's connection to a sidecar. */
+    static final class Client implements AutoCloseable {
+        final Socket socket;
+
+        Client(InetSocketAddress to) throws IOException {
+            socket = new Socket(to.getAddress(), to.getPort());
+            socket.setSoTimeout(20_000);
+        }
+
+        Client send(String text) throws IOException {
+            OutputStream out = socket.getOutputStream();
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            return this;
+        }
+
+        /** The next answer; null where the connection ends without one. */
+        Message answer() throws IOException {
+            return read(socket.getInputStream());
+        }
+
+        int status() throws IOException {
+            Message m = answer();
+            return m == null ? -1 : Integer.parseInt(m.head.split(" ")[1]);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/PeersTest.java
@@ -0,0 +1,58 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class PeersTest {
+    private static DatagramSocket socket() throws Exception {
+        DatagramSocket s = new DatagramSocket(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        s.setSoTimeout(20_000);
+        return s;
+    }
+
+    @Test
+    void onlyPeersAreHeardAndOnlyWhatFits() throws Exception {
+        try (DatagramSocket peer = socket(); DatagramSocket stranger = socket(); DatagramSocket everyone = socket();
+             Rig rig = new Rig()) {
+            rig.peerFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:" + peer.getLocalPort()
+                    + "\"],\"peers_all\":\"127.0.0.1:" + everyone.getLocalPort() + "\",";
+            rig.onRequest = (now, r, out) -> {
+                out.tell(1, new byte[5]);
+                out.tell(7, new byte[5]);
+                out.tell(1, new byte[257]);
+                out.tell(1, new byte[256]);
+                out.tell(-1, new byte[7]);
+                out.fail(r.id());
+            };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a1", 20_000));
+                assertEquals(502, client.status());
+            }
+            DatagramPacket got = new DatagramPacket(new byte[1000], 1000);
+            peer.receive(got);
+            assertEquals(5, got.getLength());
+            InetSocketAddress sidecar = (InetSocketAddress) got.getSocketAddress();
+            got.setLength(1000);
+            peer.receive(got);
+            assertEquals(256, got.getLength());
+            got.setLength(1000);
+            everyone.receive(got);
+            assertEquals(7, got.getLength());
+
+            stranger.send(new DatagramPacket(new byte[3], 3, sidecar));
+            peer.send(new DatagramPacket(new byte[257], 257, sidecar));
+            peer.send(new DatagramPacket(new byte[0], 0, sidecar));
+            peer.send(new DatagramPacket(new byte[256], 256, sidecar));
+            assertEquals("peer 1 0", rig.await("peer"));
+            assertEquals("peer 1 256", rig.await("peer"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -0,0 +1,188 @@
+package rushproxy.sidecar;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import rushproxy.Balancer;
+
+/** A sidecar in this process, with a module that does what the test says and writes down what it is told. */
+final class Rig implements AutoCloseable {
+    static final String SETTINGS = """
+            {"me":0,"balancers":2,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"on_request",
+             "profiles":[{"name":"c","semantics":"safe","objective_us":300000,"give_up_us":800000}],
+             "rules":{"drain_grace_us":500000,"cold_share":0.2,"ramp_time_us":9000000,"fall_multiple":3,
+                      "fall_us":1000000,"ask_every_us":10000000},
+             "limits":{"max_attempts":4,"dial_timeout_us":2000000,"conn_idle_us":15000000,"retry_after":true,
+                       "max_retry_after_us":1000000,"peers":true,"probing":true,"cancelling":true},
+             "load_info":{"how":"inline","fields":["busy_reqs","pending","cpu_share"]},
+             "something_new":{"a":[{"b":null}]}}""";
+
+    /** What the module does with a request. */
+    interface OnRequest {
+        void take(long now, Balancer.Request request, Balancer.Actions out);
+    }
+
+    /** What the module does when an attempt has ended without success. */
+    interface OnOutcome {
+        void take(String request, Balancer.Outcome outcome, boolean done, Balancer.Actions out);
+    }
+
+    final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    final List<Peer> peers = new ArrayList<>();
+    final Peer discovery;
+    volatile OnRequest onRequest = (now, r, out) -> out.send(r.id(), "u0", 0);
+    volatile OnOutcome onOutcome = (id, outcome, done, out) -> {
+        if (!done) {
+            out.fail(id);
+        }
+    };
+    Sidecar sidecar;
+    String peerFields = "";
+    private volatile Balancer.Actions actions;
+
+    Rig(Peer.Script discovers) throws IOException {
+        discovery = new Peer(discovers);
+    }
+
+    /** Discovery that keeps every watch waiting. */
+    Rig() throws IOException {
+        this((m, line) -> { });
+    }
+
+    Peer upstream(Peer.Script script) throws IOException {
+        Peer p = new Peer(script);
+        peers.add(p);
+        return p;
+    }
+
+    static String entry(String id, String address, String lifecycle, long startedAtMs) {
+        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + address + "\",\"zone\":\"za\",\"machineType\":\"k\","
+                + "\"cell\":1,\"lifecycle\":\"" + lifecycle + "\",\"weight\":1.0,\"startedAtMs\":" + startedAtMs + "}";
+    }
+
+    static String list(long generation, boolean whole, String... entries) {
+        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":["
+                + String.join(",", entries) + "]}";
+    }
+
+    String known() {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < peers.size(); i++) {
+            entries.add(entry("u" + i, peers.get(i).address(), "Ready", 0));
+        }
+        return list(41, true, entries.toArray(String[]::new));
+    }
+
+    static Config config(String json) throws IOException, Config.Broken {
+        Path file = Files.createTempFile("config", ".json");
+        try {
+            Files.writeString(file, json);
+            return Config.read(Map.of("BALANCER_CONFIG", file.toString()));
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    Rig start() throws Exception {
+        Config config = config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
+                + "\",\"seed\":\"8c1f30d27a5be964\"," + peerFields + "\"known\":" + known() + ",\"settings\":"
+                + SETTINGS + "}");
+        sidecar = new Sidecar(config, (c, now, out) -> {
+            actions = out;
+            return new Recorder();
+        });
+        sidecar.start();
+        return this;
+    }
+
+    InetSocketAddress address() {
+        return sidecar.listening();
+    }
+
+    Peer.Client client() throws IOException {
+        return new Peer.Client(address());
+    }
+
+    static String get(String id, long remainingMs) {
+        return "GET /api/slots?day=1 HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: c\r\nX-Remaining-Ms: "
+                + remainingMs + "\r\n\r\n";
+    }
+
+    /** Waits until the module was told something that starts so. */
+    String await(String start) throws InterruptedException {
+        for (String line; (line = told.poll(20, TimeUnit.SECONDS)) != null; ) {
+            if (line.startsWith(start)) {
+                return line;
+            }
+        }
+        throw new AssertionError("the module was never told '" + start + "'");
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (sidecar != null) {
+            sidecar.end();
+        }
+        discovery.close();
+        for (Peer p : peers) {
+            p.close();
+        }
+    }
+
+    private final class Recorder implements Balancer {
+        @Override
+        public void onList(long now, ListKind kind, List<Upstream> entries) {
+            told.add("list " + kind + " " + String.join(",", entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
+            if (kind == ListKind.CACHED || kind == ListKind.FAILED) {
+                actions.subscribe();
+            }
+        }
+
+        @Override
+        public void onRequest(long now, Request request) {
+            told.add("request " + request.id() + " " + request.remainingUs());
+            onRequest.take(now, request, actions);
+        }
+
+        @Override
+        public void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs,
+                              boolean done, LoadReport report) {
+            told.add("outcome " + request + " " + attempt + " " + outcome + " " + done + " "
+                    + (report == null ? "-" : report.inFlight()));
+            onOutcome.take(request, outcome, done, actions);
+        }
+
+        @Override
+        public void onStreamStart(long now, String request, int attempt, String upstream, long latencyUs) {}
+
+        @Override
+        public void onProbe(long now, String upstream, Outcome outcome, long latencyUs, LoadReport report) {
+            told.add("probe " + upstream + " " + outcome + " " + (report == null ? "-" : report.inFlight()));
+        }
+
+        @Override
+        public void onExpired(long now, String request) {
+            told.add("expired " + request);
+        }
+
+        @Override
+        public void onPeer(long now, int peer, byte[] message) {
+            told.add("peer " + peer + " " + message.length);
+        }
+
+        @Override
+        public void onTimer(long now, String mark) {
+            told.add("timer " + mark);
+            if (mark.equals("break")) {
+                throw new IllegalStateException("as the test wants");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -0,0 +1,126 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections and the list: everything here happens on one event loop, as in the program. */
+@Timeout(60)
+class UpstreamsTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private Upstreams upstreams(long idleUs, int most) throws Exception {
+        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, most)).get();
+    }
+
+    private static UpstreamList list(boolean whole, String... entries) {
+        return UpstreamList.of(Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private Upstreams.Call call(String upstream) {
+        return new Upstreams.Call(upstream, clock.now() + 20_000_000, false,
+                left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
+                (c, outcome, report, body) -> outcomes.add(upstream + " " + outcome));
+    }
+
+    private String outcome() throws InterruptedException {
+        return outcomes.poll(20, TimeUnit.SECONDS);
+    }
+
+    /**
+     * A connection that comes up after its upstream drained, went or restarted must carry nothing. The change
+     * falls into the same turn of the loop as the call, so that the connection can't be up before it.
+     */
+    @Test
+    void nothingIsSentToAnUpstreamThatChangedWhileItsConnectionCameUp() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"));
+             Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = upstreams(15_000_000, 100);
+            UpstreamList ready = list(true, Rig.entry("u", up.address(), "Ready", 0));
+            for (UpstreamList change : new UpstreamList[] {
+                list(false, Rig.entry("u", up.address(), "Terminating", 0)),
+                list(false, Rig.entry("u", up.address(), "Gone", 0)),
+                list(false, Rig.entry("u", up.address(), "Ready", 5_000_000)),
+                list(false, Rig.entry("u", moved.address(), "Ready", 0)),
+                list(true, Rig.entry("other", moved.address(), "Ready", 0))}) {
+                loop.execute(() -> {
+                    upstreams.update(ready);
+                    upstreams.start(call("u"));
+                    upstreams.update(change);
+                });
+                assertEquals("u NOT_SENT", outcome());
+            }
+            assertTrue(up.messages.isEmpty() && moved.messages.isEmpty(), "a request was sent all the same");
+        }
+    }
+
+    /** The same upstream named again, as in every whole list, is no change: its connections stay. */
+    @Test
+    void aListThatSaysTheSameKeepsTheConnections() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = upstreams(15_000_000, 100);
+            for (int i = 0; i < 3; i++) {
+                loop.execute(() -> {
+                    upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0)));
+                    upstreams.start(call("u"));
+                });
+                assertEquals("u OK", outcome());
+            }
+            assertEquals(1, up.accepted.size());
+        }
+    }
+
+    /** An upstream drops idle connections unseen; a request written to one from then on would end as a reset. */
+    @Test
+    void connectionsIdleForLongAreDroppedBeforeTheUpstreamDoesSo() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+            Upstreams upstreams = upstreams(1, 100);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            for (int i = 0; i < 2; i++) {
+                loop.execute(() -> upstreams.start(call("u")));
+                assertEquals("u OK", outcome());
+            }
+            assertEquals(-1, up.accepted.take().getInputStream().read());
+            assertEquals(1, up.accepted.size(), "the second call did not open a connection of its own");
+        }
+    }
+
+    /** Descriptors are few: at the cap an idle connection elsewhere makes room, and without one nothing is sent. */
+    @Test
+    void connectionsStayWithinTheirCap() throws Exception {
+        try (Peer a = new Peer((m, line) -> line.answer("200 OK", "", ""));
+             Peer silent = new Peer((m, line) -> { })) {
+            Upstreams upstreams = upstreams(15_000_000, 1);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("a", a.address(), "Ready", 0),
+                    Rig.entry("silent", silent.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.start(call("a")));
+            assertEquals("a OK", outcome());
+            loop.execute(() -> upstreams.start(call("silent")));
+            silent.next();
+            assertEquals(-1, a.accepted.take().getInputStream().read());
+            loop.execute(() -> upstreams.start(call("a")));
+            assertEquals("a NOT_SENT", outcome());
+        }
+    }
+}
