Close gaps in stop, client cap and discovery that the documents name

Discovery that answers at once is called at most every 100 ms. Where lists are pushed the module never asks, so the watch starts by itself (it did not start at all). - A late event loop is told in the log, once in ten seconds, above 15 ms.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -202,12 +202,26 @@
         }
     }
 
-    void closeIfQuiet(long sinceUs) {
-        if (!busy && ahead.isEmpty() && readingSinceUs == 0 && activeUs < sinceUs) {
-            channel.close();
+    /** Between requests: nothing is held, and no part of the next one has come. */
+    boolean quiet() {
+        return !busy && ahead.isEmpty() && readingSinceUs == 0;
+    }
+
+    long activeUs() {
+        return activeUs;
+    }
+
+    /** Half a request is waited for as long as its client may still wait for the answer, not for ever. */
+    void closeIfQuiet(long sinceUs, long halfSinceUs) {
+        if (activeUs < (quiet() ? sinceUs : halfSinceUs) && !busy && ahead.isEmpty()) {
+            close();
         }
     }
 
+    void close() {
+        channel.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         for (Arrival a; (a = ahead.poll()) != null; ) {
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -9,10 +9,14 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import rushproxy.Balancer.RequestClass;
 
 /** The application's side: listens, and says goodbye without losing what clients have sent. */
 final class ClientServer {
@@ -21,6 +25,8 @@
     /** A connection this young or this busy may have a request on its way. */
     private static final long QUIET_MS = 150;
     private static final long LOOK_MS = 20;
+    /** An application that goes on coming for this long does not know of the stop. */
+    private static final long LISTEN_ON_MS = 1_000;
 
     private final EventLoop loop;
     private final Requests requests;
@@ -28,17 +34,20 @@
     private final Set<String> classes;
     private final BooleanSupplier canServe;
     private final int maxConnections;
+    /** No client waits longer than this for an answer. */
+    private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
     private Channel listener;
     private long stopAtUs;
     private long acceptedUs;
 
-    ClientServer(EventLoop loop, Clock clock, Requests requests, Set<String> classes, BooleanSupplier canServe,
+    ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
                  int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
-        this.classes = classes;
+        this.classes = classes.stream().map(RequestClass::name).collect(Collectors.toSet());
+        longestUs = classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
         this.canServe = canServe;
         this.maxConnections = maxConnections;
     }
@@ -61,6 +70,11 @@
         acceptedUs = clock.now();
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this);
         connections.add(connection);
+        if (connections.size() >= maxConnections) {
+            // One between requests makes room: its client opens another where it needs one.
+            connections.stream().filter(c -> c != connection && c.quiet())
+                    .min(Comparator.comparingLong(ClientConnection::activeUs)).ifPresent(ClientConnection::close);
+        }
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
         listener.config().setAutoRead(connections.size() < maxConnections);
         channel.closeFuture().addListener(f -> {
@@ -89,11 +103,11 @@
         long now = clock.now();
         if (now >= stopAtUs) {
             // Closing the listener would reset what waits in its backlog: only once none has come for a while.
-            if (listener.isOpen() && now - acceptedUs >= QUIET_MS * 1000) {
+            if (listener.isOpen() && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
                 listener.close();
             }
             for (ClientConnection c : Set.copyOf(connections)) {
-                c.closeIfQuiet(now - QUIET_MS * 1000);
+                c.closeIfQuiet(now - QUIET_MS * 1000, now - longestUs);
             }
             if (connections.isEmpty() && !listener.isOpen()) {
                 stopped.run();
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -21,6 +21,7 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Balancer.Upstream;
@@ -34,10 +35,14 @@
     /** A list of some thousand upstreams; more is no list. */
     private static final int MAX_ANSWER = 1 << 20;
     private static final int CONNECT_MS = 1_000;
-    /** Discovery may keep a call in its queue for seconds, beyond the wait asked for. */
-    private static final long ANSWER_MS = 4_000;
+    /** Discovery keeps a call for the whole list in its queue for seconds. */
+    private static final long WHOLE_MS = 4_000;
+    /** Changes count as told 2 s after a watch's wait is over: one that is silent then is asked again before. */
+    private static final long SILENT_MS = 1_500;
     private static final long MOST_WAIT_MS = 20_000;
     private static final long AGAIN_MS = 1_000;
+    /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
+    private static final long PACE_MS = 100;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -56,9 +61,13 @@
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
     private long call;
     private long calls;
+    private long begunUs;
+    /** Where lists are pushed the module asks for nothing: the watch is this class's own. */
+    private final boolean pushed;
 
     Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, InetSocketAddress address,
-              long generation, long askEveryUs) {
+              long generation, long askEveryUs, boolean pushed) {
+        this.pushed = pushed;
         this.loop = loop;
         this.clock = clock;
         this.decisions = decisions;
@@ -77,17 +86,22 @@
                 });
     }
 
-    void subscribe() {
-        asked = true;
-        if (call == 0) {
-            begin();
+    void start() {
+        if (pushed) {
+            subscribe();
         }
     }
 
+    void subscribe() {
+        asked = !pushed;
+        goOn();
+    }
+
     private void begin() {
         long number = ++calls;
         call = number;
-        timeout = loop.schedule(() -> failed(number, "no answer"), ANSWER_MS + (doubt ? 0 : waitMs),
+        begunUs = clock.now();
+        timeout = loop.schedule(() -> failed(number, "no answer"), doubt ? WHOLE_MS : waitMs + SILENT_MS,
                 TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             write(number);
@@ -125,9 +139,18 @@
         channel = null;
         asked = false;
         Log.line("a call to discovery failed: " + why);
-        // Without a working module nobody would ask again.
-        decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()),
-                () -> loop.schedule(this::subscribe, AGAIN_MS, TimeUnit.MILLISECONDS));
+        if (pushed) {
+            again();
+        } else {
+            // The module asks again, ever later; without a working one nobody would.
+            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), this::again);
+        }
+    }
+
+    /** Jittered, so that sidecars that failed together do not ask together again. */
+    private void again() {
+        loop.schedule(this::subscribe, AGAIN_MS / 2 + ThreadLocalRandom.current().nextLong(AGAIN_MS),
+                TimeUnit.MILLISECONDS);
     }
 
     private void end() {
@@ -165,6 +188,15 @@
             List<Upstream> entries = list.entries().stream().map(UpstreamList.Entry::upstream).toList();
             decisions.call(m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries), () -> { });
         }
+        long restMs = PACE_MS - (clock.now() - begunUs) / 1000;
+        if (restMs <= 0) {
+            goOn();
+        } else {
+            loop.schedule(this::goOn, restMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void goOn() {
         if (call == 0) {
             begin();
         }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -11,10 +11,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
-import rushproxy.Balancer.RequestClass;
 import rushproxy.Policy;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
@@ -24,6 +22,11 @@
     /** An answer to a probe that takes longer tells nothing of now. */
     private static final long PROBE_US = 50_000;
 
+    private static final long BEAT_MS = 50;
+    private static final int BEATS = 200;
+    /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
+    private static final long LAG_US = 15_000;
+
     private final Config config;
     private final Module module;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -36,6 +39,9 @@
     private final Peers peers;
     private final ClientServer clients;
     private InetSocketAddress listening;
+    private long beatAtUs;
+    private long worstLagUs;
+    private long beats;
 
     /** Makes the module that decides; its actions may be used from then on. */
     interface Module {
@@ -50,11 +56,9 @@
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(), perSide);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
-                settings.rules().askEveryUs());
+                settings.rules().askEveryUs(), !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
-        clients = new ClientServer(loop, clock, requests,
-                settings.classes().stream().map(RequestClass::name).collect(Collectors.toSet()),
-                upstreams::anyReady, perSide);
+        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, perSide);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
@@ -97,12 +101,28 @@
                     config.known().entries().stream().map(UpstreamList.Entry::upstream).toList());
             return made;
         }, new Hands())).sync();
+        loop.execute(discovery::start);
+        beatAtUs = clock.now();
+        loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
         }
         listening = clients.listen(config.listen());
     }
 
+    /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
+    private void beat() {
+        long now = clock.now();
+        worstLagUs = Math.max(worstLagUs, now - beatAtUs - BEAT_MS * 1000);
+        beatAtUs = now;
+        if (++beats % BEATS == 0) {
+            if (worstLagUs >= LAG_US) {
+                Log.line("the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s");
+            }
+            worstLagUs = 0;
+        }
+    }
+
     InetSocketAddress listening() {
         return listening;
     }
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -1,7 +1,6 @@
 package rushproxy.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.atomic.AtomicInteger;
@@ -86,4 +85,25 @@
             assertEquals("list DELTA u0=READY", rig.await("list"));
         }
     }
+
+    /** Where lists are pushed the module never asks: the sidecar keeps its watch by itself, also after failures. */
+    @Test
+    void pushedListsAreWatchedWithoutBeingAskedFor() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = new Rig((m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1 -> line.answer("200 OK", "", Rig.list(41, false));
+                case 2 -> line.answer("503 Down", "", "");
+                case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP));
+                default -> { }
+            }
+        })) {
+            rig.settings = rig.settings.replace("on_request", "pushed");
+            rig.asks = false;
+            rig.upstream((m, line) -> { });
+            rig.start();
+            rig.await("list CACHED");
+            assertEquals("list DELTA u0=READY", rig.await("list"), "told of a call it has not made, or of no change");
+        }
+    }
 }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -45,6 +45,10 @@
     };
     Sidecar sidecar;
     String peerFields = "";
+    String settings = SETTINGS;
+    /** Whether the module asks for a watch. */
+    boolean asks = true;
+    int sockets = 1024;
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -92,8 +96,8 @@
 
     Rig start() throws Exception {
         Config config = config("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\"," + peerFields + "\"known\":" + known() + ",\"settings\":"
-                + SETTINGS + "}");
+                + "\",\"seed\":\"8c1f30d27a5be964\"," + peerFields + "\"known\":" + known()
+                + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}");
         sidecar = new Sidecar(config, (c, now, out) -> {
             actions = out;
             return new Recorder();
@@ -140,7 +144,7 @@
         @Override
         public void onList(long now, ListKind kind, List<Upstream> entries) {
             told.add("list " + kind + " " + String.join(",", entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
-            if (kind == ListKind.CACHED || kind == ListKind.FAILED) {
+            if (asks && (kind == ListKind.CACHED || kind == ListKind.FAILED)) {
                 actions.subscribe();
             }
         }
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -56,4 +56,39 @@
             }
         }
     }
+
+    /** Half a request whose client has fallen silent holds up the stop no longer than a client would wait. */
+    @Test
+    void aClientThatFellSilentDoesNotKeepTheSidecarFromEnding() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            try (Peer.Client half = rig.client()) {
+                half.send("GET /api HTTP/1.1\r\nX-T");
+                rig.sidecar.stop(stopped::countDown);
+                assertTrue(stopped.await(20, TimeUnit.SECONDS));
+                assertEquals(null, half.answer());
+            }
+        }
+    }
+
+    /** Beyond the cap an idle connection makes room; otherwise new ones would wait for ever. */
+    @Test
+    void idleClientsMakeRoomForNewOnes() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
+            rig.sockets = 64 + 2 * 16;
+            rig.start();
+            Peer.Client[] clients = new Peer.Client[40];
+            for (int i = 0; i < clients.length; i++) {
+                clients[i] = rig.client();
+                clients[i].send(Rig.get("c" + i, 30_000));
+                assertEquals(200, clients[i].status());
+            }
+            assertEquals(null, clients[0].answer());
+            for (Peer.Client c : clients) {
+                c.close();
+            }
+        }
+    }
 }
