Refuse only what cannot have run, whatever its class

Cause: Policy.mayRefuse let a safe request, and a keyed one whose servers all drop repeats, be refused after an attempt that may have run, the latter even after the window in which repeats are dropped. A refusal tells the client that nothing has run, so these are failed now. keyedStaysInItsCellAndItsWindow expected the refusal outside the window; it expects the failure now.

The lag is now watched from when the listener is open, to tell a slow start from a late answer.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -627,12 +627,9 @@
         return Math.max(0, now - s.entry.startedUs()) / (cfg.rules().fallWindowUs() / 2);
     }
 
+    /** A refusal says that nothing has run, whatever the class: what may have is failed. */
     private boolean mayRefuse(Req r) {
-        for (Attempt a : r.attempts) {
-            boolean open = a.mayHaveRun && r.spec.semantics() != Semantics.SAFE;
-            if (open && !(r.spec.semantics() == Semantics.KEYED && r.spec.group() == Group.ALL)) return false;
-        }
-        return !r.over && !r.streaming;
+        return !r.over && !r.streaming && r.attempts.stream().noneMatch(a -> a.mayHaveRun);
     }
 
     private void send(long now, Req r, Server s) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -102,12 +102,12 @@
             return made;
         }, new Hands())).sync();
         loop.execute(discovery::start);
-        beatAtUs = clock.now();
-        loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
         }
         listening = clients.listen(config.listen());
+        beatAtUs = clock.now();
+        loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
     }
 
     /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -129,7 +129,21 @@
         late.windowUs = 5_000;
         late.start().list(A, B).request("r").after(10_000).outcome("r", 0, late.sentTo("r", 0), Outcome.ERROR, 10_000);
         assertNull(late.sentTo("r", 1));
-        assertEquals(1, late.take("refuse r").size());
+        // It may have run and no server drops its repeat any more: to call a retry harmless would be wrong.
+        assertEquals(1, late.take("fail r").size());
+        assertTrue(late.take("refuse").isEmpty());
+    }
+
+    /** Retry advice is for what has not run; a safe request that may have run has failed. */
+    @Test
+    void whatMayHaveRunIsFailedAndNotRefused() {
+        for (Outcome outcome : new Outcome[] {Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.REJECTED}) {
+            Rig rig = new Rig();
+            rig.maxAttempts = 1;
+            rig.start().list(A, B).request("r").after(10_000).outcome("r", 0, rig.sentTo("r", 0), outcome, 10_000);
+            assertEquals(outcome.mayHaveRun ? 1 : 0, rig.take("fail r").size(), outcome.name());
+            assertEquals(outcome.mayHaveRun ? 0 : 1, rig.take("refuse r").size(), outcome.name());
+        }
     }
 
     @Test
