Test the program's start and end as a process; say when it serves

The exit codes (2 with one line, 0 after SIGTERM) were only checked by hand. The line 'serves on' tells an operator, and the test, that it is up.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -89,6 +89,7 @@
             // A stop that was asked for and went well is no failure, whatever signal asked.
             Runtime.getRuntime().halt(0);
         }));
+        Log.line(config.name() + " serves on " + sidecar.listening());
         new CountDownLatch(1).await();
         return 0;
     }
--- /dev/null
+++ b/src/test/java/rushproxy/MainTest.java
@@ -0,0 +1,61 @@
+package rushproxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as its platform starts and ends it. */
+@Timeout(120)
+class MainTest {
+    @TempDir
+    Path folder;
+
+    private Process start(String config) throws Exception {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config);
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve");
+        builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        builder.redirectError(folder.resolve("log").toFile());
+        return builder.start();
+    }
+
+    private List<String> log() throws Exception {
+        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8).lines()
+                .filter(l -> !l.startsWith("Picked up ")).toList();
+    }
+
+    @Test
+    void aBrokenConfigurationEndsItWithOneLine() throws Exception {
+        Process p = start("{\"name\":\"n\"}");
+        assertEquals(2, p.waitFor());
+        assertEquals(1, log().size(), log().toString());
+        assertTrue(log().get(0).contains("'settings' is missing"), log().toString());
+    }
+
+    /** Asked to end it exits with 0 once it is empty, which a signal's own exit code would not tell. */
+    @Test
+    void askedToEndItExitsWithZero() throws Exception {
+        Process p = start("""
+                {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","peer_listen":"127.0.0.1:0",
+                 "known":{"generation":1,"reset":true,"instances":[]},
+                 "settings":{"me":0,"balancers":1,"zone":"z","discovery":"on_request",
+                  "profiles":[{"name":"c","semantics":"safe","objective_us":1,"give_up_us":1}],
+                  "rules":{"drain_grace_us":1,"cold_share":0.2,"ramp_time_us":1,"fall_multiple":3,"fall_us":1}}}""");
+        while (log().stream().noneMatch(l -> l.contains(" serves on ")) && p.isAlive()) {
+            Thread.sleep(20);
+        }
+        p.destroy();
+        assertTrue(p.waitFor(60, TimeUnit.SECONDS));
+        assertEquals(0, p.exitValue(), log().toString());
+    }
+}
