--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 
 /** The requests held: each is told to the module, carried through its attempts and answered exactly once. */
@@ -94,8 +95,7 @@
         return message;
     }
 
-    private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome,
-                       rushproxy.Balancer.LoadReport report, ByteBuf body) {
+    private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome, LoadReport report, ByteBuf body) {
         if (outcome == Outcome.OK && !x.over) {
             finish(x);
             x.answer.served(body.retain());
@@ -151,8 +151,4 @@
             open.remove(x.request.id());
         }
     }
-
-    boolean isEmpty() {
-        return open.values().stream().allMatch(x -> x.over);
-    }
 }
