Free the place of a connection that never came up

Cause, from reading Upstreams.connect: the count fell on the close of a channel, and one that could not be opened for want of descriptors never closes, so its place under the cap was lost. It is freed with the failure now. The test covers a refused connection; the want of descriptors itself is not provoked in it.

--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -239,8 +239,13 @@
         connections++;
         ChannelFuture connecting = bootstrap.connect(call.target.address);
         call.channel = connecting.channel();
-        call.channel.closeFuture().addListener(f -> connections--);
         connecting.addListener(f -> {
+            // One that could not even be opened, for want of descriptors, never closes: it must not count for ever.
+            if (f.isSuccess()) {
+                call.channel.closeFuture().addListener(closed -> connections--);
+            } else {
+                connections--;
+            }
             if (call.ended) {
                 call.channel.close();
             } else if (!f.isSuccess()) {
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -123,4 +123,23 @@
             assertEquals("a NOT_SENT", outcome());
         }
     }
+
+    /** What never came up holds no place: otherwise a crashed upstream would use up the cap by and by. */
+    @Test
+    void connectionsThatFailFreeTheirPlace() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", ""));
+             Peer gone = new Peer((m, line) -> { })) {
+            gone.close();
+            Upstreams upstreams = upstreams(15_000_000, 1);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0),
+                    Rig.entry("gone", gone.address(), "Ready", 0))));
+            for (int i = 0; i < 3; i++) {
+                loop.execute(() -> upstreams.start(call("gone")));
+                assertEquals("gone CONNECT_FAILED", outcome());
+            }
+            loop.execute(() -> upstreams.start(call("u")));
+            assertEquals("u OK", outcome());
+            up.accepted.take().getInputStream().read();
+        }
+    }
 }
