Make one piece of code serve each of the sidecar's twins

Read again, behaviour as it was: Exchange.noneOut for the check that stood three times, Upstreams.usable for the one on idle connections that stood twice, one Dialling.http for the connections of Upstreams and Discovery, one place where Requests tells an expiry; two unused pieces go.

--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -5,17 +5,12 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -75,15 +70,7 @@
         this.address = address;
         this.generation = generation;
         waitMs = askEveryUs <= 0 ? MOST_WAIT_MS : Math.min(MOST_WAIT_MS, askEveryUs / 1000);
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel c) {
-                        c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER), new Handler());
-                    }
-                });
+        bootstrap = Dialling.http(loop, CONNECT_MS, MAX_ANSWER, Handler::new);
     }
 
     void start() {
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -43,6 +43,10 @@
     }
 
     boolean settled() {
-        return over && attempts.stream().allMatch(Upstreams.Call::ended);
+        return over && noneOut();
+    }
+
+    boolean noneOut() {
+        return attempts.stream().allMatch(Upstreams.Call::ended);
     }
 }
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -35,10 +35,9 @@
         }
     }
 
-    InetSocketAddress listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
+    void listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
         channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Handler())
                 .bind(address).sync().channel();
-        return (InetSocketAddress) channel.localAddress();
     }
 
     /** To one peer, or to all where the number is -1. What can't be sent is lost, as any datagram may be. */
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -47,21 +47,25 @@
     void left(Exchange x) {
         if (!x.over) {
             finish(x);
-            decisions.call(m -> m.onExpired(clock.now(), x.request.id()), () -> { });
+            expired(x);
         }
     }
 
     private void overdue(Exchange x) {
         if (!x.over) {
             fail(x);
-            decisions.call(m -> m.onExpired(clock.now(), x.request.id()), () -> { });
+            expired(x);
         }
     }
 
+    private void expired(Exchange x) {
+        decisions.call(m -> m.onExpired(clock.now(), x.request.id()), () -> { });
+    }
+
     /** After a call that broke off: what the module held may be forgotten, so it is answered now. */
     void failHeld() {
         for (Exchange x : List.copyOf(open.values())) {
-            if (x.attempts.stream().allMatch(Upstreams.Call::ended)) {
+            if (x.noneOut()) {
                 overdue(x);
             }
         }
@@ -107,7 +111,7 @@
     }
 
     private void failUnlessOut(Exchange x) {
-        if (x.attempts.stream().allMatch(Upstreams.Call::ended)) {
+        if (x.noneOut()) {
             fail(x);
         }
     }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -4,13 +4,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -133,16 +128,8 @@
         this.clock = clock;
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000))
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Headers.MAX_BODY),
-                                new UpstreamConnection());
-                    }
-                });
+        bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), Headers.MAX_BODY,
+                UpstreamConnection::new);
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -219,7 +206,7 @@
     /** The most recently used first, so that the others grow old enough to be dropped. */
     private Channel takeIdle(Target t, long now) {
         for (Channel c; (c = t.idle.pollFirst()) != null; ) {
-            if (c.isActive() && now - connection(c).idleSinceUs < idleUs) {
+            if (usable(c, now)) {
                 return c;
             }
             c.close();
@@ -227,6 +214,10 @@
         return null;
     }
 
+    private boolean usable(Channel c, long now) {
+        return c.isActive() && now - connection(c).idleSinceUs < idleUs;
+    }
+
     private static UpstreamConnection connection(Channel c) {
         return c.pipeline().get(UpstreamConnection.class);
     }
@@ -300,7 +291,7 @@
         long now = clock.now();
         for (Target t : targets.values()) {
             t.idle.removeIf(c -> {
-                boolean drop = !c.isActive() || now - connection(c).idleSinceUs >= idleUs;
+                boolean drop = !usable(c, now);
                 if (drop) {
                     c.close();
                 }
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -72,10 +72,6 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    InetSocketAddress socketAddress() {
-        return (InetSocketAddress) server.getLocalSocketAddress();
-    }
-
     Message next() throws InterruptedException {
         Message m = messages.poll(20, TimeUnit.SECONDS);
         if (m == null) {
