--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -19,9 +19,13 @@
 
     enum Reports { NONE, INLINE, ON_PROBE }
 
+    /**
+     * {@code SPOILT}: something came back that is no answer. {@code INVALID}: the request itself was found to be no
+     * good, which says nothing of the upstream.
+     */
     enum Outcome {
         OK(true), ERROR(true), REJECTED(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
-        CANCELLED(true), NOT_SENT(false);
+        CANCELLED(true), NOT_SENT(false), SPOILT(true), INVALID(true);
 
         /** False where the outcome proves that the attempt never ran. */
         public final boolean mayHaveRun;
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -34,8 +34,9 @@
     private static final double SLACK = 1.5;
     /** Waiting requests are looked through this often, to give up in time those that find no room. */
     private static final long SWEEP_US = 5_000;
-    /** Failures in a row after which a server is left alone for a while. */
-    private static final int EJECT_AFTER = 2;
+    /** A server is left alone for a while after failures in a row that weigh so much. A spoilt answer weighs
+     * half: it shows that the server lives; one that spoils all it answers is still left alone. */
+    private static final int EJECT_AFTER = 4, FAILURE = 2, SPOILT = 1;
     private static final long EJECT_US = 500_000, EJECT_MOST_US = 8_000_000;
     /** Each sidecar tells one other its rate this often. */
     private static final long TELL_US = 500_000;
@@ -694,6 +695,7 @@
         closeIfLeaving(s);
         health(now, s, a, outcome, latencyUs);
         if (done || r.over) over(r);
+        else if (outcome == Outcome.INVALID) fail(r);
         else if (!r.streaming) next(now, r);
         dispatch(now, false);
         told = null;
@@ -748,9 +750,10 @@
             }
             case TIMEOUT, CANCELLED -> {
                 learn(s, a, latencyUs, false, now);
-                failed(now, s, outcome == Outcome.TIMEOUT ? 1 : 0);
+                failed(now, s, outcome == Outcome.TIMEOUT ? FAILURE : 0);
             }
-            case ERROR, RESET -> failed(now, s, 1);
+            case ERROR, RESET -> failed(now, s, FAILURE);
+            case SPOILT -> failed(now, s, SPOILT);
             case CONNECT_FAILED -> failed(now, s, EJECT_AFTER);
             case REJECTED -> {
                 // Refused while it holds little: not full but on its way out, or its room is broken.
@@ -794,7 +797,8 @@
         if (s == null) return;
         s.askedAt = 0;
         if (outcome != Outcome.OK) {
-            failed(now, s, outcome == Outcome.CONNECT_FAILED ? EJECT_AFTER : 1);
+            int other = outcome == Outcome.SPOILT ? SPOILT : FAILURE;
+            failed(now, s, outcome == Outcome.CONNECT_FAILED ? EJECT_AFTER : other);
         } else if (report == null) {
             // It answers but tells no load, as it did before: rather busy than idle.
             countAsFull(s, now);
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -6,8 +6,10 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import rushproxy.Balancer.Settings;
 import rushproxy.wire.SettingsReader;
 import rushproxy.wire.WireException;
@@ -26,6 +28,12 @@
         }
     }
 
+    /** The bounds that an operator compares with what a sidecar needs. */
+    String limits() {
+        return sockets + " descriptors, " + settings.classes().stream().map(c -> c.name() + " wanted within "
+                + c.aimUs() / 1000 + " ms of " + c.deadlineUs() / 1000).collect(Collectors.joining(", "));
+    }
+
     static Config read(Map<String, String> environment) throws Broken {
         String path = environment.get("BALANCER_CONFIG");
         if (path == null || path.isEmpty()) {
@@ -46,6 +54,13 @@
         }
     }
 
+    /** The file as it is now. Where it names another discovery than the variable of the start, the file is newer. */
+    static Config readAgain(Map<String, String> environment) throws Broken {
+        Map<String, String> rest = new HashMap<>(environment);
+        rest.remove("BALANCER_DISCOVERY");
+        return read(rest);
+    }
+
     private static Config parse(Json json, Map<String, String> environment) {
         String name = environment.getOrDefault("BALANCER_NAME", json.textOr("name", "sidecar"));
         SettingsReader reader = new SettingsReader(json.object("settings").flat());
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -44,7 +44,7 @@
     private final Decisions decisions;
     private final Upstreams upstreams;
     private final long waitMs;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private long generation;
     /** After an answer that made no sense the whole list is asked for. */
@@ -84,6 +84,28 @@
         goOn();
     }
 
+    /**
+     * Asks elsewhere from now on, at once and for the whole list: versions of another service need not follow on
+     * these. The call that was out is over and has not failed; nobody waits longer for having asked the old one.
+     */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        Log.line("discovery is now at " + to);
+        address = to;
+        doubt = true;
+        if (call != 0) {
+            end();
+        }
+        if (channel != null) {
+            Channel old = channel;
+            channel = null;
+            old.close();
+        }
+        begin();
+    }
+
     private void begin() {
         long number = ++calls;
         call = number;
@@ -122,8 +144,10 @@
         }
         end();
         // What may still come on it answers a call that is over.
-        channel.close();
-        channel = null;
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
         asked = false;
         Log.line("a call to discovery failed: " + why);
         if (pushed) {
--- a/src/main/java/rushproxy/sidecar/LoadReports.java
+++ b/src/main/java/rushproxy/sidecar/LoadReports.java
@@ -6,6 +6,8 @@
 /** Reads a load report of the form {@code TEXT inflight=7, queue=2, util=0.61}. */
 final class LoadReports {
     private static final String FORM = "TEXT ";
+    /** No upstream holds more: one figure out of this world, once believed, would keep its upstream out for good. */
+    private static final double MOST = 10_000;
 
     private LoadReports() {}
 
@@ -26,7 +28,7 @@
             } catch (NumberFormatException e) {
                 return null;
             }
-            if (!(value >= 0) || Double.isInfinite(value)) {
+            if (!(value >= 0 && value <= MOST)) {
                 return null;
             }
             values.put(pair.substring(0, equals).trim(), value);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -22,6 +22,8 @@
     /** An answer to a probe that takes longer tells nothing of now. */
     private static final long PROBE_US = 50_000;
 
+    /** Two parts of one answer are never so far apart. */
+    private static final long STALL_LEAST_US = 5_000;
     private static final long BEAT_MS = 50;
     private static final int BEATS = 200;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
@@ -53,7 +55,8 @@
         this.module = module;
         Balancer.Settings settings = config.settings();
         int perSide = Math.max(16, (config.sockets() - OWN_DESCRIPTORS) / 2);
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(), perSide);
+        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
+                stallUs(settings), perSide);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 settings.rules().askEveryUs(), !settings.discoveryOnRequest());
@@ -61,8 +64,15 @@
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, perSide);
     }
 
+    /** A small part of the time within which an answer is wanted leaves enough of it for another attempt. */
+    private static long stallUs(Balancer.Settings settings) {
+        long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElse(0);
+        return Math.max(STALL_LEAST_US, aim / 8);
+    }
+
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment) throws InterruptedException {
+        Reload reload = new Reload(environment);
         Config config;
         try {
             config = Config.read(environment);
@@ -89,7 +99,8 @@
             // A stop that was asked for and went well is no failure, whatever signal asked.
             Runtime.getRuntime().halt(0);
         }));
-        Log.line(config.name() + " serves on " + sidecar.listening());
+        Log.line(config.name() + " serves on " + sidecar.listening() + ", " + config.limits());
+        reload.serving(sidecar);
         new CountDownLatch(1).await();
         return 0;
     }
@@ -128,6 +139,11 @@
         return listening;
     }
 
+    /** Takes over what a new configuration may change while requests are held: where discovery is. */
+    void reconfigure(Config fresh) {
+        loop.execute(() -> discovery.moveTo(fresh.discovery()));
+    }
+
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
         loop.execute(() -> clients.stop(stopped));
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -2,75 +2,174 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.sidecar.Upstreams.Call;
 
-/** One connection to an upstream: one call at a time, and what comes back told as its outcome. */
+/**
+ * One connection to an upstream: one call at a time, and what comes back told as its outcome. It is believed as long
+ * as all that comes on it belongs to a call; a byte more, and it is closed.
+ */
 final class UpstreamConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final AnswerDecoder decoder = new AnswerDecoder();
+    private final Answers answers = new Answers(Headers.MAX_BODY);
     long idleSinceUs;
     private Call call;
     private BiConsumer<Call, Channel> release;
+    /** The answer to the call, kept until all that came with it has been looked at. */
+    private FullHttpResponse answer;
+    private Future<?> stall;
+    private boolean spoilt;
+    /** Upstreams write an answer whole: one that has begun and then stops for this long does not end any more. */
+    private final long stallUs;
+
+    private UpstreamConnection(long stallUs) {
+        this.stallUs = stallUs;
+    }
+
+    static void on(Channel channel, long stallUs) {
+        UpstreamConnection connection = new UpstreamConnection(stallUs);
+        ChannelPipeline p = channel.pipeline();
+        p.addLast(new HttpRequestEncoder(), connection.decoder, connection.answers, connection);
+    }
 
     void begin(Call next, BiConsumer<Call, Channel> whenFree) {
         call = next;
         release = whenFree;
     }
 
+    /** Nothing has come since the last answer: what comes next on it can only be meant for the next call. */
+    boolean clean() {
+        return !spoilt && answer == null && !partial();
+    }
+
+    private boolean partial() {
+        return decoder.leftOver() || answers.open();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL && response.decoderResult().isSuccess()) {
-            return;
+        if (call == null || answer != null || !response.decoderResult().isSuccess()) {
+            // Nobody asked, as for a second copy, or no HTTP: it must not become the answer to any request.
+            spoilt = true;
+        } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+            answer = response.retain();
+        }
+    }
+
+    /** Only with all of a read seen is it known whether something came behind the answer. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (answer != null) {
+            deliver(ctx);
+        } else if (spoilt || call == null && partial()) {
+            spoil(ctx);
+        } else if (stall == null && partial()) {
+            stall = ctx.executor().schedule(() -> stalled(ctx), stallUs, TimeUnit.MICROSECONDS);
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    private void stalled(ChannelHandlerContext ctx) {
+        stall = null;
+        if (partial()) {
+            spoil(ctx);
         }
+    }
+
+    private void deliver(ChannelHandlerContext ctx) {
+        FullHttpResponse response = answer;
         Call current = call;
+        answer = null;
         call = null;
-        if (current == null || !response.decoderResult().isSuccess()) {
-            // Nobody asked, or no HTTP: what else comes on this connection can't be told apart.
-            ctx.close();
-            if (current != null) {
-                current.broke();
+        calm();
+        try {
+            if (HttpUtil.isKeepAlive(response) && clean() && ctx.channel().isActive()) {
+                release.accept(current, ctx.channel());
+            } else {
+                ctx.close();
             }
-            return;
-        }
-        if (HttpUtil.isKeepAlive(response)) {
-            release.accept(current, ctx.channel());
-        } else {
-            ctx.close();
+            tell(current, response);
+        } finally {
+            response.release();
         }
+    }
+
+    private static void tell(Call current, FullHttpResponse response) {
         Outcome outcome = outcome(response);
         LoadReport report = LoadReports.read(current.reportInBody()
                 ? response.content().toString(StandardCharsets.UTF_8) : response.headers().get(Headers.LOAD));
+        if (current.reportInBody() && outcome == Outcome.OK && report == null) {
+            // A probe whose report can't be read tells neither of load nor of a server without reports.
+            outcome = Outcome.SPOILT;
+        }
         current.end(outcome, report, outcome == Outcome.OK ? response.content() : null);
     }
 
     private static Outcome outcome(FullHttpResponse response) {
         HttpHeaders headers = response.headers();
-        return switch (response.status().code()) {
+        int code = response.status().code();
+        return switch (code) {
             case 200 -> Outcome.OK;
             case 503, 504 -> "1".equals(headers.get(Headers.TURNED_AWAY)) ? Outcome.REJECTED : Outcome.ERROR;
-            default -> Outcome.ERROR;
+            // What the client sent was no good: that is not the upstream's fault, and no other would like it better.
+            default -> code >= 400 && code < 500 ? Outcome.INVALID : Outcome.ERROR;
         };
     }
 
+    private void calm() {
+        if (stall != null) {
+            stall.cancel(false);
+            stall = null;
+        }
+    }
+
+    /** No answer that can be told from noise. The request may have run, and the connection is of no more use. */
+    private void spoil(ChannelHandlerContext ctx) {
+        Call current = call;
+        call = null;
+        calm();
+        ctx.close();
+        if (current != null) {
+            current.spoilt();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (answer != null) {
+            deliver(ctx);
+        }
         Call current = call;
         call = null;
+        calm();
         if (current != null) {
             current.broke();
         }
     }
 
-    /** Too long an answer, no HTTP, or a connection that broke: in each case the call is over. */
+    /** A connection that broke, or what is no answer: in each case the call is over. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        ctx.close();
+        if (answer != null) {
+            spoilt = true;
+        } else if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
+            ctx.close();
+        } else {
+            spoil(ctx);
+        }
     }
 }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -93,6 +94,11 @@
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
 
+        /** What came is no answer; without its last byte written the request has not run all the same. */
+        void spoilt() {
+            end(written ? Outcome.SPOILT : Outcome.CONNECT_FAILED, null, null);
+        }
+
         private void timedOut() {
             abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
@@ -123,13 +129,12 @@
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, int maxConnections) {
+    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = Dialling.http(loop, (int) Math.max(1, dialTimeoutUs / 1000), Headers.MAX_BODY,
-                UpstreamConnection::new);
+        bootstrap = Dialling.tcp(loop, (int) Math.max(1, dialTimeoutUs / 1000), channel -> UpstreamConnection.on(channel, stallUs));
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -215,7 +220,7 @@
     }
 
     private boolean usable(Channel c, long now) {
-        return c.isActive() && now - connection(c).idleSinceUs < idleUs;
+        return c.isActive() && connection(c).clean() && now - connection(c).idleSinceUs < idleUs;
     }
 
     private static UpstreamConnection connection(Channel c) {
@@ -273,7 +278,8 @@
                 call.written = true;
             } else {
                 call.channel.close();
-                call.broke();
+                // What can't be put into words is its client's fault: no upstream has seen it.
+                call.end(f.cause() instanceof EncoderException ? Outcome.INVALID : Outcome.CONNECT_FAILED, null, null);
             }
         });
     }
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -106,4 +107,28 @@
             assertEquals("list DELTA u0=READY", rig.await("list"), "told of a call it has not made, or of no change");
         }
     }
+
+    /**
+     * After a new configuration the old service may fall silent or reset what is open: the whole list comes from the
+     * new one at once, the old call is no failure that the module would wait after, and its late answer is nobody's.
+     */
+    @Test
+    void anotherServiceIsAskedForTheWholeListAtOnce() throws Exception {
+        try (Peer next = new Peer((m, line) -> {
+            if (m.path().equals("/registry/instances")) {
+                line.answer("200 OK", "", Rig.list(3, true, UP));
+            }
+        });
+             Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            rig.await("list CACHED");
+            assertTrue(rig.discovery.next().path().contains("?index=41&wait="));
+            rig.reload(next.address());
+            assertEquals("list FULL u0=READY", rig.told.poll(20, TimeUnit.SECONDS));
+            assertEquals("/registry/instances", next.next().path());
+            assertTrue(next.next().path().contains("?index=3&wait="));
+            assertEquals(-1, rig.discovery.accepted.take().getInputStream().read(), "the old connection was left open");
+        }
+    }
 }
