--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -53,6 +53,8 @@
     private static final double TOLL = 0.005;
     /** The sidecars use this part of a cold server's budget: costs are estimates. */
     private static final double COLD_PART = 0.9;
+    /** Requests of others that may have come to a server unseen before it is asked for its load. */
+    private static final double UNSEEN = 0.15;
     private static final long ASK_FIRST_US = 500_000;
     /** A probe not answered for this long may be sent again. */
     private static final long PROBE_US = 100_000;
@@ -132,13 +134,16 @@
             }
             s.entry = u;
             s.ready = u.state() == UpstreamState.READY;
+            s.gone = u.state() == UpstreamState.GONE;
             closeIfLeaving(s);
         }
         for (Server s : servers.values()) {
             if (listKind == ListKind.DELTA || named.contains(s.id)) continue;
             s.ready = false;
+            s.gone = true;
             closeIfLeaving(s);
         }
+        servers.values().removeIf(Policy::forgotten);
         ready.clear();
         servers.values().stream().filter(s -> s.ready).forEach(ready::add);
         if (subset) ready.sort(Comparator.comparingInt((Server s) -> s.order).thenComparing(s -> s.id));
@@ -147,6 +152,11 @@
         dispatch(now, false);
     }
 
+    /** Ids are ever new where servers are replaced: one that is gone is kept for its last attempts alone. */
+    private static boolean forgotten(Server s) {
+        return s.gone && s.own == 0;
+    }
+
     /** Fifth rule: idle connections to a server that leaves are closed at the notice and after each later
      * outcome there. Also when it vanishes from the list, where a drain may have gone unseen. */
     private void closeIfLeaving(Server s) {
@@ -232,10 +242,10 @@
         return cold + (1 - cold) * Math.max(0, age) / cfg.rules().rampUs();
     }
 
-    /** Requests a server holds, as far as known: own, or its own word where that is fresh and higher. */
+    /** Requests a server holds, as far as known: own, and those of others by its own word where fresh. */
     private double load(Server s, long now) {
         double done = (now - s.reportedAt) * s.kind.cores / (s.slow() * meanWork);
-        double known = Math.max(s.own, s.reported - done);
+        double known = s.own + Math.max(0, s.others - done);
         while (!s.attempts.isEmpty() && s.attempts.peekFirst().ended) s.attempts.pollFirst();
         Attempt oldest = s.attempts.peekFirst();
         if (oldest != null) {
@@ -289,8 +299,8 @@
     private void report(String upstream, LoadReport r, long now) {
         Server s = servers.get(upstream);
         if (s == null || r == null || r.inFlight() < 0) return;
-        s.reported = r.inFlight();
-        s.reportedAt = now;
+        s.others = Math.max(0, r.inFlight() - s.own);
+        s.reportedAt = wordAt = now;
         told = s;
         double running = r.inFlight() - Math.max(0, r.queued());
         if (r.queued() >= 0.5 && running >= 0.5 || running > s.kind.cores + 0.5) {
@@ -314,6 +324,8 @@
 
     // ---- split ----------------------------------------------------------------------------------
     private long solvedAt;
+    /** More than half the servers are left out: failures that hit all alike say little of any one. */
+    private boolean panic;
     /** Of the ready servers, the fastest one's {@link Server#slow}. */
     private double bestSlow = 1;
 
@@ -359,6 +371,7 @@
         if (now - solvedAt < RESOLVE_US) return;
         measure(now);
         solvedAt = now;
+        panic = 2 * ready.stream().filter(s -> now < s.ejectedUntil).count() > ready.size();
         bestSlow = ready.isEmpty() ? 1 : Double.MAX_VALUE;
         if (now - membersAt > TELL_US) {
             membersAt = now;
@@ -428,6 +441,8 @@
     }
 
     private Server told;
+    /** When any server last told its load. */
+    private long wordAt = Long.MIN_VALUE / 2;
 
     /** Many sidecars see too little of the fleet themselves: both of a pair are asked for their load. A free
      * core takes the request; after some pairs without, the less busy with room. One without an answer by the
@@ -442,19 +457,25 @@
             if (r.first == null) return null;
             r.second = draw(now, r, all, false, r.first);
             r.askedAt = now;
-            ask(now, r.first);
-            ask(now, r.second);
-            return null;
+            ask(now, r, r.first);
+            ask(now, r, r.second);
         }
-        boolean answered = r.first.reportedAt >= r.askedAt
-                && (r.second == null || r.second.reportedAt >= r.askedAt);
+        boolean answered = known(now, r, r.first) && (r.second == null || known(now, r, r.second));
         if (!answered && now - r.askedAt < SWEEP_US) return null;
         Server best = null;
         for (Server s : new Server[] {r.first, r.second}) {
-            if (s != null && s.reportedAt >= r.askedAt && hasRoom(now, r, s, false)) {
+            if (s != null && known(now, r, s) && hasRoom(now, r, s, false)) {
                 best = best == null ? s : lessBusy(now, best, s);
             }
         }
+        if (best == null && wordAt < r.askedAt) {
+            // Nobody at all has spoken since: a slow start here, not two slow servers. Own requests decide.
+            boolean second = r.second != null && hasRoom(now, r, r.second, false);
+            Server first = hasRoom(now, r, r.first, false) ? r.first : null;
+            best = !second ? first : first == null ? r.second : lessBusy(now, first, r.second);
+            r.first = null;
+            return best;
+        }
         r.first = null;
         r.pairs++;
         if (best != null && (r.pairs >= PAIRS || hasRoom(now, r, best, true))) return best;
@@ -464,8 +485,15 @@
         return null;
     }
 
-    private void ask(long now, Server s) {
-        if (s != null && now - s.askedAt > PROBE_US) {
+    /** Whether the load is known well enough to compare: told since the request asked, or so lately that
+     * others have hardly sent anything since. One that carries most of the fleet's requests knows. */
+    private boolean known(long now, Req r, Server s) {
+        double strangers = Math.max(0, fleetRate() - ownRate) / Math.max(1, ready.size()) / 1e6;
+        return s.reportedAt >= r.askedAt || (now - s.reportedAt) * strangers < UNSEEN;
+    }
+
+    private void ask(long now, Req r, Server s) {
+        if (s != null && !known(now, r, s) && now - s.askedAt > PROBE_US) {
             s.askedAt = now;
             out.probe(s.id);
         }
@@ -496,7 +524,8 @@
     }
 
     private boolean hasRoom(long now, Req r, Server s, boolean freeCore) {
-        if (now < s.ejectedUntil || (s.ejections > 0 && s.own > 0) || !maySend(now, r, s)) return false;
+        if (!panic && (now < s.ejectedUntil || s.ejections > 0 && s.own > 0)) return false;
+        if (!maySend(now, r, s)) return false;
         double cores = Math.max(1, s.kind.cores) * warmth(s, now);
         double load = load(s, now);
         if (freeCore) return load < Math.max(1, Math.round(cores)) - 0.5;
@@ -640,7 +669,7 @@
         a.server = s;
         a.entry = s.entry;
         a.sentAt = now;
-        a.held = s.reported > s.own ? load(s, now) : s.own;
+        a.held = load(s, now);
         a.expected = expected(s, r.work, a.held, now);
         a.plain = a.expected / s.slow();
         r.attempts.add(a);
@@ -693,6 +722,7 @@
         s.own--;
         s.usedAt = now;
         closeIfLeaving(s);
+        if (forgotten(s)) servers.remove(s.id, s);
         health(now, s, a, outcome, latencyUs);
         if (done || r.over) over(r);
         else if (outcome == Outcome.INVALID) fail(r);
@@ -768,7 +798,7 @@
     }
 
     private void countAsFull(Server s, long now) {
-        s.reported = Math.max(load(s, now), s.kind.cores + CROWD * Math.sqrt(s.kind.cores));
+        s.others = Math.max(load(s, now), s.kind.cores + CROWD * Math.sqrt(s.kind.cores)) - s.own;
         s.reportedAt = now;
     }
 
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -27,6 +27,8 @@
         final Kind kind;
         Upstream entry;
         boolean ready;
+        /** No longer listed: only its last attempts are waited for. */
+        boolean gone;
         double share;
         /** Own requests in flight, and their attempts in the order of their sends. */
         int own;
@@ -34,7 +36,8 @@
         /** How much slower than its kind. */
         double apart = 1;
         long heardAt;
-        double reported;
+        /** Requests of other sidecars that it held at its last word. */
+        double others;
         long reportedAt = Long.MIN_VALUE / 2;
         int failures, ejections;
         long ejectedUntil;
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -153,6 +153,7 @@
                 write(keepAlive, HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
             }
         });
+        server.taken();
         requests.take(current);
     }
 
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -38,6 +38,8 @@
     private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
     private Channel listener;
+    /** Null but while a rehearsal is on. */
+    private Runnable rehearsal;
     private long stopAtUs;
     private long acceptedUs;
 
@@ -66,7 +68,27 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** Not ready from now on. The first request that is taken all the same is told to {@code cut}. */
+    void notReadyBefore(Runnable cut) {
+        rehearsal = cut;
+    }
+
+    void rehearsed() {
+        rehearsal = null;
+    }
+
+    /** A request was taken: there is no time for a rehearsal any more. */
+    void taken() {
+        if (rehearsal != null) {
+            rehearsal.run();
+        }
+    }
+
     private void accepted(Channel channel) {
+        if (listener == null) {
+            // Clients that come at once are there before the caller of listen() has the listener.
+            listener = channel.parent();
+        }
         acceptedUs = clock.now();
         ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this);
         connections.add(connection);
@@ -86,7 +108,7 @@
     }
 
     boolean ready() {
-        return !stopping() && canServe.getAsBoolean();
+        return !stopping() && rehearsal == null && canServe.getAsBoolean();
     }
 
     boolean stopping() {
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -54,6 +54,11 @@
         }
     }
 
+    /** The same settings for a sidecar on another stage, without peers. */
+    Config elsewhere(InetSocketAddress listens, InetSocketAddress asks, UpstreamList knows) {
+        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, knows, settings, dialTimeoutUs);
+    }
+
     /** The file as it is now. Where it names another discovery than the variable of the start, the file is newer. */
     static Config readAgain(Map<String, String> environment) throws Broken {
         Map<String, String> rest = new HashMap<>(environment);
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -39,6 +39,9 @@
     /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
     private static final long PACE_MS = 100;
 
+    /** Stands for a call that keeps all others from being made. */
+    private static final long NEVER = -1;
+
     private final EventLoop loop;
     private final Clock clock;
     private final Decisions decisions;
@@ -106,6 +109,18 @@
         begin();
     }
 
+    /** Asks no more. */
+    void stop() {
+        if (call != 0) {
+            end();
+        }
+        call = NEVER;
+        if (channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
     private void begin() {
         long number = ++calls;
         call = number;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -80,8 +80,10 @@
             Log.line(e.getMessage());
             return 2;
         }
-        Sidecar sidecar = new Sidecar(config,
-                (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions));
+        Module module = (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions);
+        Sidecar sidecar = new Sidecar(config, module);
+        Rehearsal rehearsal = new Rehearsal(config, module);
+        sidecar.notReadyBefore(rehearsal::cut);
         try {
             sidecar.start();
         } catch (Exception e) {
@@ -101,6 +103,10 @@
         }));
         Log.line(config.name() + " serves on " + sidecar.listening() + ", " + config.limits());
         reload.serving(sidecar);
+        long begunUs = sidecar.clock.now();
+        rehearsal.play();
+        sidecar.rehearsed();
+        Log.line("ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms");
         new CountDownLatch(1).await();
         return 0;
     }
@@ -139,6 +145,15 @@
         return listening;
     }
 
+    /** Before {@link #start}: it serves, but says that it is ready only once it is {@link #rehearsed}. */
+    void notReadyBefore(Runnable cut) {
+        clients.notReadyBefore(cut);
+    }
+
+    void rehearsed() {
+        loop.execute(clients::rehearsed);
+    }
+
     /** Takes over what a new configuration may change while requests are held: where discovery is. */
     void reconfigure(Config fresh) {
         loop.execute(() -> discovery.moveTo(fresh.discovery()));
@@ -151,6 +166,7 @@
 
     /** Ends at once, whatever is held. */
     void end() {
+        loop.execute(discovery::stop);
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -154,6 +154,10 @@
             if (t.state != UpstreamState.READY) {
                 close(t);
             }
+            if (t.state == UpstreamState.GONE) {
+                // Its successors come under new ids: kept, the map would grow with each of them.
+                targets.remove(id);
+            }
         }
         if (list.whole()) {
             targets.entrySet().removeIf(e -> {
@@ -166,6 +170,11 @@
         }
     }
 
+    /** How many upstreams are kept. */
+    int known() {
+        return targets.size();
+    }
+
     boolean anyReady() {
         return targets.values().stream().anyMatch(t -> t.state == UpstreamState.READY);
     }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -434,6 +434,90 @@
         assertEquals("b", rig.sentTo("r", 0));
     }
 
+    /** A sidecar that is all there is knows what its servers hold: asking would cost time and a price for nothing. */
+    @Test
+    void nobodyIsAskedForALoadThatOthersCanHardlyHaveChanged() {
+        Rig rig = new Rig();
+        rig.probing = true;
+        rig.balancers = 1;
+        rig.start().list(A, B).request("r").after(1_000);
+        rig.policy.onProbe(rig.now, "a", Outcome.OK, 1_000, new LoadReport(0, 0, 0));
+        rig.policy.onProbe(rig.now, "b", Outcome.OK, 1_000, new LoadReport(0, 0, 0));
+        String first = rig.sentTo("r", 0);
+        rig.actions.clear();
+        rig.after(20_000).request("s");
+        assertEquals(0, rig.take("probe").size());
+        assertEquals(first.equals("a") ? "b" : "a", rig.sentTo("s", 0));
+    }
+
+    /** Where the sidecar itself is slow no probe is answered in time: its requests must not wait for that in vain. */
+    @Test
+    void whereNobodyTellsAnyLoadTheOwnRequestsDecide() {
+        Rig rig = sampling().request("r").after(5_000).fire("hold");
+        String first = rig.sentTo("r", 0);
+        assertNotNull(first, "it waits for a word that does not come");
+        rig.request("s").after(5_000).fire("hold");
+        assertEquals(first.equals("a") ? "b" : "a", rig.sentTo("s", 0));
+    }
+
+    /** Answers spoilt on the way from all servers say little of any one: with all left out nothing would be served. */
+    @Test
+    void failuresThatHitMostServersLeaveNoneOut() {
+        Rig rig = new Rig().start().list(A, B).request("r");
+        for (int attempt = 0; attempt < 2; attempt++) {
+            rig.outcome("r", attempt, rig.sentTo("r", attempt), Outcome.CONNECT_FAILED, 1_000);
+        }
+        assertEquals(2, rig.take("send").size());
+        rig.after(150_000).fire("hold").request("s");
+        assertTrue(rig.take("send").size() > 2, "all are left out");
+    }
+
+    /** One spoilt answer in a while is the network's; a server that spoils all it answers is left alone. */
+    @Test
+    void spoiltAnswersWeighHalfAFailure() {
+        Rig rig = new Rig().start().list(A, B, Rig.up("c", "zc", 3));
+        List<String> spoils = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            rig.request("r" + i);
+            for (int attempt = 0; rig.sentTo("r" + i, attempt) != null; attempt++) {
+                String to = rig.sentTo("r" + i, attempt);
+                spoils.add(to);
+                rig.outcome("r" + i, attempt, to, to.equals("a") ? Outcome.SPOILT : Outcome.OK, 75_000);
+            }
+            rig.after(10_000);
+        }
+        long onA = spoils.stream().filter("a"::equals).count();
+        assertTrue(onA >= 4 && onA <= 5, onA + " of " + spoils.size());
+    }
+
+    /** No other upstream would like it better, and none is to blame. */
+    @Test
+    void aRequestThatIsNoGoodIsFailedAndTriedNowhereElse() {
+        Rig rig = new Rig().start().list(A, B);
+        for (int i = 0; i < 6; i++) {
+            rig.request("r" + i).outcome("r" + i, 0, rig.sentTo("r" + i, 0), Outcome.INVALID, 1_000);
+            assertNull(rig.sentTo("r" + i, 1));
+        }
+        assertEquals(6, rig.take("fail").size());
+        assertEquals(2, rig.take("send").stream().map(l -> l.split(" ")[2]).distinct().count());
+    }
+
+    /** Replaced under ever new ids, servers that are gone would fill the memory over a long day. */
+    @Test
+    void aServerThatIsGoneIsForgottenAfterItsLastAttempt() {
+        Rig rig = new Rig().start().list(A);
+        rig.request("r");
+        for (int i = 0; i < 50; i++) {
+            rig.policy.onList(rig.now, ListKind.DELTA, List.of(Rig.up("n" + i, "za", 1),
+                    state(i == 0 ? A : Rig.up("n" + (i - 1), "za", 1), UpstreamState.GONE)));
+        }
+        assertEquals(2, rig.policy.servers.size());
+        rig.outcome("r", 0, "a", Outcome.OK, 1_000);
+        assertEquals(1, rig.policy.servers.size());
+        rig.list(B);
+        assertEquals(1, rig.policy.servers.size());
+    }
+
     // ---- the ordinary path ----------------------------------------------------------------------
 
     @Test
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/RehearsalTest.java
@@ -0,0 +1,61 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Proxy;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import rushproxy.Balancer;
+import rushproxy.Balancer.Outcome;
+import rushproxy.Policy;
+
+/** Code that has never run is slow: full traffic must not be what warms it up, and must not wait for it either. */
+@Timeout(60)
+class RehearsalTest {
+    @Test
+    void itPlaysRequestsThroughTheModuleAndTheSockets() throws Exception {
+        AtomicInteger served = new AtomicInteger();
+        CountDownLatch many = new CountDownLatch(1);
+        Sidecar.Module counting = (config, now, actions) -> {
+            Balancer policy = new Policy(config.settings(), config.seed(), now, actions);
+            return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class},
+                    (proxy, method, arguments) -> {
+                        if (method.getName().equals("onOutcome") && arguments[4] == Outcome.OK
+                                && served.incrementAndGet() >= 10) {
+                            many.countDown();
+                        }
+                        return method.invoke(policy, arguments);
+                    });
+        };
+        Rehearsal rehearsal = new Rehearsal(Rig.config("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
+                + "\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":" + Rig.list(1, true) + ",\"settings\":"
+                + Rig.SETTINGS + "}"), counting);
+        rehearsal.play();
+        assertTrue(many.await(0, TimeUnit.SECONDS), served + " were served");
+    }
+
+    @Test
+    void untilItIsOverTheSidecarIsNotReadyButARequestIsServedAndEndsIt() throws Exception {
+        CountDownLatch cut = new CountDownLatch(1);
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
+            rig.rehearsal = cut::countDown;
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+                assertEquals(503, client.status());
+                assertEquals(1, cut.getCount());
+                client.send(Rig.get("a1", 20_000));
+                assertEquals(200, client.status());
+                assertTrue(cut.await(20, TimeUnit.SECONDS));
+                rig.sidecar.rehearsed();
+                client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+                assertEquals(200, client.status());
+            }
+        }
+    }
+}
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -105,12 +105,18 @@
         sidecar.reconfigure(config(json(discoveryAddress)));
     }
 
+    /** Set before the start: the sidecar is not ready, and this runs with each request that it takes all the same. */
+    Runnable rehearsal;
+
     Rig start() throws Exception {
         Config config = config(json(discovery.address()));
         sidecar = new Sidecar(config, (c, now, out) -> {
             actions = out;
             return new Recorder();
         });
+        if (rehearsal != null) {
+            sidecar.notReadyBefore(rehearsal);
+        }
         sidecar.start();
         return this;
     }
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -142,4 +142,18 @@
             up.accepted.take().getInputStream().read();
         }
     }
+
+    /** Upstreams are replaced under ever new ids; what is gone must not be kept for ever, also among changes. */
+    @Test
+    void whatIsGoneIsForgotten() throws Exception {
+        Upstreams upstreams = upstreams(15_000_000, 100);
+        int kept = loop.submit(() -> {
+            for (int i = 0; i < 50; i++) {
+                upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Ready", 0)));
+                upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Gone", 0)));
+            }
+            return upstreams.known();
+        }).get();
+        assertEquals(0, kept);
+    }
 }
