--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -55,6 +55,10 @@
     private static final double COLD_PART = 0.9;
     /** Requests of others that may have come to a server unseen before it is asked for its load. */
     private static final double UNSEEN = 0.15;
+    /** An attempt out for so many times what was expected has its server asked whether it lives at all. */
+    private static final double OVERDUE = 1.5;
+    /** Second copies for this part of the requests, and most saved up for a bad moment: they cost. */
+    private static final double COPIES = 0.05, COPIES_MOST = 10;
     private static final long ASK_FIRST_US = 500_000;
     /** A probe not answered for this long may be sent again. */
     private static final long PROBE_US = 100_000;
@@ -95,6 +99,7 @@
         zoneRate = new double[cfg.zones().size()];
         Limits limits = cfg.limits();
         sampling = limits.probing() && cfg.reports() != Reports.NONE && 2 * cfg.prices().probe() <= TOLL;
+        hedging = sampling && limits.secondCopies();
         subset = cfg.prices().connection() > 0 && cfg.prices().handshake() > 0;
         if (limits.peers() && cfg.balancers() > 1) out.timer("tell", TELL_US / 2 + random.nextLong(TELL_US));
         blind = !sampling && cfg.balancers() > SHARERS;
@@ -245,10 +250,10 @@
     /** Requests a server holds, as far as known: own, and those of others by its own word where fresh. */
     private double load(Server s, long now) {
         double done = (now - s.reportedAt) * s.kind.cores / (s.slow() * meanWork);
-        double known = s.own + Math.max(0, s.others - done);
+        double known = Math.max(0, s.own - s.lost) + Math.max(0, s.others - done);
         while (!s.attempts.isEmpty() && s.attempts.peekFirst().ended) s.attempts.pollFirst();
         Attempt oldest = s.attempts.peekFirst();
-        if (oldest != null) {
+        if (oldest != null && s.lost == 0) {
             // An answer that is overdue counts as more in flight: a stall shows in the own requests first.
             double overdue = (now - oldest.sentAt) / oldest.expected - 2;
             if (overdue > 0) known += overdue * s.kind.cores;
@@ -299,6 +304,9 @@
     private void report(String upstream, LoadReport r, long now) {
         Server s = servers.get(upstream);
         if (s == null || r == null || r.inFlight() < 0) return;
+        // Overdue here and not held there: lost on its connection, and no load here either.
+        long overdue = s.attempts.stream().filter(a -> !a.ended && overdue(now, a)).count();
+        s.lost = (int) Math.min(overdue, Math.max(0, s.own - Math.round(r.inFlight())));
         s.others = Math.max(0, r.inFlight() - s.own);
         s.reportedAt = wordAt = now;
         told = s;
@@ -371,7 +379,7 @@
         if (now - solvedAt < RESOLVE_US) return;
         measure(now);
         solvedAt = now;
-        panic = 2 * ready.stream().filter(s -> now < s.ejectedUntil).count() > ready.size();
+        panic = 2 * ready.stream().filter(s -> mute(s, now) || now < s.ejectedUntil).count() > ready.size();
         bestSlow = ready.isEmpty() ? 1 : Double.MAX_VALUE;
         if (now - membersAt > TELL_US) {
             membersAt = now;
@@ -524,7 +532,7 @@
     }
 
     private boolean hasRoom(long now, Req r, Server s, boolean freeCore) {
-        if (!panic && (now < s.ejectedUntil || s.ejections > 0 && s.own > 0)) return false;
+        if (!panic && (mute(s, now) || now < s.ejectedUntil || s.ejections > 0 && s.own > 0)) return false;
         if (!maySend(now, r, s)) return false;
         double cores = Math.max(1, s.kind.cores) * warmth(s, now);
         double load = load(s, now);
@@ -542,6 +550,7 @@
     @Override
     public void onRequest(long now, Request request) {
         arrivals++;
+        copies = Math.min(COPIES_MOST, copies + COPIES);
         Req r = new Req();
         r.request = request;
         r.spec = classes.get(request.requestClass());
@@ -685,6 +694,68 @@
         }
         s.usedAt = now;
         out.send(r.request.id(), s.id, r.deadline);
+        if (hedging && repeatable(r.spec, a, s, now)) {
+            out.timer(LATE + r.request.id(), Math.max(SWEEP_US, (long) (OVERDUE * a.expected)));
+        }
+    }
+
+    // ---- second copies --------------------------------------------------------------------------
+    private static final String LATE = "late:", MUTE = "mute:";
+    /** A second copy is allowed, and a probe tells a server that stands still from one at work. */
+    private final boolean hedging;
+    private double copies;
+
+    /** It was asked whether it lives and has said nothing since; after a while it is tried again. */
+    private static boolean mute(Server s, long now) {
+        return s.mutedAt > s.reportedAt && now - s.mutedAt < PROBE_US;
+    }
+
+    /** The only attempt of a request that is still worth a second copy, or null. */
+    private Attempt lone(long now, Req r) {
+        if (r == null || r.over || r.waiting || now + bestSlow * r.work > r.usefulUntil) return null;
+        Attempt out = null;
+        for (Attempt a : r.attempts) {
+            if (a.ended) continue;
+            if (out != null) return null;
+            out = a;
+        }
+        return out;
+    }
+
+    private static boolean overdue(long now, Attempt a) {
+        return now - a.sentAt >= OVERDUE * a.expected;
+    }
+
+    /** Its server is asked beside the queue: one that answers is at work: a copy would be wasted. */
+    private void late(long now, Req r) {
+        Attempt a = lone(now, r);
+        if (a == null || a.server.gone) return;
+        r.lateAt = now;
+        if (now - a.server.askedAt > PROBE_US) {
+            a.server.askedAt = now;
+            out.probe(a.server.id);
+        }
+        out.timer(MUTE + r.request.id(), SWEEP_US);
+    }
+
+    private void mute(long now, Req r) {
+        Attempt a = lone(now, r);
+        if (a == null) return;
+        boolean answered = a.server.reportedAt >= r.lateAt;
+        // One that answers and does not hold it: the connection fell silent, or the answer was lost.
+        a.lost = answered && a.server.lost > 0;
+        if (!answered) {
+            a.server.mutedAt = now;
+        } else if (!a.lost) {
+            out.timer(LATE + r.request.id(), Math.max(SWEEP_US, (long) (a.expected / 2)));
+            return;
+        }
+        refresh(now);
+        Server first = copies < 1 ? null : draw(now, r, all, true, a.server);
+        if (first == null) return;
+        Server second = draw(now, r, all, true, first);
+        copies--;
+        send(now, r, second == null || second == a.server ? first : lessBusy(now, first, second));
     }
 
     private void refuse(Req r, long retryAfterUs) {
@@ -772,7 +843,7 @@
     }
 
     private void health(long now, Server s, Attempt a, Outcome outcome, long latencyUs) {
-        if (idleDropped(now, a, outcome)) return;
+        if (idleDropped(now, a, outcome) || a.lost && outcome == Outcome.TIMEOUT) return;
         switch (outcome) {
             case OK -> {
                 s.failures = s.ejections = 0;
@@ -782,8 +853,9 @@
                 learn(s, a, latencyUs, false, now);
                 failed(now, s, outcome == Outcome.TIMEOUT ? FAILURE : 0);
             }
-            case ERROR, RESET -> failed(now, s, FAILURE);
-            case SPOILT -> failed(now, s, SPOILT);
+            case ERROR -> failed(now, s, FAILURE);
+            // As often the connection's fault: one whose process died refuses the next connection.
+            case RESET, SPOILT -> failed(now, s, SPOILT);
             case CONNECT_FAILED -> failed(now, s, EJECT_AFTER);
             case REJECTED -> {
                 // Refused while it holds little: not full but on its way out, or its room is broken.
@@ -848,7 +920,10 @@
             }
             case "tell" -> tell(now);
             case "ask" -> ask();
-            default -> { }
+            default -> {
+                if (mark.startsWith(LATE)) late(now, open.get(mark.substring(LATE.length())));
+                else if (mark.startsWith(MUTE)) mute(now, open.get(mark.substring(MUTE.length())));
+            }
         }
     }
 
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -36,6 +36,8 @@
         /** How much slower than its kind. */
         double apart = 1;
         long heardAt;
+        /** Own attempts that it does not hold, by its last word. */
+        int lost;
         /** Requests of other sidecars that it held at its last word. */
         double others;
         long reportedAt = Long.MIN_VALUE / 2;
@@ -49,6 +51,8 @@
         long usedAt;
         /** Time of a probe without an answer yet. */
         long askedAt;
+        /** Time of the last probe that was not answered soon, sent because an attempt was overdue. */
+        long mutedAt = Long.MIN_VALUE / 2;
         /** Own work sent in the last slot of the cold server's budget. */
         long coldSlot;
         double coldSent;
@@ -81,6 +85,8 @@
         Server first, second;
         long askedAt, askNext;
         int pairs;
+        /** When the server of its attempt was asked whether it lives. */
+        long lateAt;
         final List<Attempt> attempts = new ArrayList<>(1);
     }
 
@@ -96,5 +102,7 @@
         /** How long the connection had been idle at the send; 0 where it was in use or new. */
         long idle;
         boolean ended, mayHaveRun = true;
+        /** Its server does not hold it: its time-out will speak of the connection alone. */
+        boolean lost;
     }
 }
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -8,7 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -320,7 +320,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof TooLongFrameException) {
             end(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else if (cause instanceof DecoderException) {
+        } else if (cause instanceof CodecException) {
             end(HttpResponseStatus.BAD_REQUEST);
         } else {
             if (!(cause instanceof IOException)) {
--- a/src/main/java/rushproxy/sidecar/Headers.java
+++ b/src/main/java/rushproxy/sidecar/Headers.java
@@ -13,8 +13,10 @@
     static final String LOAD = "X-Pressure";
     /** The cookie that tells what a request is about. */
     static final String KEY_COOKIE = "k";
-    /** The most that a body may hold, whoever sends it. */
+    /** The most that a request's body may hold. */
     static final int MAX_BODY = 64 * 1024;
+    /** Upstreams do answer with more than the protocol's 64 KiB: up to 400 KB were seen. Beyond this it is noise. */
+    static final int MAX_ANSWER = 1024 * 1024;
 
     private Headers() {}
 }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -23,7 +23,7 @@
     private static final long PROBE_US = 50_000;
 
     /** Two parts of one answer are never so far apart. */
-    private static final long STALL_LEAST_US = 5_000;
+    private static final long STALL_LEAST_US = 10_000;
     private static final long BEAT_MS = 50;
     private static final int BEATS = 200;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
@@ -66,10 +66,10 @@
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, fromClients);
     }
 
-    /** A small part of the time within which an answer is wanted leaves enough of it for another attempt. */
+    /** A quarter of the time within which an answer is wanted leaves enough of it for another attempt. */
     private static long stallUs(Balancer.Settings settings) {
         long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElse(0);
-        return Math.max(STALL_LEAST_US, aim / 8);
+        return Math.max(STALL_LEAST_US, aim / 4);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -24,16 +25,20 @@
  * as all that comes on it belongs to a call; a byte more, and it is closed.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    static final AttributeKey<UpstreamConnection> KEY = AttributeKey.valueOf(UpstreamConnection.class, "connection");
+
     private final AnswerDecoder decoder = new AnswerDecoder();
-    private final Answers answers = new Answers(Headers.MAX_BODY);
+    private final Answers answers = new Answers(Headers.MAX_ANSWER);
     long idleSinceUs;
     private Call call;
     private BiConsumer<Call, Channel> release;
     /** The answer to the call, kept until all that came with it has been looked at. */
     private FullHttpResponse answer;
     private Future<?> stall;
+    /** When a part of an answer came last. */
+    private long readNanos;
     private boolean spoilt;
-    /** Upstreams write an answer whole: one that has begun and then stops for this long does not end any more. */
+    /** An answer that has begun and then stops for this long does not end any more. */
     private final long stallUs;
 
     private UpstreamConnection(long stallUs) {
@@ -42,6 +47,7 @@
 
     static void on(Channel channel, long stallUs) {
         UpstreamConnection connection = new UpstreamConnection(stallUs);
+        channel.attr(KEY).set(connection);
         ChannelPipeline p = channel.pipeline();
         p.addLast(new HttpRequestEncoder(), connection.decoder, connection.answers, connection);
     }
@@ -77,16 +83,27 @@
             deliver(ctx);
         } else if (spoilt || call == null && partial()) {
             spoil(ctx);
-        } else if (stall == null && partial()) {
-            stall = ctx.executor().schedule(() -> stalled(ctx), stallUs, TimeUnit.MICROSECONDS);
+        } else if (partial()) {
+            readNanos = System.nanoTime();
+            if (stall == null) {
+                watch(ctx, stallUs);
+            }
         }
         ctx.fireChannelReadComplete();
     }
 
-    private void stalled(ChannelHandlerContext ctx) {
+    private void watch(ChannelHandlerContext ctx, long us) {
+        stall = ctx.executor().schedule(() -> look(ctx), us, TimeUnit.MICROSECONDS);
+    }
+
+    /** An answer that comes slowly, piece by piece, is an answer all the same: only one that stands still is none. */
+    private void look(ChannelHandlerContext ctx) {
         stall = null;
-        if (partial()) {
+        long restUs = stallUs - (System.nanoTime() - readNanos) / 1000;
+        if (partial() && restUs <= 0) {
             spoil(ctx);
+        } else if (partial()) {
+            watch(ctx, restUs);
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -175,6 +175,11 @@
         return targets.size();
     }
 
+    /** How many connections are open or coming up. */
+    int open() {
+        return connections;
+    }
+
     boolean anyReady() {
         return targets.values().stream().anyMatch(t -> t.state == UpstreamState.READY);
     }
@@ -233,7 +238,8 @@
     }
 
     private static UpstreamConnection connection(Channel c) {
-        return c.pipeline().get(UpstreamConnection.class);
+        // Not from the pipeline, which has lost its handlers once the other side has closed.
+        return c.attr(UpstreamConnection.KEY).get();
     }
 
     private void connect(Call call) {
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -434,6 +434,43 @@
         assertEquals("b", rig.sentTo("r", 0));
     }
 
+    /** A stall shows when an overdue attempt's server says nothing to a probe: the request goes out once more then. */
+    @Test
+    void anOverdueAttemptIsCopiedOnlyWhereItsServerIsMute() {
+        for (boolean mute : new boolean[] {true, false}) {
+            for (Semantics semantics : new Semantics[] {Semantics.SAFE, Semantics.UNSAFE}) {
+                Rig rig = new Rig();
+                rig.probing = rig.secondCopies = true;
+                rig.semantics = semantics;
+                rig.start().list(A, B);
+                for (int i = 0; i < 20; i++) {
+                    // Saves up a copy, and tells that both are idle.
+                    rig.request("w" + i).after(1_000);
+                    for (String id : new String[] {"a", "b"}) {
+                        rig.policy.onProbe(rig.now, id, Outcome.OK, 1_000, new LoadReport(0, 0, 0));
+                    }
+                    rig.outcome("w" + i, 0, rig.sentTo("w" + i, 0), Outcome.OK, 50_000);
+                }
+                rig.request("r").after(1_000);
+                for (String id : new String[] {"a", "b"}) {
+                    rig.policy.onProbe(rig.now, id, Outcome.OK, 1_000, new LoadReport(0, 0, 0));
+                }
+                String slow = rig.sentTo("r", 0);
+                rig.actions.clear();
+                rig.after(150_000).fire("late:r");
+                if (semantics == Semantics.SAFE) {
+                    assertEquals(List.of("probe " + slow), rig.take("probe"));
+                }
+                rig.after(5_000);
+                if (!mute) {
+                    rig.policy.onProbe(rig.now, slow, Outcome.OK, 1_000, new LoadReport(1, 0, 1));
+                }
+                rig.fire("mute:r");
+                assertEquals(mute && semantics == Semantics.SAFE ? 1 : 0, rig.take("send r").size());
+            }
+        }
+    }
+
     /** A sidecar that is all there is knows what its servers hold: asking would cost time and a price for nothing. */
     @Test
     void nobodyIsAskedForALoadThatOthersCanHardlyHaveChanged() {
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -156,4 +156,24 @@
         }).get();
         assertEquals(0, kept);
     }
+
+    /** A connection that the upstream closed while it rested must cost the next call nothing. */
+    @Test
+    void aConnectionClosedWhileItRestedIsPassedOver() throws Exception {
+        try (Peer up = new Peer((m, line) -> {
+            line.answer("200 OK", "", "sent");
+            line.socket().close();
+        })) {
+            Upstreams upstreams = upstreams(15_000_000, 100);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            for (int i = 0; i < 5; i++) {
+                loop.execute(() -> upstreams.start(call("u")));
+                assertEquals("u OK", outcome());
+                while (loop.submit(upstreams::open).get() > 0) {
+                    Thread.onSpinWait();
+                }
+            }
+            assertEquals(5, up.accepted.size());
+        }
+    }
 }
