--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -55,9 +55,29 @@
                     Reports reports, boolean discoveryOnRequest, boolean worthByWork,
                     double overShareWorth, Prices prices, long tickUs) {}
 
-    /** One line of the list. {@code startedUs} is 0 where it started long ago. */
+    /**
+     * What is in doubt of an upstream that discovery has not confirmed. {@code IDENTITY}: an upstream answers there, but
+     * only an old list says which, so its zone and cell prove nothing of the repeats it drops. {@code KIND}: something
+     * takes connections there, and nobody knows what.
+     */
+    enum Doubt { NONE, IDENTITY, KIND }
+
+    /**
+     * One line of the list. {@code startedUs} is 0 where it started long ago. {@code coldSinceUs} is above 0 where it may
+     * have started as late as then: it is cold from then on, whatever {@code startedUs} says.
+     */
     record Upstream(String id, String zone, String kind, int cell, long startedUs, double weight,
-                    UpstreamState state) {}
+                    UpstreamState state, Doubt doubt, long coldSinceUs) {
+        public Upstream(String id, String zone, String kind, int cell, long startedUs, double weight,
+                        UpstreamState state) {
+            this(id, zone, kind, cell, startedUs, weight, state, Doubt.NONE, 0);
+        }
+
+        /** When it may have started at the latest; 0 for long ago. */
+        public long coldFromUs() {
+            return Math.max(startedUs, coldSinceUs);
+        }
+    }
 
     /**
      * {@code costHintUs} is 0 where there is none; {@code remainingUs} is the time until the client gives
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -241,8 +241,12 @@
 
     /** The part of its full capacity that a server can surely do now: the slowest ramp the settings allow. */
     private double warmth(Server s, long now) {
-        long age = now - s.entry.startedUs();
-        if (s.entry.startedUs() <= 0 || age >= cfg.rules().rampUs()) return 1;
+        return warmth(s.entry.startedUs(), now);
+    }
+
+    private double warmth(long startedUs, long now) {
+        long age = now - startedUs;
+        if (startedUs <= 0 || age >= cfg.rules().rampUs()) return 1;
         double cold = cfg.rules().coldShare();
         return cold + (1 - cold) * Math.max(0, age) / cfg.rules().rampUs();
     }
@@ -543,6 +547,9 @@
     private boolean hasRoom(long now, Req r, Server s, boolean freeCore) {
         if (!panic && (mute(s, now) || now < s.ejectedUntil || s.ejections > 0 && s.own > 0)) return false;
         if (!maySend(now, r, s)) return false;
+        // Nobody knows what takes connections there: one request at a time, of those that may be lost.
+        boolean known = s.entry.doubt() != Doubt.KIND;
+        if (!known && (s.own > 0 || r.spec.semantics() != Semantics.SAFE)) return false;
         double cores = Math.max(1, s.kind.cores) * warmth(s, now);
         double load = load(s, now);
         if (freeCore) return load < Math.max(1, Math.round(cores)) - 0.5;
@@ -646,6 +653,9 @@
     private static boolean repeatable(RequestClass c, Attempt earlier, Server s, long now) {
         if (c.semantics() == Semantics.SAFE) return true;
         if (c.semantics() == Semantics.UNSAFE || now - earlier.sentAt >= c.windowUs()) return false;
+        // Which node answers there is not known, and so not who else drops its repeats: none but itself.
+        boolean doubted = s.entry.doubt() != Doubt.NONE || earlier.entry.doubt() != Doubt.NONE;
+        if (doubted && c.group() != Group.ALL) return s == earlier.server && s.entry.equals(earlier.entry);
         return switch (c.group()) {
             case ALL -> true;
             case ZONE -> s.entry.zone().equals(earlier.entry.zone());
@@ -657,10 +667,12 @@
      * requests as a third of the budget holds (a window meets three): an equal part each, the rest by turn of
      * number, server and slot. A server asked first gives twice the turns, one by one: each sees the last. */
     private boolean coldRoom(long now, Server s, double work) {
-        if (warmth(s, now) >= 1) return true;
+        // One that may have restarted is bounded as if it had; what is expected of it stays as it was.
+        long from = s.entry.coldFromUs();
+        if (warmth(from, now) >= 1) return true;
         long slot = coldSlot(s, now);
-        long slotStart = s.entry.startedUs() + slot * (cfg.rules().fallWindowUs() / 2);
-        double capacity = warmth(s, slotStart) * Math.max(1, s.kind.cores) / s.kind.slow;
+        long slotStart = from + slot * (cfg.rules().fallWindowUs() / 2);
+        double capacity = warmth(from, slotStart) * Math.max(1, s.kind.cores) / s.kind.slow;
         double budget = COLD_PART * cfg.rules().fallMultiple() * capacity * cfg.rules().fallWindowUs();
         long requests = (long) (budget / (sampling ? 1.5 : 3) / meanWork);
         long turn = Math.floorMod(cfg.me() - mix(s.id.hashCode(), (int) slot), cfg.balancers());
@@ -672,7 +684,7 @@
     }
 
     private long coldSlot(Server s, long now) {
-        return Math.max(0, now - s.entry.startedUs()) / (cfg.rules().fallWindowUs() / 2);
+        return Math.max(0, now - s.entry.coldFromUs()) / (cfg.rules().fallWindowUs() / 2);
     }
 
     /** A refusal says that nothing has run, whatever the class: what may have is failed. */
--- /dev/null
+++ b/src/main/java/rushproxy/cli/Demo.java
@@ -0,0 +1,90 @@
+package rushproxy.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import rushproxy.standin.Clients;
+import rushproxy.standin.Node;
+import rushproxy.standin.Shape;
+import rushproxy.standin.SidecarProcess;
+import rushproxy.standin.World;
+
+/** A newcomer's first command: a small world with a real sidecar in it, troubles, and a referee's verdict. */
+final class Demo {
+    private Demo() {}
+
+    static int run(List<String> options) throws Exception {
+        int seconds = 20;
+        int rate = 60;
+        for (int i = 0; i < options.size(); i += 2) {
+            int value = i + 1 < options.size() && options.get(i + 1).matches("[0-9]{1,4}")
+                    ? Integer.parseInt(options.get(i + 1)) : -1;
+            if (options.get(i).equals("--seconds") && value >= 5 && value <= 600) {
+                seconds = value;
+            } else if (options.get(i).equals("--rate") && value >= 1 && value <= 500) {
+                rate = value;
+            } else {
+                System.err.println("demo: " + options.get(i) + ": expected --seconds 5..600 or --rate 1..500");
+                return 2;
+            }
+        }
+        return play(seconds, rate);
+    }
+
+    private static int play(int seconds, int rate) throws Exception {
+        try (World world = new World(Shape.SMALL)) {
+            List<World.Listed> known = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                known.add(World.Listed.of(world.node()));
+            }
+            System.out.println("3 stand-in nodes of " + (int) (1000 / Shape.SMALL.workMs())
+                    + " requests a second each, a registry, one sidecar; " + rate + " requests a second for " + seconds + " s");
+            SidecarProcess sidecar = world.sidecar(1, World.list(1, known), "[membership]\nknown_age = \"0s\"\n");
+            world.ready(sidecar.address()).get(30, TimeUnit.SECONDS);
+            System.out.println("the sidecar is ready on " + sidecar.address());
+            Clients clients = world.clients(sidecar.name());
+            clients.start(sidecar.address(), rate);
+            Node unlucky = world.nodes().get(1);
+            for (int s = 0; s < seconds; s++) {
+                String event = "";
+                // The node dies at a quarter of the time and is back, cold, at the half; meanwhile the registry is down.
+                if (s == seconds / 4) {
+                    unlucky.kill();
+                    event = unlucky.id() + " dies";
+                } else if (s == seconds / 4 + 1) {
+                    world.registry().down(true);
+                    event = "the registry is down";
+                } else if (s == seconds / 2) {
+                    unlucky.restart();
+                    event = unlucky.id() + " is back, cold";
+                } else if (s == seconds * 3 / 4) {
+                    world.registry().down(false);
+                    world.registry().list(unlucky, "Ready");
+                    event = "the registry is back and tells of " + unlucky.id();
+                }
+                int[] before = world.nodes().stream().mapToInt(Node::served).toArray();
+                world.play(1_000);
+                line(world, clients.tally(s, s + 1), s, seconds, before, event);
+            }
+            World.Verdict verdict = world.verdict();
+            Clients.Tally all = clients.tally(0, seconds + 1);
+            System.out.printf(Locale.ROOT, "in all: %d sent, %.1f %% served in time, %d late, %d refused, %d failed%n", all.sent(),
+                    100 * all.inTimeShare(), all.late(), all.refused(), all.failed() + all.unreachable());
+            verdict.first().forEach(f -> System.out.println("referee: " + f));
+            System.out.println(verdict.fouls() == 0 ? "referee: all four rules kept over " + verdict.tries() + " tries"
+                    : "referee: rules broken " + verdict.fouls() + " times");
+            return verdict.fouls() == 0 ? 0 : 1;
+        }
+    }
+
+    private static void line(World world, Clients.Tally t, int s, int seconds, int[] before, String event) {
+        StringBuilder who = new StringBuilder();
+        for (int i = 0; i < before.length; i++) {
+            Node n = world.nodes().get(i);
+            who.append(' ').append(n.id()).append(' ').append(n.served() - before[i]);
+        }
+        System.out.printf(Locale.ROOT, "%3d/%d s  sent %3d  in time %3d  late %2d  refused %2d  failed %2d  nodes:%s  %s%n", s + 1,
+                seconds, t.sent(), t.inTime(), t.late(), t.refused(), t.failed() + t.unreachable(), who, event);
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/core/Addresses.java
@@ -0,0 +1,25 @@
+package rushproxy.core;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Addresses in numbers: there is no DNS, and nothing on the loop may block on a look-up. */
+public final class Addresses {
+    private Addresses() {}
+
+    /** {@code ip:port}; anything else is named in the exception. */
+    public static InetSocketAddress parse(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        if (host == null) {
+            throw new IllegalArgumentException("no address: '" + text + "'");
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(host), Integer.parseInt(text.substring(colon + 1)));
+        } catch (UnknownHostException | IllegalArgumentException e) {
+            throw new IllegalArgumentException("no address: '" + text + "'");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/core/Attempt.java
@@ -0,0 +1,37 @@
+package rushproxy.core;
+
+import io.netty.buffer.ByteBuf;
+import rushproxy.Balancer.LoadReport;
+import rushproxy.Balancer.Outcome;
+
+/**
+ * One try of a request at one upstream, in whatever protocol that upstream speaks. It ends exactly once, told to its
+ * {@link Result}; starting it may end it before {@link #start} returns.
+ */
+public interface Attempt {
+    /** Told once how an attempt ended; {@code body} is set with {@code OK} alone and is released afterwards. */
+    interface Result {
+        void ended(Attempt attempt, Outcome outcome, LoadReport report, ByteBuf body);
+    }
+
+    /** Makes the attempts of one request; the front that took the request knows how it is written. */
+    interface Maker {
+        /** {@code untilUs}: module time at which the attempt is given up. Nothing is sent before it is started. */
+        Attempt attempt(String upstream, long untilUs, Result result);
+    }
+
+    String upstream();
+
+    /** Module time of the start; 0 before it. */
+    long sentUs();
+
+    boolean ended();
+
+    void start();
+
+    /** Ends it as never sent. */
+    void drop();
+
+    /** Gives it up; what it may have begun goes on. No effect once it has ended. */
+    void cancel();
+}
--- a/src/main/java/rushproxy/sidecar/Clock.java
+++ b/src/main/java/rushproxy/core/Clock.java
@@ -1,11 +1,11 @@
-package rushproxy.sidecar;
+package rushproxy.core;
 
 /** Module time: microseconds that only move forward, set once to Unix time so that upstreams' starts fit in. */
-final class Clock {
+public final class Clock {
     private final long unixUs = System.currentTimeMillis() * 1000;
     private final long nanos = System.nanoTime();
 
-    long now() {
+    public long now() {
         return unixUs + (System.nanoTime() - nanos) / 1000;
     }
 }
--- a/src/main/java/rushproxy/sidecar/Decisions.java
+++ b/src/main/java/rushproxy/core/Decisions.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.core;
 
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
@@ -10,20 +10,20 @@
  * returned: no action re-enters it. An exception, the module's or a handler's, is logged and ends neither the
  * program nor what waits behind it.
  */
-final class Decisions {
+public final class Decisions {
     private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private Balancer module;
     private boolean running;
 
     /** {@code build} makes the module, which may act from its constructor on. */
-    void start(Function<Balancer.Actions, Balancer> build, Balancer.Actions hands) {
+    public void start(Function<Balancer.Actions, Balancer> build, Balancer.Actions hands) {
         calls.add(() -> module = build.apply(later(hands)));
         run();
     }
 
     /** {@code broken} runs where the module could not take the call. */
-    void call(Consumer<Balancer> call, Runnable broken) {
+    public void call(Consumer<Balancer> call, Runnable broken) {
         calls.add(() -> {
             try {
                 call.accept(module);
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -32,6 +32,10 @@
 import rushproxy.Balancer.Request;
 import rushproxy.Balancer.RequestClass;
 import rushproxy.Balancer.Semantics;
+import rushproxy.core.Clock;
+import rushproxy.core.Exchange;
+import rushproxy.core.Log;
+import rushproxy.core.Requests;
 
 /** One connection of the application: its requests in turn, each taken whole and answered once. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -52,6 +56,7 @@
     private final Channel channel;
     private final Clock clock;
     private final Requests requests;
+    private final Upstreams upstreams;
     private final Map<String, RequestClass> classes;
     private final ClientServer server;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
@@ -69,10 +74,12 @@
 
     private record Arrival(FullHttpRequest message, long sentUs) {}
 
-    ClientConnection(Channel channel, Clock clock, Requests requests, Map<String, RequestClass> classes, ClientServer server) {
+    ClientConnection(Channel channel, Clock clock, Requests requests, Upstreams upstreams,
+                     Map<String, RequestClass> classes, ClientServer server) {
         this.channel = channel;
         this.clock = clock;
         this.requests = requests;
+        this.upstreams = upstreams;
         this.classes = classes;
         this.server = server;
         openedUs = clock.now();
@@ -175,8 +182,10 @@
                 false, Math.max(0, whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
                 h.get(Headers.TENANT), lane.name());
         boolean keepAlive = HttpUtil.isKeepAlive(m);
-        current = new Exchange(request, m.method(), m.uri(), h.get(Headers.IDEMPOTENCY_KEY),
-                ByteBufUtil.getBytes(m.content()), deadline, new Exchange.Answer() {
+        Outgoing out = new Outgoing(m.method(), m.uri(), id, h.get(Headers.IDEMPOTENCY_KEY),
+                ByteBufUtil.getBytes(m.content()));
+        current = new Exchange(request, deadline,
+                (upstream, until, result) -> upstreams.call(upstream, until, out::message, result), new Exchange.Answer() {
             @Override
             public void served(ByteBuf body) {
                 write(keepAlive, HttpResponseStatus.OK, body, 0);
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -19,9 +19,11 @@
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
+import rushproxy.core.Clock;
+import rushproxy.core.Requests;
 
 /** The application's side: listens, and says goodbye without losing what clients have sent. */
-final class ClientServer {
+public final class ClientServer {
     /** The application opens connections for this long after the stop has been asked for, and a little longer. */
     private static final long SERVE_ON_MS = 600;
     /** A connection this young or this busy may have a request on its way. */
@@ -35,6 +37,7 @@
 
     private final EventLoop loop;
     private final Requests requests;
+    private final Upstreams upstreams;
     private final Clock clock;
     private final Map<String, RequestClass> classes;
     private final BooleanSupplier canServe;
@@ -48,18 +51,19 @@
     private long stopAtUs;
     private long acceptedUs;
 
-    ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 int maxConnections) {
+    public ClientServer(EventLoop loop, Clock clock, Requests requests, Upstreams upstreams,
+                        List<RequestClass> classes, BooleanSupplier canServe, int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
+        this.upstreams = upstreams;
         this.classes = classes.stream().collect(Collectors.toMap(RequestClass::name, c -> c));
         longestUs = classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
         this.canServe = canServe;
         this.maxConnections = maxConnections;
     }
 
-    InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
+    public InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
         listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -75,11 +79,11 @@
     }
 
     /** Not ready from now on. The first request that is taken all the same is told to {@code cut}. */
-    void notReadyBefore(Runnable cut) {
+    public void notReadyBefore(Runnable cut) {
         rehearsal = cut;
     }
 
-    void rehearsed() {
+    public void rehearsed() {
         rehearsal = null;
     }
 
@@ -94,7 +98,7 @@
         // Not the field: clients that come at once are here before listen() has set it.
         ChannelConfig accepting = channel.parent().config();
         acceptedUs = clock.now();
-        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this);
+        ClientConnection connection = new ClientConnection(channel, clock, requests, upstreams, classes, this);
         connections.add(connection);
         if (connections.size() >= maxConnections) {
             makeRoom(acceptedUs);
@@ -134,7 +138,7 @@
     }
 
     /** Serves on while the application still comes, answers what is held, closes what is quiet, then says so. */
-    void stop(Runnable stopped) {
+    public void stop(Runnable stopped) {
         stopAtUs = clock.now() + SERVE_ON_MS * 1000;
         look(stopped);
     }
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/http1/Dialling.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -13,17 +13,17 @@
 import java.util.function.Supplier;
 
 /** How this program opens HTTP connections, to upstreams and to discovery alike. */
-final class Dialling {
+public final class Dialling {
     private Dialling() {}
 
     /** Each connection gets a handler of its own, which sees whole answers of at most {@code maxBody} bytes. */
-    static Bootstrap http(EventLoop loop, int connectMs, int maxBody, Supplier<ChannelHandler> handler) {
+    public static Bootstrap http(EventLoop loop, int connectMs, int maxBody, Supplier<ChannelHandler> handler) {
         return tcp(loop, connectMs, channel -> channel.pipeline().addLast(new HttpClientCodec(),
                 new HttpObjectAggregator(maxBody), handler.get()));
     }
 
     /** {@code equip} gives each new connection its handlers. */
-    static Bootstrap tcp(EventLoop loop, int connectMs, Consumer<Channel> equip) {
+    public static Bootstrap tcp(EventLoop loop, int connectMs, Consumer<Channel> equip) {
         return new Bootstrap().group(loop).channelFactory(NioSocketChannel::new).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
                 .option(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/rushproxy/sidecar/LoadReports.java
+++ b/src/main/java/rushproxy/http1/LoadReports.java
@@ -1,7 +1,7 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import rushproxy.Balancer.LoadReport;
-import rushproxy.wire.LoadValues;
+import rushproxy.settings.LoadValues;
 
 /** Reads a load report of the form {@code TEXT inflight=7, queue=2, util=0.61}. */
 final class LoadReports {
--- a/src/main/java/rushproxy/sidecar/RequestBodies.java
+++ b/src/main/java/rushproxy/http1/RequestBodies.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/rushproxy/sidecar/RequestDecoder.java
+++ b/src/main/java/rushproxy/http1/RequestDecoder.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/http1/UpstreamConnection.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,7 +18,7 @@
 import java.util.function.BiConsumer;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
-import rushproxy.sidecar.Upstreams.Call;
+import rushproxy.http1.Upstreams.Call;
 
 /**
  * One connection to an upstream: one call at a time, and what comes back told as its outcome. It is believed as long
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.http1;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -6,12 +6,16 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.EncoderException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -19,35 +23,39 @@
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.UpstreamState;
+import rushproxy.core.Addresses;
+import rushproxy.core.Attempt;
+import rushproxy.core.Clock;
+import rushproxy.membership.Member;
 
 /** Connections to the upstreams, and the calls on them: attempts and probes. */
-final class Upstreams {
+public final class Upstreams {
     /** Idle connections are dropped this much before an upstream may drop them: a request then can't cross it. */
     private static final long IDLE_MARGIN_US = 2_000_000;
     private static final long SWEEP_MS = 1_000;
-
-    /** Told once how a call ended; {@code body} is set with {@code OK} alone and is released afterwards. */
-    interface Result {
-        void ended(Call call, Outcome outcome, LoadReport report, ByteBuf body);
-    }
+    /** A timer so late shows that the loop stood still; the longest that is made up for. */
+    private static final long LATE_US = 5_000, FORGIVEN_MOST_US = 50_000;
 
     /** One message to an upstream, until its outcome. */
-    static final class Call {
-        final String upstream;
+    public static final class Call implements Attempt {
+        private final Upstreams pool;
+        private final String upstream;
         private final long untilUs;
         /** Makes the message, told how long an answer is waited for. */
         private final LongFunction<FullHttpRequest> message;
         private final Result result;
         private final boolean reportInBody;
-        long sentUs;
+        private long sentUs;
         private Target target;
         private Channel channel;
         private Future<?> timeout;
         private boolean written;
+        private boolean forgiven;
         private boolean ended;
 
-        Call(String upstream, long untilUs, boolean reportInBody, LongFunction<FullHttpRequest> message,
-             Result result) {
+        Call(Upstreams pool, String upstream, long untilUs, boolean reportInBody,
+             LongFunction<FullHttpRequest> message, Result result) {
+            this.pool = pool;
             this.upstream = upstream;
             this.untilUs = untilUs;
             this.message = message;
@@ -60,10 +68,31 @@
             return reportInBody;
         }
 
-        boolean ended() {
+        @Override
+        public String upstream() {
+            return upstream;
+        }
+
+        @Override
+        public long sentUs() {
+            return sentUs;
+        }
+
+        @Override
+        public boolean ended() {
             return ended;
         }
 
+        @Override
+        public void start() {
+            pool.start(this);
+        }
+
+        @Override
+        public void drop() {
+            end(Outcome.NOT_SENT, null, null);
+        }
+
         void end(Outcome outcome, LoadReport report, ByteBuf body) {
             if (ended) {
                 return;
@@ -85,7 +114,8 @@
             }
         }
 
-        void cancel() {
+        @Override
+        public void cancel() {
             abandon(Outcome.CANCELLED);
         }
 
@@ -99,7 +129,17 @@
             end(written ? Outcome.SPOILT : Outcome.CONNECT_FAILED, null, null);
         }
 
+        /**
+         * A loop that was late itself has not looked for the answer in all that time: it may be there, unread. So much is
+         * waited once more, or a stall here would count as one of the upstream's.
+         */
         private void timedOut() {
+            long lateUs = pool.clock.now() - untilUs;
+            if (lateUs >= LATE_US && !forgiven) {
+                forgiven = true;
+                timeout = pool.loop.schedule(this::timedOut, Math.min(lateUs, FORGIVEN_MOST_US), TimeUnit.MICROSECONDS);
+                return;
+            }
             abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
     }
@@ -111,13 +151,9 @@
         UpstreamState state;
         final ArrayDeque<Channel> idle = new ArrayDeque<>();
 
-        Target(UpstreamList.Entry entry) {
-            address = entry.address();
-            startedUs = entry.upstream().startedUs();
-        }
-
-        boolean is(UpstreamList.Entry entry) {
-            return address.equals(entry.address()) && startedUs == entry.upstream().startedUs();
+        Target(InetSocketAddress address, long startedUs) {
+            this.address = address;
+            this.startedUs = startedUs;
         }
     }
 
@@ -129,7 +165,7 @@
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, int maxConnections) {
+    public Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.maxConnections = maxConnections;
@@ -138,19 +174,23 @@
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Connections to what drained, went or is now another process are of no more use. */
-    void update(UpstreamList list) {
+    /**
+     * Connections to what drained, went or is now another process are of no more use. {@code whole}: what is not named is
+     * gone.
+     */
+    public void update(boolean whole, List<Member> members) {
         Set<String> named = new HashSet<>();
-        for (UpstreamList.Entry e : list.entries()) {
-            String id = e.upstream().id();
+        for (Member m : members) {
+            String id = m.upstream().id();
             named.add(id);
+            InetSocketAddress address = Addresses.parse(m.address());
             Target t = targets.get(id);
-            if (t == null || !t.is(e)) {
+            if (t == null || !t.address.equals(address) || t.startedUs != m.upstream().startedUs()) {
                 forget(t);
-                t = new Target(e);
+                t = new Target(address, m.upstream().startedUs());
                 targets.put(id, t);
             }
-            t.state = e.upstream().state();
+            t.state = m.upstream().state();
             if (t.state != UpstreamState.READY) {
                 close(t);
             }
@@ -159,7 +199,7 @@
                 targets.remove(id);
             }
         }
-        if (list.whole()) {
+        if (whole) {
             targets.entrySet().removeIf(e -> {
                 if (named.contains(e.getKey())) {
                     return false;
@@ -170,17 +210,28 @@
         }
     }
 
+    /** An attempt at a request, made by {@code message} when it is written, told how long an answer is waited for. */
+    public Call call(String upstream, long untilUs, LongFunction<FullHttpRequest> message, Attempt.Result result) {
+        return new Call(this, upstream, untilUs, false, message, result);
+    }
+
+    /** A probe, whose answer's body is the load report. */
+    public Call probe(String upstream, long untilUs, Attempt.Result result) {
+        return new Call(this, upstream, untilUs, true, left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                HttpMethod.GET, Headers.STATS), result);
+    }
+
     /** How many upstreams are kept. */
-    int known() {
+    public int known() {
         return targets.size();
     }
 
     /** How many connections are open or coming up. */
-    int open() {
+    public int open() {
         return connections;
     }
 
-    boolean anyReady() {
+    public boolean anyReady() {
         return targets.values().stream().anyMatch(t -> t.state == UpstreamState.READY);
     }
 
@@ -197,14 +248,14 @@
         }
     }
 
-    void close(String upstream) {
+    public void close(String upstream) {
         Target t = targets.get(upstream);
         if (t != null) {
             close(t);
         }
     }
 
-    void start(Call call) {
+    private void start(Call call) {
         long now = clock.now();
         call.sentUs = now;
         call.target = targets.get(call.upstream);
@@ -261,9 +312,10 @@
                 call.channel.close();
             } else if (!f.isSuccess()) {
                 call.broke();
-            } else if (call.target.state != UpstreamState.READY || clock.now() >= call.untilUs) {
-                // The list changed or time ran out while the connection came up: nothing may be sent any more.
-                call.abandon(call.target.state != UpstreamState.READY ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
+            } else if (call.target.state != UpstreamState.READY || !call.reportInBody && clock.now() >= call.untilUs) {
+                // The list changed, or time ran out, while the connection came up: nothing may be sent any more. It did
+                // come up, perhaps long ago on a loop that stood still: no word against the upstream. A probe still goes.
+                call.abandon(Outcome.NOT_SENT);
             } else {
                 write(call);
             }
--- a/src/main/java/rushproxy/sidecar/Json.java
+++ b/src/main/java/rushproxy/json/Json.java
@@ -1,9 +1,12 @@
-package rushproxy.sidecar;
+package rushproxy.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,7 +14,7 @@
 import java.util.TreeMap;
 
 /** Reads JSON objects field by field; a field of the wrong kind is named in the exception. */
-final class Json {
+public final class Json {
     /** The streaming parser alone, whose nesting and lengths are bounded: binding to objects costs every start. */
     private static final JsonFactory FACTORY = new JsonFactory();
 
@@ -21,7 +24,7 @@
         this.fields = fields;
     }
 
-    static Json parse(byte[] text) {
+    public static Json parse(byte[] text) {
         try (JsonParser parser = FACTORY.createParser(text)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IllegalArgumentException("no JSON object");
@@ -67,41 +70,79 @@
         };
     }
 
-    boolean has(String name) {
+    /** Maps, lists, texts, numbers, truth values and nulls as JSON in UTF-8. */
+    public static byte[] write(Map<String, Object> object) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator to = FACTORY.createGenerator(out)) {
+            write(to, object);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+
+    private static void write(JsonGenerator to, Object value) throws IOException {
+        if (value instanceof Map<?, ?> map) {
+            to.writeStartObject();
+            for (Map.Entry<?, ?> e : map.entrySet()) {
+                to.writeFieldName(String.valueOf(e.getKey()));
+                write(to, e.getValue());
+            }
+            to.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            to.writeStartArray();
+            for (Object e : list) {
+                write(to, e);
+            }
+            to.writeEndArray();
+        } else if (value instanceof Double d) {
+            to.writeNumber(d);
+        } else if (value instanceof Number n) {
+            to.writeNumber(n.longValue());
+        } else if (value instanceof Boolean b) {
+            to.writeBoolean(b);
+        } else if (value == null) {
+            to.writeNull();
+        } else {
+            to.writeString(value.toString());
+        }
+    }
+
+    public boolean has(String name) {
         return fields.get(name) != null;
     }
 
-    String text(String name) {
+    public String text(String name) {
         return of(name, String.class, "a text");
     }
 
-    String textOr(String name, String absent) {
+    public String textOr(String name, String absent) {
         return has(name) ? text(name) : absent;
     }
 
-    long number(String name) {
+    public long number(String name) {
         return of(name, Number.class, "a number").longValue();
     }
 
-    long numberOr(String name, long absent) {
+    public long numberOr(String name, long absent) {
         return has(name) ? number(name) : absent;
     }
 
-    double realOr(String name, double absent) {
+    public double realOr(String name, double absent) {
         return has(name) ? of(name, Number.class, "a number").doubleValue() : absent;
     }
 
-    boolean flag(String name) {
+    public boolean flag(String name) {
         return of(name, Boolean.class, "true or false");
     }
 
     @SuppressWarnings("unchecked")
-    Json object(String name) {
+    public Json object(String name) {
         return new Json(of(name, Map.class, "an object"));
     }
 
     @SuppressWarnings("unchecked")
-    List<Json> objects(String name) {
+    public List<Json> objects(String name) {
         return ((List<Object>) of(name, List.class, "a list")).stream().map(o -> {
             if (!(o instanceof Map)) {
                 throw new IllegalArgumentException("'" + name + "' holds what is no object");
@@ -111,7 +152,7 @@
     }
 
     @SuppressWarnings("unchecked")
-    List<String> textsOrNone(String name) {
+    public List<String> textsOrNone(String name) {
         return has(name) ? ((List<Object>) of(name, List.class, "a list")).stream().map(String::valueOf).toList()
                 : List.of();
     }
@@ -128,7 +169,7 @@
     }
 
     /** All values by their paths, in the form of the simulator's pairs. */
-    Map<String, String> flat() {
+    public Map<String, String> flat() {
         Map<String, String> out = new TreeMap<>();
         flatten("", fields, out);
         return out;
--- /dev/null
+++ b/src/main/java/rushproxy/membership/registry/RegistryList.java
@@ -0,0 +1,56 @@
+package rushproxy.membership.registry;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
+import rushproxy.core.Addresses;
+import rushproxy.json.Json;
+import rushproxy.membership.Listing;
+import rushproxy.membership.Member;
+import rushproxy.membership.Origin;
+
+/** Lists of upstreams, or of changes, in the registry's form. */
+public final class RegistryList {
+    private RegistryList() {}
+
+    /** Module time runs on from Unix time, so a start needs no more than its unit changed. */
+    public static Listing read(Json json, Origin origin, long asOfUs) {
+        List<Member> members = new ArrayList<>();
+        for (Json e : json.objects("instances")) {
+            UpstreamState state = switch (e.text("lifecycle")) {
+                case "Ready" -> UpstreamState.READY;
+                case "Terminating" -> UpstreamState.DRAINING;
+                case "Gone" -> UpstreamState.GONE;
+                default -> throw new IllegalArgumentException("lifecycle '" + e.text("lifecycle") + "' is unknown");
+            };
+            String address = e.text("hostPort");
+            Addresses.parse(address);
+            members.add(new Member(new Upstream(e.text("instanceId"), e.textOr("zone", ""), e.textOr("machineType", ""),
+                    (int) e.numberOr("cell", -1), e.numberOr("startedAtMs", 0) * 1000, e.realOr("weight", 1), state),
+                    address));
+        }
+        return new Listing(origin, json.number("generation"), json.flag("reset"), asOfUs, members);
+    }
+
+    /** The member as the registry would write it. */
+    public static Map<String, Object> write(Member m) {
+        Upstream u = m.upstream();
+        Map<String, Object> e = new LinkedHashMap<>();
+        e.put("instanceId", u.id());
+        e.put("hostPort", m.address());
+        e.put("zone", u.zone());
+        e.put("machineType", u.kind());
+        e.put("cell", u.cell());
+        e.put("lifecycle", switch (u.state()) {
+            case READY -> "Ready";
+            case DRAINING -> "Terminating";
+            case GONE -> "Gone";
+        });
+        e.put("weight", u.weight());
+        e.put("startedAtMs", u.startedUs() / 1000);
+        return e;
+    }
+}
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -1,4 +1,4 @@
-package rushproxy.sidecar;
+package rushproxy.membership.registry;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -15,27 +15,41 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import rushproxy.Balancer.ListKind;
-import rushproxy.Balancer.Upstream;
+import rushproxy.core.Clock;
+import rushproxy.core.Log;
+import rushproxy.http1.Dialling;
+import rushproxy.json.Json;
+import rushproxy.membership.Listing;
+import rushproxy.membership.Origin;
+import rushproxy.membership.Pauses;
 
 /**
  * The watch on discovery: one call after the other without a gap, as soon as the module has asked for it. A call
  * that fails in any way is told to the module, which decides when to ask again; the list it has still holds.
  */
-final class Discovery {
+public final class RegistryWatch {
+    /** Who is told what the watch brings; called on the loop. */
+    public interface Listener {
+        /** {@code answersAsk}: somebody waits for an answer, be it one without changes. */
+        void listed(Listing list, boolean answersAsk);
+
+        /** The call failed. {@code goOn} asks again, for a listener that can't. */
+        void failed(Runnable goOn);
+    }
+
     private static final String PATH = "/registry/instances";
     /** A list of some thousand upstreams; more is no list. */
     private static final int MAX_ANSWER = 1 << 20;
     private static final int CONNECT_MS = 1_000;
-    /** Discovery keeps a call for the whole list in its queue for seconds. */
+    /** RegistryWatch keeps a call for the whole list in its queue for seconds. */
     private static final long WHOLE_MS = 4_000;
     /** Changes count as told 2 s after a watch's wait is over: one that is silent then is asked again before. */
     private static final long SILENT_MS = 1_500;
     private static final long MOST_WAIT_MS = 20_000;
-    private static final long AGAIN_MS = 1_000;
+    /** Between calls of a watch that goes on by itself: where discovery is down, a fleet must not rush it. */
+    private static final long AGAIN_US = 1_000_000, AGAIN_MOST_US = 8_000_000;
     /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
     private static final long PACE_MS = 100;
 
@@ -44,9 +58,10 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Decisions decisions;
-    private final Upstreams upstreams;
+    private final Listener listener;
+    private final Pauses pauses;
     private final long waitMs;
+    private boolean unconfirmed;
     private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private long generation;
@@ -63,26 +78,32 @@
     /** Where lists are pushed the module asks for nothing: the watch is this class's own. */
     private final boolean pushed;
 
-    Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, InetSocketAddress address,
-              long generation, long askEveryUs, boolean pushed) {
+    /**
+     * @param pushed      nobody asks, so the watch goes on by itself from its start
+     * @param unconfirmed the list that it goes on from is in doubt: the first call waits for no change, so that discovery's
+     *                    word, be it that nothing changed, is heard at once
+     */
+    public RegistryWatch(EventLoop loop, Clock clock, Listener listener, InetSocketAddress address, long generation,
+                         long askEveryUs, boolean pushed, boolean unconfirmed, long seed) {
         this.pushed = pushed;
+        this.unconfirmed = unconfirmed;
         this.loop = loop;
         this.clock = clock;
-        this.decisions = decisions;
-        this.upstreams = upstreams;
+        this.listener = listener;
+        pauses = new Pauses(AGAIN_US, AGAIN_MOST_US, seed);
         this.address = address;
         this.generation = generation;
         waitMs = askEveryUs <= 0 ? MOST_WAIT_MS : Math.min(MOST_WAIT_MS, askEveryUs / 1000);
         bootstrap = Dialling.http(loop, CONNECT_MS, MAX_ANSWER, Handler::new);
     }
 
-    void start() {
+    public void start() {
         if (pushed) {
             subscribe();
         }
     }
 
-    void subscribe() {
+    public void subscribe() {
         asked = !pushed;
         goOn();
     }
@@ -91,7 +112,7 @@
      * Asks elsewhere from now on, at once and for the whole list: versions of another service need not follow on
      * these. The call that was out is over and has not failed; nobody waits longer for having asked the old one.
      */
-    void moveTo(InetSocketAddress to) {
+    public void moveTo(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -103,7 +124,7 @@
     }
 
     /** Asks no more. */
-    void stop() {
+    public void stop() {
         leave();
         call = NEVER;
     }
@@ -146,7 +167,7 @@
     }
 
     private void write(long number) {
-        String uri = doubt ? PATH : PATH + "?index=" + generation + "&wait=" + waitMs;
+        String uri = doubt ? PATH : PATH + "?index=" + generation + "&wait=" + (unconfirmed ? 0 : waitMs);
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         request.headers().set("Host", "discovery");
         channel.writeAndFlush(request).addListener(f -> {
@@ -169,14 +190,12 @@
             again();
         } else {
             // The module asks again, ever later; without a working one nobody would.
-            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), this::again);
+            listener.failed(this::again);
         }
     }
 
-    /** Jittered, so that sidecars that failed together do not ask together again. */
     private void again() {
-        loop.schedule(this::subscribe, AGAIN_MS / 2 + ThreadLocalRandom.current().nextLong(AGAIN_MS),
-                TimeUnit.MILLISECONDS);
+        loop.schedule(this::subscribe, pauses.afterFailure(), TimeUnit.MICROSECONDS);
     }
 
     private void end() {
@@ -185,15 +204,15 @@
     }
 
     private void answered(FullHttpResponse response) {
-        UpstreamList list;
+        Listing list;
         try {
             if (response.status().code() != 200 || !response.decoderResult().isSuccess()) {
                 failed(call, "status " + response.status().code());
                 return;
             }
-            list = UpstreamList.of(Json.parse(ByteBufUtil.getBytes(response.content())));
+            list = RegistryList.read(Json.parse(ByteBufUtil.getBytes(response.content())), Origin.LIVE, clock.now());
             boolean known = doubt ? list.whole() : list.whole() || list.generation() >= generation;
-            if (!known || list.whole() && list.entries().isEmpty()) {
+            if (!known || list.whole() && list.members().isEmpty()) {
                 throw new IllegalArgumentException("it does not follow on the list before");
             }
         } catch (RuntimeException e) {
@@ -203,16 +222,15 @@
         }
         end();
         doubt = false;
+        unconfirmed = false;
         generation = list.generation();
         if (!HttpUtil.isKeepAlive(response)) {
             hangUp();
         }
-        upstreams.update(list);
-        if (asked || list.whole() || !list.entries().isEmpty()) {
-            asked = false;
-            List<Upstream> entries = list.entries().stream().map(UpstreamList.Entry::upstream).toList();
-            decisions.call(m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries), () -> { });
-        }
+        pauses.succeeded();
+        boolean answersAsk = asked;
+        asked = false;
+        listener.listed(list, answersAsk);
         long restMs = PACE_MS - (clock.now() - begunUs) / 1000;
         if (restMs <= 0) {
             goOn();
--- /dev/null
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -0,0 +1,90 @@
+package rushproxy.operator;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+import rushproxy.membership.Trust;
+import rushproxy.operator.Operator.DiskOptions;
+import rushproxy.operator.Operator.MembershipOptions;
+
+/** Reads the operator's file, strictly: whatever it does not know or can't use is an error with its place. */
+public final class OperatorFile {
+    private OperatorFile() {}
+
+    public static Operator read(String name) throws Broken {
+        TomlParseResult toml;
+        try {
+            toml = Toml.parse(Files.readString(Path.of(name)));
+        } catch (IOException | InvalidPathException e) {
+            throw new Broken(name + ": can't be read: " + e);
+        }
+        if (toml.hasErrors()) {
+            TomlParseError first = toml.errors().get(0);
+            throw new Broken(name + ":" + first.position().line() + ": no TOML: " + first.getMessage());
+        }
+        Table root = new Table(name, "", toml, 1);
+        Operator operator = new Operator(membership(root.table("membership")));
+        root.done();
+        return operator;
+    }
+
+    private static MembershipOptions membership(Table t) throws Broken {
+        if (t == null) {
+            return null;
+        }
+        long fresh = t.duration("fresh", "30s", "0s", "1h", null);
+        long oldest = t.duration("oldest", "30d", "1min", "365d", null);
+        if (oldest < fresh) {
+            throw t.broken("oldest", "a duration no shorter than membership.fresh");
+        }
+        Trust trust = new Trust(fresh, oldest, t.duration("known_age", "unknown", "0s", "365d", "unknown"),
+                t.whole("trials_per_second", 4, 1, 100), t.whole("trials_at_once", 8, 1, 64));
+        MembershipOptions options = new MembershipOptions(trust,
+                t.duration("registry_spread", "0ms", "0ms", "30s", null), disk(t.table("disk")));
+        t.done();
+        return options;
+    }
+
+    private static DiskOptions disk(Table t) throws Broken {
+        if (t == null) {
+            return null;
+        }
+        DiskOptions options = new DiskOptions(Path.of(t.text("folder", null)), t.text("fleet", null),
+                t.whole("writes_per_minute", 6, 1, 60), t.duration("refresh", "30s", "1s", "1h", null),
+                (int) t.size("largest", "4MiB", "4KiB", "64MiB"));
+        t.done();
+        return options;
+    }
+
+    /** What the file would do, a line for each thing, for {@code check}. */
+    public static List<String> explain(Operator operator) {
+        List<String> lines = new ArrayList<>();
+        MembershipOptions m = operator.membership();
+        if (m == null) {
+            lines.add("membership: off; the list given at the start is taken as it is");
+            return lines;
+        }
+        Trust trust = m.trust();
+        lines.add("membership: a list up to " + seconds(trust.freshUs()) + " old is used as it is, one up to "
+                + seconds(trust.oldestUs()) + " after a trial of each upstream, an older one not at all");
+        lines.add("membership: the age of 'known' is taken to be "
+                + (trust.knownAgeUs() < 0 ? "unknown, perhaps long" : seconds(trust.knownAgeUs())));
+        lines.add("membership: " + (long) trust.trialsPerSecond() + " trials a second without an answer, "
+                + trust.trialsAtOnce() + " at once; discovery is asked within " + seconds(m.spreadUs()) + " of the start");
+        DiskOptions d = m.disk();
+        lines.add(d == null ? "membership.disk: off; no list is kept" : "membership.disk: the list of fleet '" + d.fleet()
+                + "' is kept in " + d.folder() + ", at most " + d.writesPerMinute() + " writes a minute and "
+                + d.largestBytes() + " bytes, written again every " + seconds(d.refreshUs()));
+        return lines;
+    }
+
+    private static String seconds(long us) {
+        return us % 1_000_000 == 0 ? us / 1_000_000 + " s" : us / 1_000 + " ms";
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/operator/Table.java
@@ -0,0 +1,132 @@
+package rushproxy.operator;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * One table of the operator's file, read key by key. What is read is remembered, so that {@link #done} finds the keys
+ * that nobody knows; each error names file, line and key, and says what was expected.
+ */
+final class Table {
+    private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|min|h|d)");
+    private static final Map<String, Long> DURATION_US = Map.of("ms", 1_000L, "s", 1_000_000L, "min", 60_000_000L,
+            "h", 3_600_000_000L, "d", 86_400_000_000L);
+    private static final Pattern SIZE = Pattern.compile("([0-9]{1,9})(B|KiB|MiB)");
+    private static final Map<String, Long> SIZE_BYTES = Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20);
+
+    private final String file;
+    private final String path;
+    private final TomlTable table;
+    private final int line;
+    private final Set<String> known = new HashSet<>();
+
+    Table(String file, String path, TomlTable table, int line) {
+        this.file = file;
+        this.path = path;
+        this.table = table;
+        this.line = line;
+    }
+
+    /** Null where the file has no such table. */
+    Table table(String key) throws Broken {
+        Object value = value(key);
+        if (value == null) {
+            return null;
+        }
+        if (!(value instanceof TomlTable t)) {
+            throw broken(key, "a table, [" + name(key) + "]", value);
+        }
+        return new Table(file, name(key), t, line(key));
+    }
+
+    /** Microseconds; -1 where the text is {@code word}. */
+    long duration(String key, String absent, String least, String most, String word) throws Broken {
+        Object value = value(key);
+        String text = value == null ? absent : value instanceof String s ? s : null;
+        String expected = "a duration from \"" + least + "\" to \"" + most + "\" with its unit (ms, s, min, h, d)"
+                + (word == null ? "" : ", or \"" + word + "\"");
+        if (text != null && text.equals(word)) {
+            return -1;
+        }
+        long us = text == null ? -1 : scaled(DURATION, DURATION_US, text);
+        if (us < scaled(DURATION, DURATION_US, least) || us > scaled(DURATION, DURATION_US, most)) {
+            throw broken(key, expected, value);
+        }
+        return us;
+    }
+
+    /** Bytes. */
+    long size(String key, String absent, String least, String most) throws Broken {
+        Object value = value(key);
+        long bytes = value == null ? scaled(SIZE, SIZE_BYTES, absent)
+                : value instanceof String s ? scaled(SIZE, SIZE_BYTES, s) : -1;
+        if (bytes < scaled(SIZE, SIZE_BYTES, least) || bytes > scaled(SIZE, SIZE_BYTES, most)) {
+            throw broken(key, "a size from \"" + least + "\" to \"" + most + "\" with its unit (B, KiB, MiB)", value);
+        }
+        return bytes;
+    }
+
+    private static long scaled(Pattern form, Map<String, Long> units, String text) {
+        Matcher m = form.matcher(text);
+        return m.matches() ? Long.parseLong(m.group(1)) * units.get(m.group(2)) : -1;
+    }
+
+    int whole(String key, int absent, int least, int most) throws Broken {
+        Object value = value(key);
+        long number = value == null ? absent : value instanceof Long l ? l : Long.MIN_VALUE;
+        if (number < least || number > most) {
+            throw broken(key, "a whole number from " + least + " to " + most, value);
+        }
+        return (int) number;
+    }
+
+    /** A text that is not empty; one must be there where {@code absent} is null. */
+    String text(String key, String absent) throws Broken {
+        Object value = value(key);
+        String text = value == null ? absent : value instanceof String s ? s : null;
+        if (text == null || text.isBlank()) {
+            throw broken(key, "a text that is not empty", value);
+        }
+        return text;
+    }
+
+    /** To be called when all that is known has been read. */
+    void done() throws Broken {
+        for (String key : table.keySet()) {
+            if (!known.contains(key)) {
+                throw new Broken(file + ":" + line(key) + ": " + name(key) + ": unknown; expected one of "
+                        + String.join(", ", known.stream().sorted().toList()));
+            }
+        }
+    }
+
+    private Object value(String key) {
+        known.add(key);
+        return table.get(List.of(key));
+    }
+
+    Broken broken(String key, String expected) {
+        return broken(key, expected, value(key));
+    }
+
+    private Broken broken(String key, String expected, Object found) {
+        String what = found == null ? "nothing" : found instanceof String s ? "\"" + s + "\""
+                : found instanceof TomlTable ? "a table" : String.valueOf(found);
+        return new Broken(file + ":" + line(key) + ": " + name(key) + ": expected " + expected + ", found " + what);
+    }
+
+    private int line(String key) {
+        TomlPosition position = table.inputPositionOf(List.of(key));
+        return position == null ? line : position.line();
+    }
+
+    private String name(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+}
--- a/src/main/java/rushproxy/wire/LoadValues.java
+++ b/src/main/java/rushproxy/settings/LoadValues.java
@@ -1,4 +1,4 @@
-package rushproxy.wire;
+package rushproxy.settings;
 
 import rushproxy.Balancer.LoadReport;
 
--- a/src/main/java/rushproxy/wire/SettingsReader.java
+++ b/src/main/java/rushproxy/settings/SettingsReader.java
@@ -1,8 +1,7 @@
-package rushproxy.wire;
+package rushproxy.settings;
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import rushproxy.Balancer.Group;
@@ -27,18 +26,6 @@
         this.values = values;
     }
 
-    SettingsReader(Fields fields) {
-        this(new HashMap<>());
-        while (fields.more()) {
-            String pair = fields.text();
-            int equals = pair.indexOf('=');
-            if (equals <= 0) {
-                throw new WireException("setting '" + pair + "' is not of the form path=value");
-            }
-            values.put(pair.substring(0, equals), pair.substring(equals + 1));
-        }
-    }
-
     public Settings read() {
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < (int) need("profiles.count"); i++) {
@@ -77,14 +64,15 @@
         return (long) real("limits.dial_timeout_us", 250_000);
     }
 
-    List<String> reportFields() {
+    /** In the order in which the wire's reports hold them. */
+    public List<String> reportFields() {
         return Arrays.asList(values.getOrDefault("load_info.fields", "").split(","));
     }
 
     private String word(String path) {
         String value = values.get(path);
         if (value == null) {
-            throw new WireException("setting '" + path + "' is missing");
+            throw new SettingsException("setting '" + path + "' is missing");
         }
         return value;
     }
@@ -102,7 +90,7 @@
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new WireException("setting '" + path + "' is no number: '" + value + "'");
+            throw new SettingsException("setting '" + path + "' is no number: '" + value + "'");
         }
     }
 
@@ -116,7 +104,7 @@
             case "safe" -> Semantics.SAFE;
             case "keyed" -> Semantics.KEYED;
             case "unsafe" -> Semantics.UNSAFE;
-            default -> throw new WireException("semantics '" + word + "' is unknown");
+            default -> throw new SettingsException("semantics '" + word + "' is unknown");
         };
     }
 
@@ -125,7 +113,7 @@
             case "all", "-" -> Group.ALL;
             case "zone" -> Group.ZONE;
             case "cell" -> Group.CELL;
-            default -> throw new WireException("group '" + word + "' is unknown");
+            default -> throw new SettingsException("group '" + word + "' is unknown");
         };
     }
 
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -11,13 +11,18 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import rushproxy.Balancer.Settings;
-import rushproxy.wire.SettingsReader;
-import rushproxy.wire.WireException;
+import rushproxy.core.Addresses;
+import rushproxy.json.Json;
+import rushproxy.membership.Listing;
+import rushproxy.membership.Origin;
+import rushproxy.membership.registry.RegistryList;
+import rushproxy.settings.SettingsException;
+import rushproxy.settings.SettingsReader;
 
 /** What a sidecar is told at its start. {@code peerListen} and {@code peersAll} are null where there are none. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
               InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-              UpstreamList known, Settings settings, long dialTimeoutUs) {
+              Listing known, Settings settings, long dialTimeoutUs) {
 
     /** A configuration that no sidecar can start with; the message is one line and names the field. */
     static final class Broken extends Exception {
@@ -49,13 +54,13 @@
             return parse(Json.parse(text), environment);
         } catch (IllegalArgumentException e) {
             throw new Broken("configuration: " + e.getMessage());
-        } catch (WireException e) {
+        } catch (SettingsException e) {
             throw new Broken("configuration, settings: " + e.getMessage());
         }
     }
 
     /** The same settings for a sidecar on another stage, without peers. */
-    Config elsewhere(InetSocketAddress listens, InetSocketAddress asks, UpstreamList knows) {
+    Config elsewhere(InetSocketAddress listens, InetSocketAddress asks, Listing knows) {
         return new Config(name, listens, asks, seed, sockets, null, List.of(), null, knows, settings, dialTimeoutUs);
     }
 
@@ -81,9 +86,9 @@
                 known(json), settings, reader.dialTimeoutUs());
     }
 
-    private static UpstreamList known(Json json) {
+    private static Listing known(Json json) {
         try {
-            return UpstreamList.of(json.object("known"));
+            return RegistryList.read(json.object("known"), Origin.KNOWN, 0);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("'known': " + e.getMessage());
         }
@@ -100,7 +105,7 @@
 
     private static InetSocketAddress address(String field, String text) {
         try {
-            return UpstreamList.address(text);
+            return Addresses.parse(text);
         } catch (IllegalArgumentException e) {
             throw new IllegalArgumentException("'" + field + "' is no address: '" + text + "'");
         }
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -0,0 +1,153 @@
+package rushproxy.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import rushproxy.Balancer.ListKind;
+import rushproxy.Balancer.Outcome;
+import rushproxy.Balancer.Upstream;
+import rushproxy.core.Addresses;
+import rushproxy.core.Clock;
+import rushproxy.core.Decisions;
+import rushproxy.core.Log;
+import rushproxy.http1.Trial;
+import rushproxy.http1.Upstreams;
+import rushproxy.membership.Change;
+import rushproxy.membership.Listing;
+import rushproxy.membership.Member;
+import rushproxy.membership.Membership;
+import rushproxy.membership.Origin;
+import rushproxy.membership.Proof;
+import rushproxy.membership.disk.ListKeeper;
+import rushproxy.membership.registry.RegistryWatch;
+
+/**
+ * The thin shell round {@link Membership}: hands it lists, trials and the time, and passes its changes on, first to the
+ * attempts and then to the module. All on the loop.
+ */
+final class Members implements RegistryWatch.Listener {
+    /** How often suspects are looked through; trials are paced by {@link Membership}. */
+    private static final long TRY_MS = 50;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Decisions decisions;
+    private final Upstreams upstreams;
+    private final Membership membership;
+    private final Trial trial;
+    private ListKeeper keeper;
+    private long refreshUs;
+    private long keptAtUs;
+    private boolean stopped;
+
+    Members(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, Membership membership, Trial trial) {
+        this.loop = loop;
+        this.clock = clock;
+        this.decisions = decisions;
+        this.upstreams = upstreams;
+        this.membership = membership;
+        this.trial = trial;
+    }
+
+    /** Null keeps no list from now on; the one who kept it before has been closed by the caller. */
+    void keepWith(ListKeeper keeper, long refreshUs) {
+        this.keeper = keeper;
+        this.refreshUs = refreshUs;
+        keptAtUs = 0;
+    }
+
+    /** Before the module: what it is to be told first. */
+    List<Upstream> start(List<Listing> lists) {
+        Change change = membership.start(clock.now(), lists);
+        change.notes().forEach(Log::line);
+        upstreams.update(true, change.members());
+        return module(change);
+    }
+
+    /** After the module has been told. */
+    void goOn() {
+        tryOut();
+    }
+
+    /** Version that the watch goes on from. */
+    long generation() {
+        return membership.generation();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void tryOut() {
+        if (!stopped && !membership.confirmed() && membership.suspects() > 0) {
+            tryDue();
+            loop.schedule(this::tryOut, TRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void tryDue() {
+        for (Member m : membership.trials(clock.now())) {
+            String id = m.upstream().id();
+            trial.of(Addresses.parse(m.address()), proof -> {
+                tell(membership.tried(clock.now(), id, proof), ListKind.CACHED);
+                if (!stopped && proof == Proof.ANSWERS) {
+                    // Whoever answers has cost no token: the next needs no wait.
+                    loop.execute(this::tryDue);
+                }
+            });
+        }
+    }
+
+    /** How an attempt at an upstream ended. */
+    void ended(String upstream, Outcome outcome) {
+        if (outcome == Outcome.OK) {
+            tell(membership.answered(upstream), ListKind.CACHED);
+        } else if (outcome == Outcome.CONNECT_FAILED) {
+            tell(membership.refused(clock.now(), upstream), ListKind.CACHED);
+        }
+    }
+
+    /** {@code CACHED} is the whole list without being an answer of discovery's, which alone ends the module's asking. */
+    private void tell(Change change, ListKind kind) {
+        change.notes().forEach(Log::line);
+        if (!change.none()) {
+            upstreams.update(change.whole(), change.members());
+            List<Upstream> told = module(change);
+            decisions.call(m -> m.onList(clock.now(), kind, told), () -> { });
+        }
+    }
+
+    private static List<Upstream> module(Change change) {
+        List<Upstream> list = new ArrayList<>(change.members().size());
+        for (Member m : change.members()) {
+            list.add(m.upstream());
+        }
+        return list;
+    }
+
+    @Override
+    public void listed(Listing list, boolean answersAsk) {
+        Change change = membership.live(clock.now(), list);
+        if (change.none() && answersAsk) {
+            decisions.call(m -> m.onList(clock.now(), ListKind.DELTA, List.of()), () -> { });
+        }
+        tell(change, change.whole() ? ListKind.FULL : ListKind.DELTA);
+        keep(!change.none());
+    }
+
+    /** What changed is kept at once, and now and then what did not, so that its age tells the truth. */
+    private void keep(boolean changed) {
+        long now = clock.now();
+        if (keeper != null && (changed || keptAtUs == 0 || now - keptAtUs >= refreshUs)) {
+            keptAtUs = now;
+            keeper.keep(new Listing(Origin.DISK, membership.generation(), true, now, membership.members()));
+        }
+    }
+
+    @Override
+    public void failed(Runnable goOn) {
+        membership.silent();
+        decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), goOn);
+    }
+}
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -13,6 +13,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import rushproxy.core.Clock;
+import rushproxy.core.Decisions;
 
 /** Short messages between sidecars. A peer's number is its place in the configuration. */
 final class Peers {
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -29,6 +30,12 @@
 import rushproxy.Balancer.Semantics;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
+import rushproxy.core.Log;
+import rushproxy.http1.Headers;
+import rushproxy.membership.Listing;
+import rushproxy.membership.Member;
+import rushproxy.membership.Origin;
+import rushproxy.operator.Operator;
 
 /**
  * Before it says that it is ready, a sidecar serves some requests of its own: a second sidecar in this program, which
@@ -40,11 +47,16 @@
  * bytes that were encoded once. Played by codecs of its own the stage cost as much as the sidecar.
  */
 final class Rehearsal {
-    private static final int REQUESTS = 400;
+    /** So many that what each of them runs is compiled, by the thresholds of the line {@code run}. */
+    private static final int REQUESTS = 130;
+    /** Requests on one connection: whoever starts is met by new connections above all, and must have opened some. */
+    private static final int ON_ONE = 4;
+    /** Of so many answers one ends its connection, so that upstreams are dialled too. */
+    private static final int CLOSING = 8;
     /** Clients that send at once: as many as keep the loop busy, and few enough to leave no upstream overrun. */
     private static final int CLIENTS = 3;
     private static final int UPSTREAMS = 6;
-    private static final long LONGEST_MS = 1_500;
+    private static final long LONGEST_MS = 1_000;
     private static final String LOAD = "TEXT inflight=0, queue=0, util=0.1";
 
     private final Config config;
@@ -65,7 +77,7 @@
     void play() {
         Sidecar second = null;
         try (Stage stage = new Stage()) {
-            second = new Sidecar(config.elsewhere(stage.here, stage.address(), list(stage.address())), module);
+            second = new Sidecar(config.elsewhere(stage.here, stage.address(), list(stage.address())), Operator.NONE, module);
             second.start();
             stage.play(second.listening());
         } catch (Exception e) {
@@ -77,12 +89,13 @@
         }
     }
 
-    private static UpstreamList list(InetSocketAddress stage) {
-        List<UpstreamList.Entry> entries = new ArrayList<>();
+    private static Listing list(InetSocketAddress stage) {
+        String address = stage.getAddress().getHostAddress() + ":" + stage.getPort();
+        List<Member> members = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
-            entries.add(new UpstreamList.Entry(new Upstream("stage-" + i, "", "", -1, 0, 1, UpstreamState.READY), stage));
+            members.add(new Member(new Upstream("stage-" + i, "", "", -1, 0, 1, UpstreamState.READY), address));
         }
-        return new UpstreamList(1, true, entries);
+        return new Listing(Origin.KNOWN, 1, true, 0, members);
     }
 
     /** One request of the class, under an id that {@link Part} replaces. */
@@ -99,10 +112,13 @@
         return request;
     }
 
-    private static FullHttpResponse answer() {
+    private static FullHttpResponse answer(boolean last) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                 Unpooled.copiedBuffer(LOAD, StandardCharsets.US_ASCII));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, LOAD.length()).set(Headers.LOAD, LOAD);
+        if (last) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
         return response;
     }
 
@@ -146,10 +162,13 @@
         private final ServerSocketChannel listener = ServerSocketChannel.open();
         private final InetSocketAddress here = new InetSocketAddress(config.listen().getAddress(), 0);
         private final ByteBuffer in = ByteBuffer.allocate(4096);
-        private final ByteBuffer answer = encoded(new HttpResponseEncoder(), answer());
+        private final ByteBuffer answer = encoded(new HttpResponseEncoder(), answer(false));
+        private final ByteBuffer lastAnswer = encoded(new HttpResponseEncoder(), answer(true));
         private final List<Part> parts = new ArrayList<>();
+        private InetSocketAddress sidecar;
         private int begun;
         private int answered;
+        private int answers;
 
         Stage() throws IOException {
             listener.bind(here).configureBlocking(false);
@@ -163,12 +182,10 @@
             return (InetSocketAddress) listener.getLocalAddress();
         }
 
-        void play(InetSocketAddress sidecar) throws IOException {
+        void play(InetSocketAddress with) throws IOException {
+            sidecar = with;
             for (int i = 0; i < CLIENTS; i++) {
-                SocketChannel client = SocketChannel.open(sidecar);
-                client.configureBlocking(false);
-                client.register(selector, SelectionKey.OP_READ, Boolean.TRUE);
-                ask(client);
+                connect();
             }
             long endNanos = System.nanoTime() + LONGEST_MS * 1_000_000;
             for (long left; !cut && answered < REQUESTS && (left = endNanos - System.nanoTime()) > 0; ) {
@@ -198,14 +215,25 @@
             String text = new String(in.array(), 0, in.position(), StandardCharsets.ISO_8859_1);
             for (int at = 0; (at = text.indexOf("\r\n\r\n", at)) >= 0; at += 4) {
                 if (key.attachment() == Boolean.TRUE) {
-                    answered++;
+                    if (++answered % ON_ONE == 0) {
+                        channel.close();
+                        connect();
+                        return;
+                    }
                     ask(channel);
                 } else if (!text.startsWith("GET /registry/")) {
-                    channel.write(answer.duplicate());
+                    channel.write(++answers % CLOSING == 0 ? lastAnswer.duplicate() : answer.duplicate());
                 }
             }
         }
 
+        private void connect() throws IOException {
+            SocketChannel client = SocketChannel.open(sidecar);
+            client.configureBlocking(false);
+            client.register(selector, SelectionKey.OP_READ, Boolean.TRUE);
+            ask(client);
+        }
+
         private void ask(SocketChannel client) throws IOException {
             if (begun < REQUESTS) {
                 client.write(parts.get(begun % parts.size()).numbered(begun));
--- a/src/main/java/rushproxy/sidecar/Reload.java
+++ b/src/main/java/rushproxy/sidecar/Reload.java
@@ -1,20 +1,24 @@
 package rushproxy.sidecar;
 
 import java.util.Map;
+import rushproxy.core.Log;
+import rushproxy.operator.Broken;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
 /**
- * Rereads the configuration on SIGHUP, which would end the program if nobody handled it: so from the first line on,
+ * Rereads the configuration and the operator's file on SIGHUP, which would end the program if nobody handled it: so from the first line on,
  * also before there is a sidecar to tell. The file is read on the signal's own thread; the loop only gets the result.
  */
 final class Reload {
     private final Map<String, String> environment;
+    private final Sidecar.Operators operators;
     private Sidecar sidecar;
     private boolean wanted;
 
-    Reload(Map<String, String> environment) {
+    Reload(Map<String, String> environment, Sidecar.Operators operators) {
         this.environment = environment;
+        this.operators = operators;
         // A shell's nohup has the whole tree below it ignore the signal, and then the runtime can't listen for it.
         if (Signal.handle(new Signal("HUP"), signal -> asked()) == SignalHandler.SIG_IGN) {
             Log.line("SIGHUP is ignored by whoever started this: a new configuration will not be seen");
@@ -38,8 +42,8 @@
         }
         wanted = false;
         try {
-            sidecar.reconfigure(Config.readAgain(environment));
-        } catch (Config.Broken e) {
+            sidecar.reconfigure(Config.readAgain(environment), operators.read());
+        } catch (Config.Broken | Broken e) {
             Log.line("goes on as before: " + e.getMessage());
         }
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -3,17 +3,32 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
+import rushproxy.core.Clock;
+import rushproxy.core.Decisions;
+import rushproxy.core.Log;
+import rushproxy.core.Requests;
+import rushproxy.http1.ClientServer;
+import rushproxy.http1.Trial;
+import rushproxy.http1.Upstreams;
+import rushproxy.membership.Listing;
+import rushproxy.membership.Membership;
+import rushproxy.membership.disk.ListKeeper;
+import rushproxy.membership.disk.ListStore;
+import rushproxy.membership.registry.RegistryWatch;
+import rushproxy.operator.Broken;
+import rushproxy.operator.Operator;
+import rushproxy.operator.Operator.DiskOptions;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
 public final class Sidecar {
@@ -21,6 +36,8 @@
     private static final int OWN_DESCRIPTORS = 48;
     /** An answer to a probe that takes longer tells nothing of now. */
     private static final long PROBE_US = 50_000;
+    /** What does not answer a trial for so long is no upstream, or one that is not worth waiting for. */
+    private static final long TRIAL_MS = 300;
 
     /** Two parts of one answer are never so far apart. */
     private static final long STALL_LEAST_US = 10_000;
@@ -30,6 +47,7 @@
     private static final long LAG_US = 15_000;
 
     private final Config config;
+    private Operator operator;
     private final Module module;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -37,21 +55,32 @@
     private final Decisions decisions = new Decisions();
     private final Upstreams upstreams;
     private final Requests requests;
-    private final Discovery discovery;
+    private final Members members;
     private final Peers peers;
     private final ClientServer clients;
     private InetSocketAddress listening;
+    /** Discovery is not asked before: a fleet that starts together would rush it. */
+    private long firstCallUs;
+    /** Null until the start, which knows the version to go on from. */
+    private RegistryWatch discovery;
+    private ListKeeper keeper;
     private long beatAtUs;
     private long worstLagUs;
     private long beats;
 
+    /** Reads the operator's file, where there is one. */
+    public interface Operators {
+        Operator read() throws Broken;
+    }
+
     /** Makes the module that decides; its actions may be used from then on. */
     interface Module {
         Balancer create(Config config, long now, Balancer.Actions actions);
     }
 
-    Sidecar(Config config, Module module) {
+    Sidecar(Config config, Operator operator, Module module) {
         this.config = config;
+        this.operator = operator;
         this.module = module;
         Balancer.Settings settings = config.settings();
         int most = Math.max(32, config.sockets() - OWN_DESCRIPTORS);
@@ -59,11 +88,18 @@
         int fromClients = most * 5 / 8;
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
                 stallUs(settings), most - fromClients);
-        requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts());
-        discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
-                settings.rules().askEveryUs(), !settings.discoveryOnRequest());
+        members = new Members(loop, clock, decisions, upstreams,
+                new Membership(operator.trust(), config.seed(), clock.now()), new Trial(loop, asks(settings), TRIAL_MS));
+        requests = new Requests(loop, clock, decisions, settings.limits().maxAttempts(), members::ended);
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
-        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, fromClients);
+        clients = new ClientServer(loop, clock, requests, upstreams, settings.classes(), upstreams::anyReady, fromClients);
+    }
+
+    private static Trial.How asks(Balancer.Settings settings) {
+        if (!settings.limits().probing()) {
+            return Trial.How.CONNECT;
+        }
+        return settings.reports() == Balancer.Reports.NONE ? Trial.How.LIVE : Trial.How.STATS;
     }
 
     /** A quarter of the time within which an answer is wanted leaves enough of it for another attempt. */
@@ -73,17 +109,19 @@
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
-    public static int serve(Map<String, String> environment) throws InterruptedException {
-        Reload reload = new Reload(environment);
+    public static int serve(Map<String, String> environment, Operators operators) throws InterruptedException {
+        Reload reload = new Reload(environment, operators);
         Config config;
+        Operator operator;
         try {
             config = Config.read(environment);
-        } catch (Config.Broken e) {
+            operator = operators.read();
+        } catch (Config.Broken | Broken e) {
             Log.line(e.getMessage());
             return 2;
         }
         Module module = (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions);
-        Sidecar sidecar = new Sidecar(config, module);
+        Sidecar sidecar = new Sidecar(config, operator, module);
         Rehearsal rehearsal = new Rehearsal(config, module);
         sidecar.notReadyBefore(rehearsal::cut);
         try {
@@ -114,13 +152,31 @@
     }
 
     void start() throws InterruptedException {
-        upstreams.update(config.known());
-        loop.submit(() -> decisions.start(actions -> {
-            Balancer made = module.create(config, clock.now(), actions);
-            made.onList(clock.now(), ListKind.CACHED,
-                    config.known().entries().stream().map(UpstreamList.Entry::upstream).toList());
-            return made;
-        }, new Hands())).sync();
+        List<Listing> lists = new ArrayList<>(List.of(config.known()));
+        DiskOptions disk = operator.membership() == null ? null : operator.membership().disk();
+        ListStore store = disk == null ? null : store(disk);
+        Listing kept = store == null ? null : store.read(Log::line);
+        if (kept != null) {
+            lists.add(kept);
+        }
+        loop.submit(() -> {
+            if (disk != null) {
+                keepWith(store, disk);
+            }
+            long spreadUs = operator.membership() == null ? 0 : operator.membership().spreadUs();
+            firstCallUs = spreadUs == 0 ? 0 : clock.now() + new SplittableRandom(config.seed()).nextLong(spreadUs);
+            List<Balancer.Upstream> first = members.start(lists);
+            Balancer.Settings settings = config.settings();
+            discovery = new RegistryWatch(loop, clock, members, config.discovery(), members.generation(),
+                    settings.rules().askEveryUs(), !settings.discoveryOnRequest(), operator.membership() != null,
+                    config.seed());
+            decisions.start(actions -> {
+                Balancer made = module.create(config, clock.now(), actions);
+                made.onList(clock.now(), ListKind.CACHED, first);
+                return made;
+            }, new Hands());
+            members.goOn();
+        }).sync();
         loop.execute(discovery::start);
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
@@ -130,6 +186,29 @@
         loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
     }
 
+    private static ListStore store(DiskOptions disk) {
+        return new ListStore(disk.folder(), disk.fleet(), disk.largestBytes());
+    }
+
+    private void keepWith(ListStore store, DiskOptions disk) {
+        keeper = new ListKeeper(store, disk.writesPerMinute(), clock::now, Log::line);
+        members.keepWith(keeper, disk.refreshUs());
+    }
+
+    /** The last write may take as long as the disk does: not on the loop. {@code then} runs on any thread. */
+    private void letGo(Runnable then) {
+        ListKeeper old = keeper;
+        keeper = null;
+        if (old == null) {
+            then.run();
+        } else {
+            new Thread(() -> {
+                old.close();
+                then.run();
+            }, "list-keeper-end").start();
+        }
+    }
+
     /** What makes the event loop late makes every answer late: too little of the core, a pause, or a fault here. */
     private void beat() {
         long now = clock.now();
@@ -157,19 +236,48 @@
         loop.submit(clients::rehearsed).sync();
     }
 
-    /** Takes over what a new configuration may change while requests are held: where discovery is. */
-    void reconfigure(Config fresh) {
-        loop.execute(() -> discovery.moveTo(fresh.discovery()));
+    /**
+     * Takes over what new files may change while requests are held: where discovery is, and where the list is kept. How
+     * lists are judged matters at a start alone.
+     */
+    void reconfigure(Config fresh, Operator told) {
+        loop.execute(() -> {
+            discovery.moveTo(fresh.discovery());
+            if (!told.equals(operator)) {
+                DiskOptions before = operator.membership() == null ? null : operator.membership().disk();
+                DiskOptions after = told.membership() == null ? null : told.membership().disk();
+                operator = told;
+                if (!Objects.equals(before, after)) {
+                    members.keepWith(null, 0);
+                    // Not before the old one has let go: it may be the same folder, with another pace.
+                    letGo(() -> loop.execute(() -> {
+                        if (after != null) {
+                            keepWith(store(after), after);
+                        }
+                    }));
+                    Log.line(after == null ? "keeps no list from now on" : "keeps its list in " + after.folder());
+                }
+            }
+        });
     }
 
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
-        loop.execute(() -> clients.stop(stopped));
+        loop.execute(() -> clients.stop(() -> {
+            members.stop();
+            letGo(stopped);
+        }));
     }
 
     /** Ends at once, whatever is held. */
     void end() {
-        loop.execute(discovery::stop);
+        loop.execute(() -> {
+            members.stop();
+            if (discovery != null) {
+                discovery.stop();
+            }
+            letGo(() -> { });
+        });
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
@@ -197,18 +305,19 @@
 
         @Override
         public void probe(String upstream) {
-            upstreams.start(new Upstreams.Call(upstream, clock.now() + PROBE_US, true, left -> probe(),
-                    (call, outcome, report, body) -> decisions.call(m -> m.onProbe(clock.now(), upstream, outcome,
-                            clock.now() - call.sentUs, report), () -> { })));
-        }
-
-        private static FullHttpRequest probe() {
-            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/stats");
+            upstreams.probe(upstream, clock.now() + PROBE_US, (attempt, outcome, report, body) -> decisions.call(
+                    m -> m.onProbe(clock.now(), upstream, outcome, clock.now() - attempt.sentUs(), report), () -> { }))
+                    .start();
         }
 
         @Override
         public void subscribe() {
-            discovery.subscribe();
+            long waitUs = firstCallUs - clock.now();
+            if (waitUs > 0) {
+                loop.schedule(discovery::subscribe, waitUs, TimeUnit.MICROSECONDS);
+            } else {
+                discovery.subscribe();
+            }
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/rushproxy/standin/Node.java
@@ -0,0 +1,262 @@
+package rushproxy.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import rushproxy.core.Clock;
+
+/**
+ * A stand-in booking node over HTTP/1.1: it works on requests at its capacity, queues some, turns the rest away, reports
+ * its load, and can be killed, started cold, made to stall, to drain or to reset what comes. All on the stage's loop; its
+ * methods may be called from any thread and take effect in the order of the calls.
+ */
+public final class Node implements AutoCloseable {
+    private static final int MAX_BODY = 64 * 1024;
+    private static final int RELISTEN_MS = 20;
+
+    private record Job(ChannelHandlerContext from, String id) {}
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Referee referee;
+    private final String id;
+    private final String zone;
+    private final Shape shape;
+    private final Set<Channel> connections = new HashSet<>();
+    private final ArrayDeque<Job> waiting = new ArrayDeque<>();
+    private Channel listener;
+    private volatile InetSocketAddress address;
+    private NodeModel model;
+    private volatile long startedUs;
+    private int working;
+    private long stalledUntilUs;
+    private boolean draining;
+    private boolean resetting;
+    /** Counts the lives of the process: work of an earlier one ends nowhere. */
+    private int life;
+    private volatile int served;
+
+    Node(EventLoop loop, Clock clock, Referee referee, String id, String zone, Shape shape) {
+        this.loop = loop;
+        this.clock = clock;
+        this.referee = referee;
+        this.id = id;
+        this.zone = zone;
+        this.shape = shape;
+        model = new NodeModel(shape, 0);
+    }
+
+    Node listen() throws InterruptedException {
+        listener = bind(new InetSocketAddress("127.0.0.1", 0)).bind().sync().channel();
+        address = (InetSocketAddress) listener.localAddress();
+        return this;
+    }
+
+    private ServerBootstrap bind(InetSocketAddress to) {
+        return new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new).localAddress(to)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connections.add(channel);
+                        channel.closeFuture().addListener(f -> connections.remove(channel));
+                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), new Handler());
+                    }
+                });
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public String address() {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    /** Unix time of the last start; 0 for long ago. */
+    public long startedMs() {
+        return startedUs / 1000;
+    }
+
+    /** Requests it has served in all. */
+    public int served() {
+        return served;
+    }
+
+    /** The process dies: connections are reset, new ones refused, what it held is gone. */
+    public void kill() {
+        loop.execute(this::die);
+    }
+
+    private void die() {
+        life++;
+        listener.close();
+        for (Channel c : Set.copyOf(connections)) {
+            c.config().setOption(ChannelOption.SO_LINGER, 0);
+            c.close();
+        }
+        waiting.clear();
+        working = 0;
+        draining = false;
+    }
+
+    /** It comes back on its address, cold. */
+    public void restart() {
+        loop.execute(this::comeBack);
+    }
+
+    private void comeBack() {
+        long now = clock.now();
+        model = new NodeModel(shape, now);
+        startedUs = now;
+        bind(address).bind().addListener(f -> {
+            if (f.isSuccess()) {
+                listener = ((io.netty.channel.ChannelFuture) f).channel();
+            } else if (!loop.isShuttingDown()) {
+                // The old listener is not gone yet.
+                loop.schedule(this::comeBack, RELISTEN_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** It stands still for so long: nothing is begun and nothing ends. */
+    public void stall(long ms) {
+        loop.execute(() -> stalledUntilUs = clock.now() + ms * 1000);
+    }
+
+    /** It finishes what it has and turns all else away. */
+    public void drain() {
+        loop.execute(() -> draining = true);
+    }
+
+    /** From now on each connection is reset once a request has come whole on it. */
+    public void reset(boolean on) {
+        loop.execute(() -> resetting = on);
+    }
+
+    private void begin() {
+        long now = clock.now();
+        if (now < stalledUntilUs) {
+            int before = life;
+            loop.schedule(() -> {
+                if (life == before) {
+                    begin();
+                }
+            }, stalledUntilUs - now, TimeUnit.MICROSECONDS);
+            return;
+        }
+        while (working < shape.cores() && !waiting.isEmpty()) {
+            Job job = waiting.poll();
+            working++;
+            referee.ran(now, id, zone, job.id);
+            finishIn(job, model.serviceUs(now), life);
+        }
+    }
+
+    private void finishIn(Job job, long us, int ofLife) {
+        loop.schedule(() -> {
+            if (life != ofLife) {
+                return;
+            }
+            long now = clock.now();
+            if (now < stalledUntilUs) {
+                finishIn(job, stalledUntilUs - now, ofLife);
+                return;
+            }
+            working--;
+            served++;
+            answer(job.from, HttpResponseStatus.OK, "{\"node\":\"" + id + "\",\"txn\":\"" + job.id + "\"}", false);
+            begin();
+        }, us, TimeUnit.MICROSECONDS);
+    }
+
+    private String load() {
+        return String.format(Locale.ROOT, "TEXT inflight=%d, queue=%d, util=%.2f", working + waiting.size(),
+                waiting.size(), (double) working / shape.cores());
+    }
+
+    private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body, boolean turnedAway) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes()).set("X-Pressure", load());
+        if (turnedAway) {
+            response.headers().set("X-Turned-Away", "1");
+        }
+        ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (request.uri().equals("/stats")) {
+                // Answered beside the queue; a node that stands still says nothing.
+                long waitUs = Math.max(0, stalledUntilUs - clock.now());
+                loop.schedule(() -> answer(ctx, HttpResponseStatus.OK, load(), false), waitUs, TimeUnit.MICROSECONDS);
+                return;
+            }
+            if (request.uri().equals("/health/live")) {
+                answer(ctx, draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, "", false);
+                return;
+            }
+            String txn = request.headers().get("X-Txn");
+            if (txn == null) {
+                answer(ctx, HttpResponseStatus.NOT_FOUND, "", false);
+                return;
+            }
+            long now = clock.now();
+            referee.attempted(now, World.sidecarOf(txn), id, txn);
+            double multiple = model.push(now);
+            if (model.warmth(now) < 1) {
+                referee.pushed(now, id, multiple);
+            }
+            if (model.fallen()) {
+                die();
+            } else if (resetting) {
+                referee.ran(now, id, zone, txn);
+                ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                ctx.close();
+            } else if (draining || waiting.size() >= shape.waiting()) {
+                answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true);
+            } else {
+                waiting.add(new Job(ctx, txn));
+                begin();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        loop.execute(this::die);
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/standin/World.java
@@ -0,0 +1,278 @@
+package rushproxy.standin;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import rushproxy.core.Clock;
+import rushproxy.http1.Dialling;
+import rushproxy.json.Json;
+
+/**
+ * A small world on loopback: stand-in nodes, a registry, real sidecars as processes, their clients, and a referee who sees
+ * it all. One event loop plays everything but the sidecars. For tests, measurements and the demo; never part of
+ * {@code serve}.
+ */
+public final class World implements AutoCloseable {
+    public static final List<String> ZONES = List.of("north", "south", "west");
+    private static final long GRACE_US = 500_000;
+    private static final long MEMORY_US = 4_000_000;
+    private static final int READY_MS = 10;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final Referee referee = new Referee(GRACE_US, NodeModel.FALL_MULTIPLE, MEMORY_US);
+    private final Registry registry = new Registry(loop, clock, referee);
+    private final Shape shape;
+    private final Path folder;
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<SidecarProcess> sidecars = new ArrayList<>();
+    private final List<Clients> clients = new ArrayList<>();
+
+    /** All nodes have this shape; the sidecars are told of its ramp and cold share as the platform tells them. */
+    public World(Shape shape) throws IOException {
+        this.shape = shape;
+        folder = Files.createTempDirectory("world");
+    }
+
+    static String sidecarOf(String id) {
+        return id.substring(0, Math.max(0, id.indexOf('-')));
+    }
+
+    public Clock clock() {
+        return clock;
+    }
+
+    public Registry registry() {
+        return registry;
+    }
+
+    public List<Node> nodes() {
+        return List.copyOf(nodes);
+    }
+
+    /** A place for files that goes with this world. */
+    public Path folder() {
+        return folder;
+    }
+
+    /** So many more warm nodes, spread over the zones and listed as ready. */
+    public World nodes(int more) throws InterruptedException {
+        for (int i = 0; i < more; i++) {
+            node();
+        }
+        return this;
+    }
+
+    public Node node() throws InterruptedException {
+        int number = nodes.size();
+        Node node = new Node(loop, clock, referee, "n" + number, ZONES.get(number % ZONES.size()), shape).listen();
+        nodes.add(node);
+        registry.list(node, "Ready");
+        return node;
+    }
+
+    public Impostor impostor(Impostor.Manner manner) throws InterruptedException {
+        return new Impostor(loop, manner);
+    }
+
+    /** A line of a list, as a sidecar's {@code known} or the list on disk has it. */
+    public record Listed(String id, String address, String zone, long startedMs) {
+        public static Listed of(Node n) {
+            return new Listed(n.id(), n.address(), n.zone(), n.startedMs());
+        }
+
+        Map<String, Object> json() {
+            Map<String, Object> e = new LinkedHashMap<>();
+            e.put("instanceId", id);
+            e.put("hostPort", address);
+            e.put("zone", zone);
+            e.put("machineType", "stand-in");
+            e.put("cell", 0);
+            e.put("lifecycle", "Ready");
+            e.put("weight", 1.0);
+            e.put("startedAtMs", startedMs);
+            return e;
+        }
+    }
+
+    /** The registry's form of a list. */
+    public static Map<String, Object> list(long generation, List<Listed> entries) {
+        Map<String, Object> list = new LinkedHashMap<>();
+        list.put("generation", generation);
+        list.put("reset", true);
+        list.put("instances", entries.stream().map(Listed::json).toList());
+        return list;
+    }
+
+    /**
+     * Starts one real sidecar of {@code of} in all.
+     *
+     * @param operator the text of its operator's file; null for none
+     * @param wrapper  put before its command, such as one that binds it to a core
+     */
+    public SidecarProcess sidecar(int of, Map<String, Object> known, String operator, String... wrapper)
+            throws IOException, InterruptedException {
+        int number = sidecars.size();
+        String name = "s" + number;
+        Map<String, Object> config = new LinkedHashMap<>();
+        config.put("name", name);
+        config.put("listen", "127.0.0.1:0");
+        config.put("discovery", registry.addressFor(name));
+        config.put("seed", Long.toHexString(0x5eedL + number));
+        config.put("limits", Map.of("cores", 1.0, "memory_mb", 192, "sockets", 512));
+        config.put("known", known);
+        config.put("settings", settings(number % of, of));
+        Path file = folder.resolve(name + ".json");
+        Files.write(file, Json.write(config));
+        Path operatorFile = null;
+        if (operator != null) {
+            operatorFile = Files.writeString(folder.resolve(name + ".toml"), operator);
+        }
+        SidecarProcess process = new SidecarProcess(name, file, operatorFile, List.of(wrapper));
+        sidecars.add(process);
+        return process;
+    }
+
+    private Map<String, Object> settings(int me, int of) {
+        List<Object> profiles = new ArrayList<>();
+        for (Clients.Kind k : Clients.Kind.values()) {
+            Map<String, Object> p = new LinkedHashMap<>();
+            p.put("name", k.lane);
+            p.put("semantics", k.semantics.name().toLowerCase(java.util.Locale.ROOT));
+            p.put("group", "zone");
+            p.put("window_us", MEMORY_US);
+            p.put("objective_us", Clients.AIM_MS * 1000);
+            p.put("give_up_us", Clients.GIVE_UP_MS * 1000);
+            p.put("importance", k == Clients.Kind.CONFIRM ? 9 : 3);
+            profiles.add(p);
+        }
+        Map<String, Object> s = new LinkedHashMap<>();
+        s.put("me", me);
+        s.put("balancers", of);
+        s.put("zone", ZONES.get(me % ZONES.size()));
+        s.put("azs", ZONES);
+        s.put("kinds", List.of("stand-in"));
+        s.put("discovery", "on_request");
+        s.put("profiles", profiles);
+        s.put("rules", Map.of("drain_grace_us", GRACE_US, "cold_share", shape.coldShare(), "ramp_time_us",
+                shape.rampMs() * 1000, "fall_multiple", NodeModel.FALL_MULTIPLE, "fall_us", NodeModel.FALL_US,
+                "ask_every_us", 10_000_000));
+        s.put("limits", Map.of("max_attempts", 4, "dial_timeout_us", 250_000, "conn_idle_us", 15_000_000, "probing", true,
+                "retry_after", true, "max_retry_after_us", 1_000_000, "cancelling", true));
+        s.put("load_info", Map.of("how", "inline", "fields", List.of("inflight", "queue", "util")));
+        return s;
+    }
+
+    /** The application beside the sidecar of this name. */
+    public Clients clients(String sidecar) {
+        Clients c = new Clients(loop, clock, referee, sidecar, 17 + clients.size());
+        clients.add(c);
+        return c;
+    }
+
+    /** Completes, on the stage's loop, when the sidecar says that it is ready. */
+    public CompletableFuture<Void> ready(InetSocketAddress sidecar) {
+        CompletableFuture<Void> ready = new CompletableFuture<>();
+        Bootstrap bootstrap = Dialling.http(loop, 500, 4096, () -> new SimpleChannelInboundHandler<FullHttpResponse>() {
+            @Override
+            public void channelActive(ChannelHandlerContext ctx) {
+                DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/health/ready");
+                ask.headers().set(HttpHeaderNames.HOST, "api.internal");
+                ctx.writeAndFlush(ask);
+            }
+
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+                if (answer.status().code() == 200) {
+                    ready.complete(null);
+                    ctx.close();
+                } else {
+                    loop.schedule(() -> channelActive(ctx), READY_MS, TimeUnit.MILLISECONDS);
+                }
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                ready.completeExceptionally(new IOException("the sidecar hung up before it was ready"));
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                ctx.close();
+            }
+        });
+        bootstrap.connect(sidecar).addListener(f -> {
+            if (!f.isSuccess()) {
+                ready.completeExceptionally(f.cause());
+            }
+        });
+        return ready;
+    }
+
+    /** Runs it on the stage's loop after so long; for troubles that a plan names. */
+    public void after(long ms, Runnable trouble) {
+        loop.schedule(trouble, ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Waits on the stage's loop for so long: for measurements, which have a length. */
+    public void play(long ms) {
+        loop.schedule(() -> { }, ms, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    /** What all clients together saw of the requests sent in [from, to) seconds after each began. */
+    public Clients.Tally tally(int from, int to) {
+        Clients.Tally sum = new Clients.Tally(0, 0, 0, 0, 0, 0);
+        for (Clients c : clients) {
+            sum = sum.plus(c.tally(from, to));
+        }
+        return sum;
+    }
+
+    /** What the referee has found. */
+    public record Verdict(int fouls, List<Referee.Foul> first, double coldPeak, int tries) {}
+
+    /** Stops the clients, waits until all they sent is over, and asks the referee. */
+    public Verdict verdict() {
+        clients.forEach(Clients::stop);
+        play(Clients.GIVE_UP_MS + 200);
+        return loop.submit(() -> {
+            referee.end(clock.now());
+            return new Verdict(referee.count(), referee.fouls(), referee.coldPeak(), referee.tries());
+        }).syncUninterruptibly().getNow();
+    }
+
+    @Override
+    public void close() throws IOException {
+        sidecars.forEach(SidecarProcess::close);
+        clients.forEach(Clients::close);
+        nodes.forEach(Node::close);
+        registry.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path p : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(p);
+            }
+        }
+    }
+}
--- a/src/main/java/rushproxy/wire/SimHost.java
+++ b/src/main/java/rushproxy/wire/SimHost.java
@@ -20,6 +20,9 @@
 import rushproxy.Balancer.UpstreamState;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Policy;
+import rushproxy.settings.LoadValues;
+import rushproxy.settings.SettingsException;
+import rushproxy.settings.SettingsReader;
 
 /** Hosts many isolated instances of the module on the simulator's wire. Translates, decides nothing. */
 public final class SimHost {
@@ -52,7 +55,7 @@
                 batch(line);
             }
             return 0;
-        } catch (WireException e) {
+        } catch (WireException | SettingsException e) {
             err.println("rushproxy: " + e.getMessage());
             return 1;
         }
@@ -134,7 +137,7 @@
         switch (event) {
             case "ENLIST" -> {
                 long seed = f.number();
-                SettingsReader reader = new SettingsReader(f);
+                SettingsReader reader = new SettingsReader(pairs(f));
                 Balancer.Settings settings = reader.read();
                 guarded(name, () -> instances.put(name,
                         new Instance(new Policy(settings, seed, now, new Writer(name)), reader.reportFields())));
@@ -337,4 +340,17 @@
             line("TRACE ").append(text).append('\n');
         }
     }
+
+    private static Map<String, String> pairs(Fields fields) {
+        Map<String, String> values = new HashMap<>();
+        while (fields.more()) {
+            String pair = fields.text();
+            int equals = pair.indexOf('=');
+            if (equals <= 0) {
+                throw new WireException("setting '" + pair + "' is not of the form path=value");
+            }
+            values.put(pair.substring(0, equals), pair.substring(equals + 1));
+        }
+        return values;
+    }
 }
--- a/src/test/java/rushproxy/ModuleLimitsTest.java
+++ b/src/test/java/rushproxy/ModuleLimitsTest.java
@@ -10,7 +10,8 @@
 /** On-call reads the whole module at night: it stays short and narrow. */
 class ModuleLimitsTest {
     private static final List<String> MODULE =
-            List.of("src/main/java/rushproxy/Policy.java", "src/main/java/rushproxy/State.java");
+            List.of("src/main/java/rushproxy/Policy.java", "src/main/java/rushproxy/State.java",
+                    "src/main/java/rushproxy/Table.java", "src/main/java/rushproxy/PeerWord.java");
 
     @Test
     void linesAndWidth() throws Exception {
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -754,4 +754,56 @@
         assertEquals(alone.actions, one.actions);
         assertFalse(new ArrayList<>(one.actions).equals(two.actions));
     }
+
+    // ---- what is in doubt --------------------------------------------------------------------------
+
+    private static Upstream doubted(String id, String zone, Balancer.Doubt doubt, long coldSinceUs) {
+        return new Upstream(id, zone, "k", 1, 0, 1, UpstreamState.READY, doubt, coldSinceUs);
+    }
+
+    /** An old list's word on zones is no promise that a repeat is dropped. */
+    @Test
+    void aKeyedRepeatGoesToNoOtherNodeWhoseZoneOnlyAnOldListTells() {
+        for (Balancer.Doubt doubt : List.of(Balancer.Doubt.NONE, Balancer.Doubt.IDENTITY)) {
+            Rig rig = new Rig();
+            rig.semantics = Semantics.KEYED;
+            rig.group = Group.ZONE;
+            rig.start().list(doubted("s1", "za", doubt, 0), doubted("s2", "za", doubt, 0)).request("a");
+            String first = rig.sentTo("a", 0);
+            rig.after(50_000).outcome("a", 0, first, Outcome.RESET, 50_000);
+            String second = rig.sentTo("a", 1);
+            assertTrue(doubt == Balancer.Doubt.NONE ? second != null : second == null || second.equals(first),
+                    doubt + ": " + first + " then " + second);
+        }
+    }
+
+    /** Whatever takes connections there may keep what it is sent: nothing that must not be lost, and one at a time. */
+    @Test
+    void whatOnlyAcceptsConnectionsGetsOneSafeRequestAtATime() {
+        for (Semantics semantics : Semantics.values()) {
+            Rig rig = new Rig();
+            rig.semantics = semantics;
+            rig.start().list(doubted("s1", "za", Balancer.Doubt.KIND, 0)).request("a").request("b");
+            assertEquals(semantics == Semantics.SAFE ? 1 : 0, rig.take("send").size(), semantics + ": " + rig.actions);
+        }
+    }
+
+    /** Nobody tells when it started, so it is cold from when it may have: the budget is that of a cold one. */
+    @Test
+    void oneThatMayHaveRestartedHasTheBudgetOfAColdOne() {
+        int[] sent = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Rig rig = new Rig();
+            rig.start().list(doubted("s1", "za", Balancer.Doubt.IDENTITY, i == 0 ? 0 : rig.now));
+            for (int n = 0; n < 100; n++) {
+                rig.request("r" + n);
+                if (rig.sentTo("r" + n, 0) != null) {
+                    sent[i]++;
+                    rig.outcome("r" + n, 0, "s1", Outcome.OK, 1_000);
+                }
+                rig.after(1_000);
+            }
+        }
+        assertTrue(sent[1] < sent[0] / 3, sent[1] + " as cold, " + sent[0] + " as warm");
+    }
 }
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/cli/MainTest.java
@@ -1,4 +1,4 @@
-package rushproxy;
+package rushproxy.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -24,7 +24,7 @@
         Files.writeString(file, config);
         List<String> command = new ArrayList<>(List.of(before));
         command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "rushproxy.Main", "serve"));
+                "-cp", System.getProperty("java.class.path"), "rushproxy.cli.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", file.toString());
--- /dev/null
+++ b/src/test/java/rushproxy/operator/OperatorFileTest.java
@@ -0,0 +1,91 @@
+package rushproxy.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rushproxy.membership.Trust;
+
+/** The operator's file says what it means or is refused with its place. */
+class OperatorFileTest {
+    @TempDir
+    Path folder;
+
+    private Operator read(String text) throws Exception {
+        return OperatorFile.read(Files.writeString(folder.resolve("operator.toml"), text).toString());
+    }
+
+    private void broken(String text, int line, String part) {
+        Broken e = assertThrows(Broken.class, () -> read(text), text);
+        String start = folder.resolve("operator.toml") + ":" + line + ": ";
+        assertTrue(e.getMessage().startsWith(start), e.getMessage());
+        assertTrue(e.getMessage().contains(part), e.getMessage());
+        assertEquals(1, e.getMessage().lines().count());
+    }
+
+    @Test
+    void anEmptyFileTurnsNothingOn() throws Exception {
+        assertEquals(Operator.NONE, read(""));
+        assertNull(read("# nothing\n").membership());
+    }
+
+    @Test
+    void allKeysAreRead() throws Exception {
+        Operator.MembershipOptions m = read("""
+                [membership]
+                fresh = "1min"
+                oldest = "7d"
+                known_age = "2h"
+                trials_per_second = 3
+                trials_at_once = 5
+                registry_spread = "250ms"
+                [membership.disk]
+                folder = "/var/lib/x"
+                fleet = "f"
+                writes_per_minute = 10
+                refresh = "20s"
+                largest = "64KiB"
+                """).membership();
+        assertEquals(new Trust(60_000_000, 7 * 86_400_000_000L, 7_200_000_000L, 3, 5), m.trust());
+        assertEquals(250_000, m.spreadUs());
+        assertEquals(new Operator.DiskOptions(Path.of("/var/lib/x"), "f", 10, 20_000_000, 65_536), m.disk());
+        assertEquals(5, OperatorFile.explain(new Operator(m)).size() + 1, OperatorFile.explain(new Operator(m)).toString());
+    }
+
+    /** The file that comes with the program is right, says what it does, and turns nothing on that this platform lacks. */
+    @Test
+    void theFileInDeployIsRight() throws Exception {
+        Operator operator = OperatorFile.read("deploy/operator.toml");
+        assertNull(operator.membership() == null ? null : operator.membership().disk());
+        String all = Files.readString(Path.of("deploy/operator.toml")).replaceAll("(?m)^#(?=[a-z\\[])", "");
+        Operator.MembershipOptions m = read(all).membership();
+        assertEquals("wien-termine", m.disk().fleet());
+        assertEquals(read("[membership]").membership().trust(), m.trust(), "a commented value is not the default");
+    }
+
+    @Test
+    void whatIsWrongIsNamedWithItsLine() {
+        broken("[membership]\nfresch = \"1s\"\n", 2, "membership.fresch: unknown; expected one of disk, fresh, ");
+        broken("[members]\n", 1, "members: unknown; expected one of membership");
+        broken("[membership]\n\nfresh = \"1 s\"\n", 3, "membership.fresh: expected a duration from");
+        broken("[membership]\nfresh = 30\n", 2, "found 30");
+        broken("[membership]\nfresh = \"2h\"\n", 2, "\"1h\"");
+        broken("[membership]\nfresh = \"1h\"\noldest = \"1min\"\n", 3, "membership.oldest: expected a duration no shorter");
+        broken("[membership]\ntrials_per_second = 0\n", 2, "a whole number from 1 to 100, found 0");
+        broken("[membership]\ntrials_at_once = 1.5\n", 2, "a whole number from 1 to 64");
+        broken("[membership]\ntrials_at_once = \"3\"\n", 2, "found \"3\"");
+        broken("membership = 3\n", 1, "expected a table");
+        broken("[membership.disk]\nfleet = \"f\"\n", 1, "membership.disk.folder: expected a text that is not empty, found nothing");
+        broken("[membership.disk]\nfolder = \"\"\nfleet = \"f\"\n", 2, "membership.disk.folder");
+        broken("[membership.disk]\nfolder = \"x\"\nfleet = \"f\"\nlargest = \"1GB\"\n", 4, "a size from");
+        broken("[membership]\nfresh = \"1s\"\nfresh = \"2s\"\n", 3, "no TOML");
+        broken("[membership\n", 1, "no TOML");
+        Broken e = assertThrows(Broken.class, () -> OperatorFile.read(folder.resolve("none").toString()));
+        assertTrue(e.getMessage().contains("can't be read"), e.getMessage());
+    }
+}
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -190,7 +190,7 @@
         String good = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"peers\":[\"127.0.0.1:7\"],\"known\":" + Rig.list(1, true, Rig.entry("u", "127.0.0.1:8", "Ready", 7))
                 + ",\"settings\":" + Rig.SETTINGS + ",\"new\":{\"x\":[1]}}";
-        assertEquals(7000, Rig.config(good).known().entries().get(0).upstream().startedUs());
+        assertEquals(7000, Rig.config(good).known().members().get(0).upstream().startedUs());
         assertEquals(0x8c1f30d27a5be964L, Rig.config(good).seed());
         broken("", "JSON");
         broken("[]", "JSON");
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -176,4 +176,28 @@
             }
         }
     }
+
+    /**
+     * A loop that stands still, as in the first second of a start on half a core, reads nothing and opens nothing. What came
+     * due meanwhile must not be told as the upstream's silence: it would be left alone just then.
+     */
+    @Test
+    void aLoopThatStoodStillDoesNotTakeItForTheUpstreams() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", m.path().equals("/stats")
+                    ? "TEXT inflight=1, queue=0, util=0.5" : "ok"));
+            rig.onRequest = (now, r, out) -> {
+                out.probe("u0");
+                out.timer("stall", 0);
+                out.send(r.id(), "u0", now + 100_000);
+            };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a1", 20_000));
+                assertEquals(502, client.status());
+                assertEquals("outcome a1 0 NOT_SENT false -", rig.await("outcome"));
+                assertEquals("probe u0 OK 1.0", rig.await("probe"));
+            }
+        }
+    }
 }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -10,7 +10,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import rushproxy.Balancer;
+import rushproxy.operator.Operator;
 
 /** A sidecar in this process, with a module that does what the test says and writes down what it is told. */
 final class Rig implements AutoCloseable {
@@ -51,6 +53,7 @@
     /** Whether the module asks for a watch. */
     boolean asks = true;
     int sockets = 1024;
+    Operator operator = Operator.NONE;
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -104,7 +107,7 @@
 
     /** As on SIGHUP, with a file that names another discovery. */
     void reload(String discoveryAddress) throws Exception {
-        sidecar.reconfigure(config(json(discoveryAddress)));
+        sidecar.reconfigure(config(json(discoveryAddress)), operator);
     }
 
     /** Set before the start: the sidecar is not ready, and this runs with each request that it takes all the same. */
@@ -112,7 +115,7 @@
 
     Rig start() throws Exception {
         Config config = config(json(discovery.address()));
-        sidecar = new Sidecar(config, (c, now, out) -> {
+        sidecar = new Sidecar(config, operator, (c, now, out) -> {
             actions = out;
             return new Recorder();
         });
@@ -201,6 +204,9 @@
         @Override
         public void onTimer(long now, String mark) {
             told.add("timer " + mark);
+            if (mark.equals("stall")) {
+                LockSupport.parkNanos(120_000_000);
+            }
             if (mark.equals("break")) {
                 throw new IllegalStateException("as the test wants");
             }
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -16,6 +16,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import rushproxy.core.Clock;
+import rushproxy.http1.Upstreams;
+import rushproxy.json.Json;
+import rushproxy.membership.Listing;
+import rushproxy.membership.Origin;
+import rushproxy.membership.registry.RegistryList;
 
 /** Connections and the list: everything here happens on one event loop, as in the program. */
 @Timeout(60)
@@ -34,12 +40,16 @@
         return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, 20_000, most)).get();
     }
 
-    private static UpstreamList list(boolean whole, String... entries) {
-        return UpstreamList.of(Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)));
+    private static Listing list(boolean whole, String... entries) {
+        return RegistryList.read(Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)), Origin.LIVE, 0);
     }
 
-    private Upstreams.Call call(String upstream) {
-        return new Upstreams.Call(upstream, clock.now() + 20_000_000, false,
+    private static void update(Upstreams upstreams, Listing list) {
+        upstreams.update(list.whole(), list.members());
+    }
+
+    private Upstreams.Call call(Upstreams upstreams, String upstream) {
+        return upstreams.call(upstream, clock.now() + 20_000_000,
                 left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
                 (c, outcome, report, body) -> outcomes.add(upstream + " " + outcome));
     }
@@ -57,17 +67,17 @@
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"));
              Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = upstreams(15_000_000, 100);
-            UpstreamList ready = list(true, Rig.entry("u", up.address(), "Ready", 0));
-            for (UpstreamList change : new UpstreamList[] {
+            Listing ready = list(true, Rig.entry("u", up.address(), "Ready", 0));
+            for (Listing change : new Listing[] {
                 list(false, Rig.entry("u", up.address(), "Terminating", 0)),
                 list(false, Rig.entry("u", up.address(), "Gone", 0)),
                 list(false, Rig.entry("u", up.address(), "Ready", 5_000_000)),
                 list(false, Rig.entry("u", moved.address(), "Ready", 0)),
                 list(true, Rig.entry("other", moved.address(), "Ready", 0))}) {
                 loop.execute(() -> {
-                    upstreams.update(ready);
-                    upstreams.start(call("u"));
-                    upstreams.update(change);
+                    update(upstreams, ready);
+                    call(upstreams, "u").start();
+                    update(upstreams, change);
                 });
                 assertEquals("u NOT_SENT", outcome());
             }
@@ -82,8 +92,8 @@
             Upstreams upstreams = upstreams(15_000_000, 100);
             for (int i = 0; i < 3; i++) {
                 loop.execute(() -> {
-                    upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0)));
-                    upstreams.start(call("u"));
+                    update(upstreams, list(true, Rig.entry("u", up.address(), "Ready", 0)));
+                    call(upstreams, "u").start();
                 });
                 assertEquals("u OK", outcome());
             }
@@ -96,9 +106,9 @@
     void connectionsIdleForLongAreDroppedBeforeTheUpstreamDoesSo() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = upstreams(1, 100);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            loop.execute(() -> update(upstreams, list(true, Rig.entry("u", up.address(), "Ready", 0))));
             for (int i = 0; i < 2; i++) {
-                loop.execute(() -> upstreams.start(call("u")));
+                loop.execute(() -> call(upstreams, "u").start());
                 assertEquals("u OK", outcome());
             }
             assertEquals(-1, up.accepted.take().getInputStream().read());
@@ -112,14 +122,14 @@
         try (Peer a = new Peer((m, line) -> line.answer("200 OK", "", ""));
              Peer silent = new Peer((m, line) -> { })) {
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("a", a.address(), "Ready", 0),
+            loop.execute(() -> update(upstreams, list(true, Rig.entry("a", a.address(), "Ready", 0),
                     Rig.entry("silent", silent.address(), "Ready", 0))));
-            loop.execute(() -> upstreams.start(call("a")));
+            loop.execute(() -> call(upstreams, "a").start());
             assertEquals("a OK", outcome());
-            loop.execute(() -> upstreams.start(call("silent")));
+            loop.execute(() -> call(upstreams, "silent").start());
             silent.next();
             assertEquals(-1, a.accepted.take().getInputStream().read());
-            loop.execute(() -> upstreams.start(call("a")));
+            loop.execute(() -> call(upstreams, "a").start());
             assertEquals("a NOT_SENT", outcome());
         }
     }
@@ -131,13 +141,13 @@
              Peer gone = new Peer((m, line) -> { })) {
             gone.close();
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0),
+            loop.execute(() -> update(upstreams, list(true, Rig.entry("u", up.address(), "Ready", 0),
                     Rig.entry("gone", gone.address(), "Ready", 0))));
             for (int i = 0; i < 3; i++) {
-                loop.execute(() -> upstreams.start(call("gone")));
+                loop.execute(() -> call(upstreams, "gone").start());
                 assertEquals("gone CONNECT_FAILED", outcome());
             }
-            loop.execute(() -> upstreams.start(call("u")));
+            loop.execute(() -> call(upstreams, "u").start());
             assertEquals("u OK", outcome());
             up.accepted.take().getInputStream().read();
         }
@@ -149,8 +159,8 @@
         Upstreams upstreams = upstreams(15_000_000, 100);
         int kept = loop.submit(() -> {
             for (int i = 0; i < 50; i++) {
-                upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Ready", 0)));
-                upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Gone", 0)));
+                update(upstreams, list(false, Rig.entry("u" + i, "127.0.0.1:9", "Ready", 0)));
+                update(upstreams, list(false, Rig.entry("u" + i, "127.0.0.1:9", "Gone", 0)));
             }
             return upstreams.known();
         }).get();
@@ -165,9 +175,9 @@
             line.socket().close();
         })) {
             Upstreams upstreams = upstreams(15_000_000, 100);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0))));
+            loop.execute(() -> update(upstreams, list(true, Rig.entry("u", up.address(), "Ready", 0))));
             for (int i = 0; i < 5; i++) {
-                loop.execute(() -> upstreams.start(call("u")));
+                loop.execute(() -> call(upstreams, "u").start());
                 assertEquals("u OK", outcome());
                 while (loop.submit(upstreams::open).get() > 0) {
                     Thread.onSpinWait();
