--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -62,15 +62,19 @@
      */
     enum Doubt { NONE, IDENTITY, KIND }
 
+    /** Protocols that an upstream may speak and a request may be in, as bits of one number. */
+    int HTTP1 = 1, GRPC = 2;
+
     /**
      * One line of the list. {@code startedUs} is 0 where it started long ago. {@code coldSinceUs} is above 0 where it may
-     * have started as late as then: it is cold from then on, whatever {@code startedUs} says.
+     * have started as late as then: it is cold from then on, whatever {@code startedUs} says. {@code speaks} has the bits of
+     * its protocols.
      */
     record Upstream(String id, String zone, String kind, int cell, long startedUs, double weight,
-                    UpstreamState state, Doubt doubt, long coldSinceUs) {
+                    UpstreamState state, Doubt doubt, long coldSinceUs, int speaks) {
         public Upstream(String id, String zone, String kind, int cell, long startedUs, double weight,
                         UpstreamState state) {
-            this(id, zone, kind, cell, startedUs, weight, state, Doubt.NONE, 0);
+            this(id, zone, kind, cell, startedUs, weight, state, Doubt.NONE, 0, HTTP1);
         }
 
         /** When it may have started at the latest; 0 for long ago. */
@@ -81,10 +85,15 @@
 
     /**
      * {@code costHintUs} is 0 where there is none; {@code remainingUs} is the time until the client gives
-     * up.
+     * up. {@code speaks} is the bit of its protocol.
      */
     record Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
-                   String tenant, String requestClass) {}
+                   String tenant, String requestClass, int speaks) {
+        public Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
+                       String tenant, String requestClass) {
+            this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, HTTP1);
+        }
+    }
 
     /** A load report; a value that the site does not report is negative. */
     record LoadReport(double inFlight, double queued, double utilisation) {}
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -255,7 +255,9 @@
     private double load(Server s, long now) {
         double done = (now - s.reportedAt) * s.kind.cores / (s.slow() * meanWork);
         double known = Math.max(0, s.own - s.lost) + Math.max(0, s.others - done);
-        while (!s.attempts.isEmpty() && s.attempts.peekFirst().ended) s.attempts.pollFirst();
+        while (!s.attempts.isEmpty() && (s.attempts.peekFirst().ended || s.attempts.peekFirst().begun)) {
+            s.attempts.pollFirst();
+        }
         Attempt oldest = s.attempts.peekFirst();
         if (oldest != null && s.lost == 0) {
             // An answer that is overdue counts as more in flight: a stall shows in the own requests first.
@@ -643,6 +645,7 @@
     boolean maySend(long now, Req r, Server s) {
         boolean spent = r.attempts.size() >= cfg.limits().maxAttempts();
         if (r.over || r.streaming || !s.ready || now >= r.deadline || spent) return false;
+        if ((s.entry.speaks() & r.request.speaks()) == 0) return false;
         for (Attempt a : r.attempts) {
             if (!a.ended && !cfg.limits().secondCopies()) return false;
             if (a.mayHaveRun && !repeatable(r.spec, a, s, now)) return false;
@@ -733,7 +736,8 @@
 
     /** The only attempt of a request that is still worth a second copy, or null. */
     private Attempt lone(long now, Req r) {
-        if (r == null || r.over || r.waiting || now + bestSlow * r.work > r.usefulUntil) return null;
+        if (r == null || r.over || r.waiting || r.streaming) return null;
+        if (now + bestSlow * r.work > r.usefulUntil) return null;
         Attempt out = null;
         for (Attempt a : r.attempts) {
             if (a.ended) continue;
@@ -807,7 +811,7 @@
         Server s = a.server;
         a.ended = true;
         a.mayHaveRun = outcome.mayHaveRun;
-        s.own--;
+        if (!a.begun) s.own--;
         s.usedAt = now;
         closeIfLeaving(s);
         if (forgotten(s)) servers.remove(s.id, s);
@@ -902,7 +906,14 @@
 
     @Override
     public void onStreamStart(long now, String id, int number, String upstream, long latencyUs) {
-        if (open.containsKey(id)) open.get(id).streaming = true;
+        Req r = open.get(id);
+        if (r == null || number < 0 || number >= r.attempts.size()) return;
+        Attempt a = r.attempts.get(number);
+        r.streaming = true;
+        // Open for minutes it must not look like work that never ends; what it costs its server tells.
+        if (!a.begun && !a.ended) a.server.own--;
+        a.begun = true;
+        dispatch(now, false);
     }
 
     @Override
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -102,6 +102,8 @@
         /** How long the connection had been idle at the send; 0 where it was in use or new. */
         long idle;
         boolean ended, mayHaveRun = true;
+        /** Its answer goes on as a stream: it holds no place here, its load shows in reports. */
+        boolean begun;
         /** Its server does not hold it: its time-out will speak of the connection alone. */
         boolean lost;
     }
--- a/src/main/java/rushproxy/cli/Demo.java
+++ b/src/main/java/rushproxy/cli/Demo.java
@@ -17,6 +17,8 @@
     static int run(List<String> options) throws Exception {
         int seconds = 20;
         int rate = 60;
+        boolean grpc = options.contains("--grpc");
+        options = options.stream().filter(o -> !o.equals("--grpc")).toList();
         for (int i = 0; i < options.size(); i += 2) {
             int value = i + 1 < options.size() && options.get(i + 1).matches("[0-9]{1,4}")
                     ? Integer.parseInt(options.get(i + 1)) : -1;
@@ -25,26 +27,33 @@
             } else if (options.get(i).equals("--rate") && value >= 1 && value <= 500) {
                 rate = value;
             } else {
-                System.err.println("demo: " + options.get(i) + ": expected --seconds 5..600 or --rate 1..500");
+                System.err.println("demo: " + options.get(i) + ": expected --seconds 5..600, --rate 1..500 or --grpc");
                 return 2;
             }
         }
-        return play(seconds, rate);
+        return play(seconds, rate, grpc);
     }
 
-    private static int play(int seconds, int rate) throws Exception {
-        try (World world = new World(Shape.SMALL)) {
+    private static int play(int seconds, int rate, boolean grpc) throws Exception {
+        try (World world = grpc ? new World(Shape.SMALL).grpc() : new World(Shape.SMALL)) {
             List<World.Listed> known = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 known.add(World.Listed.of(world.node()));
             }
             System.out.println("3 stand-in nodes of " + (int) (1000 / Shape.SMALL.workMs())
                     + " requests a second each, a registry, one sidecar; " + rate + " requests a second for " + seconds + " s");
-            SidecarProcess sidecar = world.sidecar(1, World.list(1, known), "[membership]\nknown_age = \"0s\"\n");
+            SidecarProcess sidecar = world.sidecar(1, World.list(1, known), "[membership]\nknown_age = \"0s\"\n"
+                    + (grpc ? World.grpcTable() : ""));
             world.ready(sidecar.address()).get(30, TimeUnit.SECONDS);
             System.out.println("the sidecar is ready on " + sidecar.address());
             Clients clients = world.clients(sidecar.name());
-            clients.start(sidecar.address(), rate);
+            // Half of it as gRPC, where that was asked for: the same requests, nodes and rules.
+            clients.start(sidecar.address(), grpc ? rate / 2.0 : rate);
+            Clients other = grpc ? world.grpcClients(sidecar.name()) : null;
+            if (grpc) {
+                other.start(sidecar.grpcAddress(), rate / 2.0);
+                System.out.println("half of the requests are gRPC, on " + sidecar.grpcAddress());
+            }
             Node unlucky = world.nodes().get(1);
             for (int s = 0; s < seconds; s++) {
                 String event = "";
@@ -65,10 +74,10 @@
                 }
                 int[] before = world.nodes().stream().mapToInt(Node::served).toArray();
                 world.play(1_000);
-                line(world, clients.tally(s, s + 1), s, seconds, before, event);
+                line(world, world.tally(s, s + 1), s, seconds, before, event);
             }
             World.Verdict verdict = world.verdict();
-            Clients.Tally all = clients.tally(0, seconds + 1);
+            Clients.Tally all = world.tally(0, seconds + 1);
             System.out.printf(Locale.ROOT, "in all: %d sent, %.1f %% served in time, %d late, %d refused, %d failed%n", all.sent(),
                     100 * all.inTimeShare(), all.late(), all.refused(), all.failed() + all.unreachable());
             verdict.first().forEach(f -> System.out.println("referee: " + f));
--- a/src/main/java/rushproxy/cli/Main.java
+++ b/src/main/java/rushproxy/cli/Main.java
@@ -14,7 +14,7 @@
             usage: java -jar rushproxy.jar COMMAND
               serve [--operator FILE]             runs a sidecar, told by BALANCER_CONFIG and the operator's file
               check FILE                          says what an operator's file would do, or what is wrong with it
-              demo [--seconds N] [--rate N]       a small world on loopback: nodes, a registry, a sidecar and its clients
+              demo [--seconds N] [--rate N] [--grpc]  a small world on loopback: nodes, a registry, a sidecar and its clients
               simhost                             hosts many instances on the simulator's wire""";
 
     private Main() {}
--- a/src/main/java/rushproxy/core/Attempt.java
+++ b/src/main/java/rushproxy/core/Attempt.java
@@ -12,6 +12,14 @@
     /** Told once how an attempt ended; {@code body} is set with {@code OK} alone and is released afterwards. */
     interface Result {
         void ended(Attempt attempt, Outcome outcome, LoadReport report, ByteBuf body);
+
+        /**
+         * The answer has begun and is to go on to the client as it comes. True: from now on the request is this attempt's
+         * alone, to its end, and no deadline runs. False: it is too late for that, and the attempt must be given up.
+         */
+        default boolean streaming(Attempt attempt) {
+            return false;
+        }
     }
 
     /** Makes the attempts of one request; the front that took the request knows how it is written. */
--- a/src/main/java/rushproxy/core/Exchange.java
+++ b/src/main/java/rushproxy/core/Exchange.java
@@ -25,6 +25,8 @@
     final List<Attempt> attempts = new ArrayList<>(1);
     Future<?> overdue;
     boolean over;
+    /** The attempt whose answer the client is being given as it comes; null until one has begun. */
+    Attempt streaming;
 
     public Exchange(Request request, long deadlineUs, Attempt.Maker maker, Answer answer) {
         this.request = request;
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -77,8 +77,17 @@
         int number = x.attempts.size();
         long until = untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
         boolean moot = x.over || number >= maxAttempts || until <= clock.now();
-        Attempt attempt = x.maker.attempt(upstream, until,
-                (a, outcome, report, body) -> ended(x, number, a, outcome, report, body));
+        Attempt attempt = x.maker.attempt(upstream, until, new Attempt.Result() {
+            @Override
+            public void ended(Attempt a, Outcome outcome, LoadReport report, ByteBuf body) {
+                Requests.this.ended(x, number, a, outcome, report, body);
+            }
+
+            @Override
+            public boolean streaming(Attempt a) {
+                return Requests.this.streaming(x, number, a);
+            }
+        });
         x.attempts.add(attempt);
         if (moot) {
             attempt.drop();
@@ -88,7 +97,10 @@
     }
 
     private void ended(Exchange x, int number, Attempt attempt, Outcome outcome, LoadReport report, ByteBuf body) {
-        if (outcome == Outcome.OK && !x.over) {
+        if (x.streaming == attempt && !x.over) {
+            // The client has been told the end with the stream itself.
+            finish(x);
+        } else if (outcome == Outcome.OK && !x.over) {
             finish(x);
             x.answer.served(body.retain());
         }
@@ -99,6 +111,23 @@
                 now - attempt.sentUs(), x.over, report), () -> failUnlessOut(x));
     }
 
+    private boolean streaming(Exchange x, int number, Attempt attempt) {
+        if (x.over || x.streaming != null) {
+            return false;
+        }
+        x.streaming = attempt;
+        x.overdue.cancel(false);
+        long now = clock.now();
+        decisions.call(m -> m.onStreamStart(now, x.request.id(), number, attempt.upstream(), now - attempt.sentUs()),
+                () -> { });
+        for (Attempt other : List.copyOf(x.attempts)) {
+            if (other != attempt) {
+                other.cancel();
+            }
+        }
+        return true;
+    }
+
     private void failUnlessOut(Exchange x) {
         if (x.noneOut()) {
             fail(x);
--- /dev/null
+++ b/src/main/java/rushproxy/grpc/GrpcAttempt.java
@@ -0,0 +1,373 @@
+package rushproxy.grpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2DataFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2GoAwayFrame;
+import io.netty.handler.codec.http2.Http2Headers;
+import io.netty.handler.codec.http2.Http2HeadersFrame;
+import io.netty.handler.codec.http2.Http2ResetFrame;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.util.function.LongFunction;
+import rushproxy.Balancer.LoadReport;
+import rushproxy.Balancer.Outcome;
+import rushproxy.core.Attempt;
+import rushproxy.core.Clock;
+import rushproxy.grpc.mapping.Code;
+import rushproxy.grpc.mapping.Ending;
+
+/**
+ * One try of a call at one node: one stream. A unary answer is put together here and told whole; a streaming one is handed on
+ * from its first byte, after which this attempt owns the call to its end.
+ */
+final class GrpcAttempt implements Attempt {
+    /** Who made the call, and takes what a stream brings. */
+    interface Caller {
+        /** The request's bytes so far, in order; the attempt writes what is there now and is handed the rest. */
+        void replay(GrpcAttempt to);
+
+        /** The first of the answer. From now on all of it comes through here, to its end. */
+        void headers(GrpcAttempt from, Http2Headers headers);
+
+        /** Takes over {@code data}. */
+        void data(GrpcAttempt from, ByteBuf data);
+
+        /** All of the stream's read so far has been handed on. */
+        void readComplete(GrpcAttempt from);
+
+        /** The stream's end; {@code trailers} is null where none came. */
+        void ended(GrpcAttempt from, Ending ending, Http2Headers trailers);
+
+        /** The upstream takes bytes again, or does not for now. */
+        void writable(GrpcAttempt to, boolean is);
+    }
+
+    private final GrpcUpstreams pool;
+    private final Clock clock;
+    private final String upstream;
+    final long untilUs;
+    private final boolean streams;
+    /** The request's headers, told how long an answer is waited for. */
+    private final LongFunction<Http2Headers> head;
+    private final Caller caller;
+    private final Result result;
+    Future<?> timeout;
+    private long sentUs;
+    private Channel stream;
+    private boolean begun;
+    /** The whole request is written, or, of a streaming one, its head: it may run. */
+    private boolean written;
+    private boolean ended;
+    private boolean owns;
+    private Http2Headers headers;
+    private Http2Headers trailers;
+    private Ending ending;
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+
+    GrpcAttempt(GrpcUpstreams pool, Clock clock, String upstream, long untilUs, boolean streams,
+                LongFunction<Http2Headers> head, Caller caller, Result result) {
+        this.pool = pool;
+        this.clock = clock;
+        this.upstream = upstream;
+        this.untilUs = untilUs;
+        this.streams = streams;
+        this.head = head;
+        this.caller = caller;
+        this.result = result;
+    }
+
+    @Override
+    public String upstream() {
+        return upstream;
+    }
+
+    @Override
+    public long sentUs() {
+        return sentUs;
+    }
+
+    @Override
+    public boolean ended() {
+        return ended;
+    }
+
+    @Override
+    public void start() {
+        sentUs = clock.now();
+        pool.start(this);
+    }
+
+    @Override
+    public void drop() {
+        sentUs = sentUs == 0 ? clock.now() : sentUs;
+        end(new Ending(Outcome.NOT_SENT, Code.UNAVAILABLE, "it was never sent"));
+    }
+
+    @Override
+    public void cancel() {
+        abandon(new Ending(Outcome.CANCELLED, Code.CANCELLED, "cancelled"));
+    }
+
+    void timedOut() {
+        abandon(Ending.timedOut(written));
+    }
+
+    /** Gives it up and says so to the node, which need not stop. */
+    private void abandon(Ending why) {
+        if (!ended) {
+            reset(Http2Error.CANCEL);
+            end(why);
+        }
+    }
+
+    private void reset(Http2Error code) {
+        if (stream != null && stream.isActive()) {
+            stream.writeAndFlush(new DefaultHttp2ResetFrame(code));
+        }
+    }
+
+    /** What the last answer said, for the client where nothing better comes: null before there is one. */
+    Ending ending() {
+        return ending;
+    }
+
+    Http2Headers headers() {
+        return headers;
+    }
+
+    Http2Headers trailers() {
+        return trailers;
+    }
+
+    void end(Ending how) {
+        end(how, null);
+    }
+
+    private void end(Ending how, LoadReport report) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        ending = how;
+        if (timeout != null) {
+            timeout.cancel(false);
+        }
+        ByteBuf whole = body;
+        body = Unpooled.EMPTY_BUFFER;
+        try {
+            if (owns) {
+                caller.ended(this, how, trailers);
+            }
+            result.ended(this, how.outcome(), report, how.outcome() == Outcome.OK && !owns ? whole : null);
+        } finally {
+            whole.release();
+        }
+    }
+
+    ChannelHandler handler() {
+        return new Handler();
+    }
+
+    /** Its stream is there: the head goes out, and what has come of the request. */
+    void opened(Channel channel) {
+        stream = channel;
+        if (ended) {
+            channel.close();
+            return;
+        }
+        begun = true;
+        if (streams) {
+            stream.config().setAutoRead(false);
+            stream.read();
+        }
+        caller.replay(this);
+    }
+
+    /** The request's head; {@code last} where it has no message. */
+    void sendHead(boolean last) {
+        Object frame = new DefaultHttp2HeadersFrame(head.apply(untilUs - clock.now()), last);
+        if (last || streams) {
+            write(frame, true);
+        } else {
+            // The message follows at once: both go out in one write.
+            stream.write(frame);
+        }
+    }
+
+    /** More of the request; {@code data} is taken over. */
+    void send(ByteBuf data, boolean last) {
+        if (ended || !begun || !stream.isActive()) {
+            data.release();
+            return;
+        }
+        write(new DefaultHttp2DataFrame(data, last), last);
+    }
+
+    boolean writable() {
+        return stream == null || stream.isWritable();
+    }
+
+    boolean begun() {
+        return begun;
+    }
+
+    /** Reads on, when the client has taken what came. */
+    void read() {
+        if (stream != null && !ended) {
+            stream.read();
+        }
+    }
+
+    private void write(Object frame, boolean mayRunThen) {
+        stream.writeAndFlush(frame).addListener(f -> {
+            if (f.isSuccess()) {
+                written |= mayRunThen;
+            }
+        });
+    }
+
+    private boolean isGrpc(Http2Headers h) {
+        CharSequence type = h.get("content-type");
+        return "200".contentEquals(h.status() == null ? "" : h.status()) && type != null
+                && type.toString().startsWith("application/grpc");
+    }
+
+    private static boolean turnedAway(Http2Headers h) {
+        CharSequence value = h.get("x-turned-away");
+        return value != null && "1".contentEquals(value);
+    }
+
+    private static int httpStatus(Http2Headers h) {
+        CharSequence status = h.status();
+        return status != null && status.length() == 3 && status.chars().allMatch(c -> c >= '0' && c <= '9')
+                ? Integer.parseInt(status.toString()) : 0;
+    }
+
+    private final class Handler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object frame) {
+            try {
+                if (ended) {
+                    return;
+                }
+                if (frame instanceof Http2HeadersFrame h) {
+                    headers(h);
+                } else if (frame instanceof Http2DataFrame d) {
+                    data(d);
+                } else if (frame instanceof Http2ResetFrame r) {
+                    end(Ending.ofReset(r.errorCode()));
+                }
+            } finally {
+                ReferenceCountUtil.release(frame);
+            }
+        }
+
+        private void headers(Http2HeadersFrame frame) {
+            Http2Headers h = frame.headers();
+            if (headers == null && !frame.isEndStream()) {
+                if (!isGrpc(h)) {
+                    reset(Http2Error.CANCEL);
+                    end(Ending.ofHttp(httpStatus(h), turnedAway(h)));
+                    return;
+                }
+                headers = h;
+                if (streams) {
+                    owns = result.streaming(GrpcAttempt.this);
+                    if (owns) {
+                        if (timeout != null) {
+                            timeout.cancel(false);
+                        }
+                        caller.headers(GrpcAttempt.this, h);
+                    } else {
+                        cancel();
+                    }
+                }
+                return;
+            }
+            if (!frame.isEndStream()) {
+                // Headers in the middle of an answer are none that HTTP/2 knows.
+                reset(Http2Error.PROTOCOL_ERROR);
+                end(Ending.withoutStatus());
+                return;
+            }
+            trailers = h;
+            Code code = Code.of(h.get("grpc-status"));
+            boolean alone = headers == null;
+            LoadReport report = GrpcLoad.read(h);
+            if (code == null) {
+                end(alone && !isGrpc(h) ? Ending.ofHttp(httpStatus(h), turnedAway(h)) : Ending.withoutStatus(), report);
+            } else if (code == Code.OK && alone && !streams) {
+                // A unary call that succeeds has a message.
+                end(Ending.withoutStatus(), report);
+            } else {
+                CharSequence message = h.get("grpc-message");
+                end(Ending.ofStatus(code, message == null ? "" : message.toString(), turnedAway(h)), report);
+            }
+        }
+
+        private void data(Http2DataFrame frame) {
+            if (headers == null) {
+                reset(Http2Error.PROTOCOL_ERROR);
+                end(Ending.withoutStatus());
+                return;
+            }
+            if (owns) {
+                caller.data(GrpcAttempt.this, frame.content().retain());
+            } else if (body.readableBytes() + frame.content().readableBytes() > GrpcServer.MAX_ANSWER) {
+                reset(Http2Error.CANCEL);
+                end(new Ending(Outcome.SPOILT, Code.RESOURCE_EXHAUSTED, "the answer is larger than "
+                        + GrpcServer.MAX_ANSWER + " bytes"));
+                return;
+            } else if (frame.content().isReadable()) {
+                body = Unpooled.wrappedBuffer(16, body, frame.content().retain());
+            }
+            if (frame.isEndStream()) {
+                end(Ending.withoutStatus());
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (owns && !ended) {
+                caller.readComplete(GrpcAttempt.this);
+            } else if (streams && !ended) {
+                read();
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            caller.writable(GrpcAttempt.this, ctx.channel().isWritable());
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof Http2ResetFrame r) {
+                end(Ending.ofReset(r.errorCode()));
+            } else if (event instanceof Http2GoAwayFrame) {
+                end(Ending.aboveLastStream());
+            }
+            ReferenceCountUtil.release(event);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            end(Ending.connectionLost(written));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            reset(Http2Error.INTERNAL_ERROR);
+            end(Ending.connectionLost(written));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/grpc/GrpcLoad.java
@@ -0,0 +1,21 @@
+package rushproxy.grpc;
+
+import io.netty.handler.codec.http2.Http2Headers;
+import rushproxy.Balancer.LoadReport;
+import rushproxy.grpc.mapping.Orca;
+import rushproxy.http1.LoadReports;
+
+/** The load report in the trailers of an answer, in whichever of its three forms it comes. */
+final class GrpcLoad {
+    private GrpcLoad() {}
+
+    /** Null where there is none that can be believed. */
+    static LoadReport read(Http2Headers trailers) {
+        CharSequence own = trailers.get("x-pressure");
+        if (own != null) {
+            return LoadReports.read(own.toString());
+        }
+        CharSequence binary = trailers.get("endpoint-load-metrics-bin");
+        return binary != null ? Orca.binary(binary) : Orca.text(trailers.get("endpoint-load-metrics"));
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -0,0 +1,221 @@
+package rushproxy.grpc;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2Exception;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import rushproxy.Balancer.RequestClass;
+import rushproxy.core.Clock;
+import rushproxy.core.Log;
+import rushproxy.core.Requests;
+import rushproxy.membership.Member;
+import rushproxy.operator.Operator.GrpcOptions;
+
+/**
+ * The gRPC front: a listener for HTTP/2 with prior knowledge, whose calls go through the same requests, module and rules as
+ * the other protocol's. All on the event loop.
+ */
+public final class GrpcServer {
+    /** The most that a unary call's message may hold, and what is kept of a stream for another attempt. */
+    static final int MAX_REQUEST = 64 * 1024;
+    static final int MAX_ANSWER = 1024 * 1024;
+    private static final int HEADER_LIST = 8 * 1024;
+    private static final int WINDOW = 64 * 1024;
+    /** Streams that a client may reset in so many seconds, and control frames that may wait for it to read them. */
+    private static final int RESETS = 200, RESETS_S = 30, CONTROL_FRAMES = 1_000;
+    /** After the stop new calls are taken for so long: a client hears of it in its own time. */
+    private static final long SERVE_ON_MS = 600, LOOK_MS = 20;
+    private static final int ANY_STREAM = Integer.MAX_VALUE;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Requests requests;
+    private final GrpcUpstreams upstreams;
+    private final GrpcOptions options;
+    private final Map<String, RequestClass> classes;
+    private final Set<Channel> connections = new HashSet<>();
+    private final Set<GrpcStream> calls = new HashSet<>();
+    private Channel listener;
+    private long numbers;
+    private final String name;
+    private long stopAtUs;
+    private boolean lastWord;
+
+    /** {@code name} is this sidecar's: the ids that calls without one get begin with it. */
+    public GrpcServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, GrpcOptions options,
+                      long connIdleUs, long dialTimeoutUs, String name) {
+        this.loop = loop;
+        this.clock = clock;
+        this.requests = requests;
+        this.options = options;
+        this.classes = classes.stream().collect(Collectors.toMap(RequestClass::name, c -> c));
+        this.name = name;
+        upstreams = new GrpcUpstreams(loop, clock, connIdleUs, dialTimeoutUs, options.streamDrainUs() / 1000);
+        options.routes().forEach(route -> {
+            if (!this.classes.containsKey(route.requestClass())) {
+                throw new IllegalArgumentException("grpc: the platform's settings have no class '" + route.requestClass() + "'");
+            }
+        });
+    }
+
+    public InetSocketAddress listen() throws InterruptedException {
+        listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
+                .option(ChannelOption.SO_BACKLOG, 256)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted(channel);
+                    }
+                }).bind(options.listen()).sync().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    public void update(boolean whole, List<Member> members) {
+        upstreams.update(whole, members);
+    }
+
+    private void accepted(Channel channel) {
+        ChannelConfig accepting = channel.parent().config();
+        connections.add(channel);
+        // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
+        accepting.setAutoRead(connections.size() < options.connections());
+        channel.closeFuture().addListener(f -> {
+            connections.remove(channel);
+            accepting.setAutoRead(connections.size() < options.connections());
+        });
+        Http2Settings settings = new Http2Settings().maxHeaderListSize(HEADER_LIST).initialWindowSize(WINDOW)
+                .maxConcurrentStreams(options.streams());
+        channel.pipeline().addLast(Http2FrameCodecBuilder.forServer().initialSettings(settings)
+                        .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_S)
+                        .decoderEnforceMaxConsecutiveEmptyDataFrames(2)
+                        .encoderEnforceMaxQueuedControlFrames(CONTROL_FRAMES)
+                        .autoAckPingFrame(true).build(),
+                new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel stream) {
+                        stream.pipeline().addLast(new GrpcStream(GrpcServer.this, stream));
+                    }
+                }),
+                new Connection());
+    }
+
+    /** Frames of the connection itself that nobody else wants; what the codec threw has ended it with its code. */
+    private static final class Connection extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object frame) {
+            ReferenceCountUtil.release(frame);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof Http2Exception) {
+                // The codec says goodbye with the proper code, and closes.
+                return;
+            }
+            if (!(cause instanceof IOException)) {
+                Log.trouble("a gRPC client's connection failed", cause);
+            }
+            ctx.close();
+        }
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    Requests requests() {
+        return requests;
+    }
+
+    GrpcUpstreams upstreams() {
+        return upstreams;
+    }
+
+    GrpcOptions options() {
+        return options;
+    }
+
+    RequestClass requestClass(String name) {
+        return classes.get(name);
+    }
+
+    String nextId() {
+        return name + "-g" + ++numbers;
+    }
+
+    void begun(GrpcStream call) {
+        calls.add(call);
+    }
+
+    void over(GrpcStream call) {
+        calls.remove(call);
+    }
+
+    /** How many calls are held. */
+    public int calls() {
+        return calls.size();
+    }
+
+    /** Connections to nodes that are open or coming up. */
+    public int upstreamConnections() {
+        return upstreams.connections();
+    }
+
+    /**
+     * In two steps (RFC 9113, section 6.8): first a warning that names no stream, while calls on their way are still taken;
+     * then the last word. What is held is answered; streams may go on for as long as a draining node's.
+     */
+    public void stop(Runnable stopped) {
+        stopAtUs = clock.now();
+        connections.forEach(c -> goAway(c, ANY_STREAM));
+        look(stopped);
+    }
+
+    private static void goAway(Channel connection, int extra) {
+        DefaultHttp2GoAwayFrame frame = new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR, Unpooled.EMPTY_BUFFER);
+        frame.setExtraStreamIds(extra);
+        connection.writeAndFlush(frame);
+    }
+
+    private void look(Runnable stopped) {
+        long now = clock.now();
+        boolean late = now - stopAtUs >= SERVE_ON_MS * 1000;
+        if (late && !lastWord) {
+            lastWord = true;
+            listener.close();
+            connections.forEach(c -> goAway(c, 0));
+        }
+        if (late && now - stopAtUs >= options.streamDrainUs()) {
+            List.copyOf(calls).forEach(GrpcStream::cutShort);
+        }
+        if (late && calls.isEmpty()) {
+            List.copyOf(connections).forEach(Channel::close);
+            stopped.run();
+        } else {
+            loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/grpc/GrpcStream.java
@@ -0,0 +1,501 @@
+package rushproxy.grpc;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
+import io.netty.handler.codec.http2.DefaultHttp2Headers;
+import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
+import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
+import io.netty.handler.codec.http2.Http2DataFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2Headers;
+import io.netty.handler.codec.http2.Http2HeadersFrame;
+import io.netty.handler.codec.http2.Http2ResetFrame;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import rushproxy.Balancer;
+import rushproxy.Balancer.Outcome;
+import rushproxy.Balancer.Request;
+import rushproxy.Balancer.RequestClass;
+import rushproxy.Balancer.Semantics;
+import rushproxy.core.Attempt;
+import rushproxy.core.Exchange;
+import rushproxy.core.Log;
+import rushproxy.grpc.mapping.Code;
+import rushproxy.grpc.mapping.Ending;
+import rushproxy.grpc.mapping.Route;
+import rushproxy.grpc.mapping.Timeouts;
+
+/**
+ * One call of a client: its request is kept until no other attempt can need it, its answer is one status, told once.
+ *
+ * <p>A unary call is taken when its last byte has come, and answered whole. A streaming one is taken with its head; it may be
+ * tried again until the first byte of an answer has gone to the client, or more of it has come than is kept.
+ */
+final class GrpcStream extends ChannelInboundHandlerAdapter implements GrpcAttempt.Caller {
+    /** As for the other protocol: an answer leaves this long before its client gives up. */
+    private static final long MARGIN_US = 15_000;
+    /** Metadata that belongs to one hop, or that this hop writes itself. */
+    private static final Set<String> OWN = Set.of("grpc-timeout", "grpc-previous-rpc-attempts", "connection", "te",
+            "x-remaining-ms", "x-txn", "transfer-encoding", "keep-alive", "proxy-connection", "upgrade");
+
+    private final GrpcServer server;
+    private final Channel client;
+    private final long sentUs;
+    private Http2Headers head;
+    private Route route;
+    private RequestClass spec;
+    private String id;
+    private Exchange exchange;
+    /** What has come of the request, as long as another attempt may need it. */
+    private final ArrayDeque<ByteBuf> kept = new ArrayDeque<>();
+    private int keptBytes;
+    private boolean whole;
+    /** Too much has come to be sent again: the attempt that has it is the last. */
+    private boolean overflowed;
+    private int attempts;
+    private GrpcAttempt current;
+    private GrpcAttempt winner;
+    private Ending lastEnding;
+    private Http2Headers lastTrailers;
+    private boolean headersSent;
+    private boolean over;
+
+    GrpcStream(GrpcServer server, Channel client) {
+        this.server = server;
+        this.client = client;
+        sentUs = server.clock().now();
+    }
+
+    // ---- from the client -------------------------------------------------------------------------
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object frame) {
+        try {
+            if (over) {
+                return;
+            }
+            if (frame instanceof Http2HeadersFrame h) {
+                headers(h);
+            } else if (frame instanceof Http2DataFrame d) {
+                data(d.content(), d.isEndStream());
+            } else if (frame instanceof Http2ResetFrame) {
+                left();
+            }
+        } finally {
+            ReferenceCountUtil.release(frame);
+        }
+    }
+
+    private void headers(Http2HeadersFrame frame) {
+        if (head != null) {
+            // A client's trailers: gRPC knows none.
+            data(Unpooled.EMPTY_BUFFER, true);
+            return;
+        }
+        head = frame.headers();
+        CharSequence type = head.get("content-type");
+        if (head.method() == null || !"POST".contentEquals(head.method()) || type == null
+                || !type.toString().startsWith("application/grpc")) {
+            over = true;
+            Http2Headers h = new DefaultHttp2Headers().status("415").set("grpc-status", "" + Code.INTERNAL.number())
+                    .set("grpc-message", "no gRPC");
+            client.writeAndFlush(new DefaultHttp2HeadersFrame(h, true));
+            return;
+        }
+        route = server.options().route(head.path());
+        if (route == null) {
+            status(Code.UNIMPLEMENTED, "the path names no method", 0, null);
+            return;
+        }
+        spec = server.requestClass(route.requestClass());
+        long timeoutUs = head.get("grpc-timeout") == null ? spec.deadlineUs() : Timeouts.parse(head.get("grpc-timeout"));
+        if (timeoutUs < 0) {
+            status(Code.INTERNAL, "grpc-timeout is none", 0, null);
+            return;
+        }
+        if (spec.semantics() == Semantics.KEYED && word(route.keyHeader()).isEmpty()) {
+            status(Code.INVALID_ARGUMENT, "a call of this class carries its key in " + route.keyHeader(), 0, null);
+            return;
+        }
+        String told = word("x-txn");
+        id = told.isEmpty() ? server.nextId() : told;
+        if (server.requests().knows(id)) {
+            status(Code.INVALID_ARGUMENT, "x-txn is in use", 0, null);
+            return;
+        }
+        if (timeoutUs < 1_000) {
+            status(Code.DEADLINE_EXCEEDED, "no time is left", 0, null);
+            return;
+        }
+        server.begun(this);
+        if (frame.isEndStream()) {
+            whole = true;
+        }
+        if (whole || route.streams()) {
+            take(timeoutUs);
+        }
+    }
+
+    /** The one value of a metadata key, or empty. */
+    private String word(String key) {
+        if (key == null) {
+            return "";
+        }
+        List<CharSequence> values = head.getAll(key);
+        return values.size() == 1 && values.get(0).length() <= 128 ? values.get(0).toString() : "";
+    }
+
+    private long timeoutUs() {
+        return head.get("grpc-timeout") == null ? spec.deadlineUs() : Timeouts.parse(head.get("grpc-timeout"));
+    }
+
+    private void data(ByteBuf content, boolean last) {
+        whole |= last;
+        if (!route.streams()) {
+            if (keptBytes + content.readableBytes() > GrpcServer.MAX_REQUEST) {
+                status(Code.RESOURCE_EXHAUSTED, "a message of more than " + GrpcServer.MAX_REQUEST + " bytes", 0, null);
+                return;
+            }
+            keep(content);
+            if (last && exchange == null) {
+                take(timeoutUs());
+            }
+            return;
+        }
+        if (headersSent || overflowed) {
+            pass(content, last);
+        } else if (keptBytes + content.readableBytes() <= GrpcServer.MAX_REQUEST) {
+            keep(content);
+            if (current != null && current.begun()) {
+                current.send(content.retain(), last);
+            }
+        } else if (current != null && current.begun()) {
+            overflowed = true;
+            dropKept();
+            pass(content, last);
+        } else {
+            status(Code.RESOURCE_EXHAUSTED, "more came than is kept while no node had begun", 0, null);
+        }
+        backPressure();
+    }
+
+    private void pass(ByteBuf content, boolean last) {
+        if (current != null && !current.ended()) {
+            current.send(content.retain(), last);
+        }
+    }
+
+    private void keep(ByteBuf content) {
+        keptBytes += content.readableBytes();
+        if (content.isReadable()) {
+            kept.add(content.retain());
+        }
+    }
+
+    private void dropKept() {
+        for (ByteBuf b; (b = kept.poll()) != null; ) {
+            b.release();
+        }
+    }
+
+    /** A node that takes no more stops its client: what is kept in between is bounded. */
+    private void backPressure() {
+        // No node has begun to take it: what is kept meanwhile must leave room for all that is on its way.
+        boolean full = !headersSent && !overflowed && keptBytes >= GrpcServer.MAX_REQUEST / 4
+                && (current == null || !current.begun());
+        client.config().setAutoRead(!full && (current == null || current.writable()));
+    }
+
+    private void take(long timeoutUs) {
+        // Nobody waits longer than the class allows; a stream's time ends with the first of its answer.
+        long remainingUs = Math.min(timeoutUs, spec.deadlineUs());
+        long deadline = sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4);
+        Request request = new Request(id, customer(), false, false, 0, Math.max(1, deadline - server.clock().now()),
+                word(server.options().tenantHeader()), spec.name(), Balancer.GRPC);
+        exchange = new Exchange(request, deadline, this::attempt, new Final());
+        server.requests().take(exchange);
+    }
+
+    private long customer() {
+        String key = word(server.options().customerHeader());
+        return key.isEmpty() ? -1 : Integer.toUnsignedLong(key.hashCode());
+    }
+
+    private Attempt attempt(String upstream, long untilUs, Attempt.Result result) {
+        int before = attempts++;
+        GrpcAttempt made = new GrpcAttempt(server.upstreams(), server.clock(), upstream, untilUs, route.streams(),
+                left -> out(left, before), this, new Attempt.Result() {
+            @Override
+            public void ended(Attempt a, Outcome outcome, Balancer.LoadReport report, ByteBuf body) {
+                GrpcAttempt of = (GrpcAttempt) a;
+                lastEnding = of.ending();
+                lastTrailers = of.trailers();
+                if (outcome == Outcome.OK) {
+                    winner = of;
+                }
+                if (overflowed && !over && outcome != Outcome.OK) {
+                    // Nobody could be sent it all again.
+                    finish(lastEnding.code(), lastEnding.message(), lastTrailers);
+                    server.requests().left(exchange);
+                }
+                result.ended(a, outcome, report, body);
+            }
+
+            @Override
+            public boolean streaming(Attempt a) {
+                return result.streaming(a);
+            }
+        });
+        current = made;
+        return made;
+    }
+
+    /** The head that a node gets: the client's, but for what belongs to a hop. */
+    private Http2Headers out(long leftUs, int before) {
+        Http2Headers h = new DefaultHttp2Headers(false).method("POST").path(head.path()).scheme("http")
+                .authority(head.authority() == null ? "api.internal" : head.authority());
+        for (Map.Entry<CharSequence, CharSequence> e : head) {
+            if (e.getKey().length() > 0 && e.getKey().charAt(0) != ':' && !OWN.contains(e.getKey().toString())) {
+                h.add(e.getKey(), e.getValue());
+            }
+        }
+        h.set("te", "trailers").set("x-txn", id).set("grpc-timeout", Timeouts.format(Math.max(1_000, leftUs)));
+        if (before > 0) {
+            h.set("grpc-previous-rpc-attempts", String.valueOf(before));
+        }
+        return h;
+    }
+
+    // ---- from an attempt -------------------------------------------------------------------------
+
+    @Override
+    public void replay(GrpcAttempt to) {
+        if (over) {
+            // A second copy whose stream came up after the answer: nothing of the call goes out any more.
+            to.cancel();
+            return;
+        }
+        to.sendHead(whole && kept.isEmpty());
+        int left = kept.size();
+        for (ByteBuf b : kept) {
+            to.send(b.retainedDuplicate(), --left == 0 && whole);
+        }
+        if (route.streams()) {
+            backPressure();
+        }
+    }
+
+    @Override
+    public void headers(GrpcAttempt from, Http2Headers headers) {
+        headersSent = true;
+        dropKept();
+        current = from;
+        client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(headers, "200"), false));
+    }
+
+    @Override
+    public void data(GrpcAttempt from, ByteBuf data) {
+        if (over) {
+            data.release();
+        } else {
+            client.write(new DefaultHttp2DataFrame(data, false));
+        }
+    }
+
+    @Override
+    public void readComplete(GrpcAttempt from) {
+        client.flush();
+        if (client.isWritable()) {
+            from.read();
+        }
+    }
+
+    @Override
+    public void ended(GrpcAttempt from, Ending ending, Http2Headers trailers) {
+        if (over) {
+            return;
+        }
+        over = true;
+        server.over(this);
+        Http2Headers h = trailers != null && ending.outcome() != Outcome.SPOILT ? copy(trailers, null)
+                : new DefaultHttp2Headers().set("grpc-status", "" + failure(ending.code()).number())
+                        .set("grpc-message", text(ending.message()));
+        client.writeAndFlush(new DefaultHttp2HeadersFrame(h, true));
+    }
+
+    @Override
+    public void writable(GrpcAttempt to, boolean is) {
+        if (to == current) {
+            client.config().setAutoRead(is);
+        }
+    }
+
+    // ---- to the client ---------------------------------------------------------------------------
+
+    private final class Final implements Exchange.Answer {
+        @Override
+        public void served(ByteBuf body) {
+            if (over) {
+                body.release();
+                return;
+            }
+            over = true;
+            server.over(GrpcStream.this);
+            dropKept();
+            if (winner.headers() == null) {
+                // A stream that ended well before it said anything: head and trailers in one.
+                body.release();
+                client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(winner.trailers(), "200"), true));
+                return;
+            }
+            client.write(new DefaultHttp2HeadersFrame(copy(winner.headers(), "200"), false));
+            client.write(new DefaultHttp2DataFrame(body, false));
+            client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(winner.trailers(), null), true));
+        }
+
+        @Override
+        public void refused(long retryAfterUs) {
+            status(Code.UNAVAILABLE, "refused: nothing has run", retryAfterUs, null);
+        }
+
+        @Override
+        public void failed() {
+            if (lastEnding == null || server.clock().now() >= deadlineUs()) {
+                finish(Code.DEADLINE_EXCEEDED, "no answer in time", null);
+            } else {
+                finish(lastEnding.code(), lastEnding.message(), lastTrailers);
+            }
+        }
+    }
+
+    private long deadlineUs() {
+        long remainingUs = Math.min(timeoutUs(), spec.deadlineUs());
+        return sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4) - 1_000;
+    }
+
+    /** A failure passes on what the service said for what it was asked, with its details; else it says what is known. */
+    private void finish(Code code, String message, Http2Headers trailers) {
+        boolean services = trailers != null && lastEnding != null && lastEnding.outcome() == Outcome.INVALID;
+        status(services ? code : failure(code), message, 0, services ? trailers : null);
+    }
+
+    /** UNAVAILABLE is this sidecar's refusal, a promise that nothing ran: a failure must not sound like one. */
+    static Code failure(Code code) {
+        return code == Code.UNAVAILABLE || code == Code.OK ? Code.UNKNOWN : code;
+    }
+
+    /** The one final status, in a head that is the trailer too where no head has gone before. */
+    private void status(Code code, String message, long retryAfterUs, Http2Headers details) {
+        if (over) {
+            return;
+        }
+        over = true;
+        server.over(this);
+        Http2Headers h;
+        if (details != null) {
+            h = copy(details, headersSent ? null : "200");
+        } else {
+            h = new DefaultHttp2Headers();
+            if (!headersSent) {
+                h.status("200").set("content-type", "application/grpc");
+            }
+            h.set("grpc-status", "" + code.number()).set("grpc-message", text(message));
+        }
+        if (retryAfterUs > 0) {
+            h.set("grpc-retry-pushback-ms", String.valueOf((retryAfterUs + 999) / 1000));
+        }
+        client.writeAndFlush(new DefaultHttp2HeadersFrame(h, true)).addListener(f -> {
+            if (!whole && client.isActive()) {
+                // What the client still sends is for nobody (RFC 9113, section 8.1).
+                client.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.NO_ERROR));
+            }
+        });
+        dropKept();
+    }
+
+    /** Without what belongs to one hop; {@code status} is null for trailers. */
+    private static Http2Headers copy(Http2Headers from, String status) {
+        // The decoder has looked at each of them.
+        Http2Headers h = new DefaultHttp2Headers(false);
+        if (status != null) {
+            h.status(status);
+        }
+        for (Map.Entry<CharSequence, CharSequence> e : from) {
+            if (e.getKey().length() > 0 && e.getKey().charAt(0) != ':' && !"connection".contentEquals(e.getKey())) {
+                h.add(e.getKey(), e.getValue());
+            }
+        }
+        return h;
+    }
+
+    /** grpc-message is percent-encoded; these messages are this program's own, so what is odd in them is left out. */
+    private static String text(String message) {
+        return message.replaceAll("[^\\x20-\\x24\\x26-\\x7e]", "?");
+    }
+
+    /** The sidecar ends and can't wait for this stream any longer. */
+    void cutShort() {
+        if (!over) {
+            if (exchange != null) {
+                server.requests().left(exchange);
+            }
+            GrpcAttempt a = current;
+            status(Code.CANCELLED, "the sidecar ends", 0, null);
+            if (a != null) {
+                a.cancel();
+            }
+        }
+    }
+
+    private void left() {
+        if (over) {
+            dropKept();
+            return;
+        }
+        over = true;
+        server.over(this);
+        dropKept();
+        if (exchange != null) {
+            server.requests().left(exchange);
+            if (current != null) {
+                // A cancel stops nothing for sure, but a stream that nobody reads must end.
+                current.cancel();
+            }
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof Http2ResetFrame) {
+            left();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (headersSent && current != null && client.isWritable()) {
+            current.read();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        left();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof java.io.IOException) && !(cause instanceof io.netty.handler.codec.http2.Http2Exception)) {
+            Log.trouble("a gRPC call failed", cause);
+        }
+        left();
+        ctx.close();
+    }
+}
--- a/src/main/java/rushproxy/http1/LoadReports.java
+++ b/src/main/java/rushproxy/http1/LoadReports.java
@@ -4,7 +4,7 @@
 import rushproxy.settings.LoadValues;
 
 /** Reads a load report of the form {@code TEXT inflight=7, queue=2, util=0.61}. */
-final class LoadReports {
+public final class LoadReports {
     private static final String FORM = "TEXT ";
     /** No upstream holds more: one figure out of this world, once believed, would keep its upstream out for good. */
     private static final double MOST = 10_000;
@@ -12,7 +12,7 @@
     private LoadReports() {}
 
     /** Null where the text is no such report: a malformed one says nothing of its upstream. */
-    static LoadReport read(String text) {
+    public static LoadReport read(String text) {
         if (text == null || !text.startsWith(FORM)) {
             return null;
         }
--- /dev/null
+++ b/src/main/java/rushproxy/measure/GrpcMeasure.java
@@ -0,0 +1,183 @@
+package rushproxy.measure;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import rushproxy.standin.Clients;
+import rushproxy.standin.Node;
+import rushproxy.standin.Shape;
+import rushproxy.standin.SidecarProcess;
+import rushproxy.standin.World;
+import rushproxy.standin.World.Listed;
+
+/**
+ * Measures gRPC beside HTTP/1.1 through one sidecar: whether equal faults end equally, what the sidecar adds to a call's time
+ * and costs in CPU, and what open streams hold. Ends with {@code holds} or {@code falls short: ...}. Run by
+ * {@code bench/grpc.sh}.
+ */
+public final class GrpcMeasure {
+    private static final double MOST_ADDED_US = 250, LEAST_THROUGHPUT = 0.7, MOST_STREAMS_MB = 20;
+    private static final Shape QUICK_NODE = new Shape(4, 1, 64, 0.13, 3_000);
+
+    private final int seconds;
+    private final List<String> shortfalls = new ArrayList<>();
+
+    private GrpcMeasure(int seconds) {
+        this.seconds = seconds;
+    }
+
+    public static void main(String[] args) throws Exception {
+        boolean quick = args.length == 1 && args[0].equals("--quick");
+        if (args.length > 0 && !quick) {
+            System.err.println("usage: bench/grpc.sh [--quick]");
+            System.exit(2);
+        }
+        GrpcMeasure m = new GrpcMeasure(quick ? 6 : 30);
+        m.faults();
+        m.cost();
+        m.streams();
+        System.out.println(m.shortfalls.isEmpty() ? "holds" : "falls short: " + String.join("; ", m.shortfalls));
+        System.exit(m.shortfalls.isEmpty() ? 0 : 1);
+    }
+
+    private static SidecarProcess sidecar(World world, String core) throws Exception {
+        SidecarProcess s = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()), World.grpcTable(),
+                "taskset", "-c", core);
+        world.ready(s.address()).get(60, TimeUnit.SECONDS);
+        return s;
+    }
+
+    /** The same faults at the same time for both: nodes that reset, stand still, die and come back cold. */
+    private void faults() throws Exception {
+        try (World world = new World(Shape.SMALL).grpc().nodes(4)) {
+            SidecarProcess sidecar = sidecar(world, "0");
+            Clients http = world.clients(sidecar.name());
+            Clients grpc = world.grpcClients(sidecar.name());
+            http.start(sidecar.address(), 60);
+            grpc.start(sidecar.grpcAddress(), 60);
+            for (int round = 0; round < seconds / 3; round++) {
+                Node a = world.nodes().get(round % 4);
+                Node b = world.nodes().get((round + 1) % 4);
+                a.reset(true);
+                b.stall(300);
+                world.play(700);
+                a.reset(false);
+                b.kill();
+                world.play(1_000);
+                b.restart();
+                world.play(100);
+                world.registry().list(b, "Ready");
+                world.play(1_200);
+            }
+            World.Verdict verdict = world.verdict();
+            Clients.Tally h = http.tally(0, Integer.MAX_VALUE);
+            Clients.Tally g = grpc.tally(0, Integer.MAX_VALUE);
+            System.out.println("faults   HTTP/1.1 " + h);
+            System.out.println("faults   gRPC     " + g);
+            agree("served", h.inTime() + h.late(), h.sent(), g.inTime() + g.late(), g.sent());
+            agree("refused", h.refused(), h.sent(), g.refused(), g.sent());
+            agree("failed", h.failed() + h.unreachable(), h.sent(), g.failed() + g.unreachable(), g.sent());
+            verdict.first().stream().limit(5).forEach(f -> System.out.println("    " + f));
+            System.out.println("faults   rules broken: " + verdict.fouls() + " times over " + verdict.tries() + " tries");
+            if (verdict.fouls() > 0) {
+                shortfalls.add("rules broken " + verdict.fouls() + " times");
+            }
+        }
+    }
+
+    /** Within three standard deviations of the difference of two such shares, and a hundredth. */
+    private void agree(String what, int a, int ofA, int b, int ofB) {
+        double p = (double) a / ofA;
+        double q = (double) b / ofB;
+        double mean = (double) (a + b) / (ofA + ofB);
+        double noise = 0.01 + 3 * Math.sqrt(mean * (1 - mean) * (1.0 / ofA + 1.0 / ofB));
+        System.out.printf(Locale.ROOT, "faults   %-8s HTTP/1.1 %.4f  gRPC %.4f  noise %.4f%n", what, p, q, noise);
+        if (Math.abs(p - q) > noise) {
+            shortfalls.add(String.format(Locale.ROOT, "%s differs: HTTP/1.1 %.3f, gRPC %.3f", what, p, q));
+        }
+    }
+
+    private record Run(double p50Us, double p99Us, double perCpuSecond) {}
+
+    /** Time and CPU of calls, straight to a node and through the sidecar, one after the other in one world. */
+    private void cost() throws Exception {
+        try (World world = new World(QUICK_NODE).grpc().nodes(4)) {
+            SidecarProcess sidecar = sidecar(world, "0");
+            int rate = 400;
+            for (Clients warm : List.of(world.clients(sidecar.name()), world.grpcClients(sidecar.name()))) {
+                warm.start(warm.grpc() ? sidecar.grpcAddress() : sidecar.address(), rate);
+                world.play(1_500);
+                warm.stop();
+            }
+            Run direct = run(world, world.grpcClients("direct"), world.nodes().get(0).grpcPort(), rate, null);
+            Run grpc = run(world, world.grpcClients(sidecar.name()), sidecar.grpcAddress().getPort(), rate, sidecar);
+            Run http = run(world, world.clients(sidecar.name()), sidecar.address().getPort(), rate, sidecar);
+            System.out.printf(Locale.ROOT, "cost     gRPC to a node p50 %.0f us, p99 %.0f us%n", direct.p50Us, direct.p99Us);
+            System.out.printf(Locale.ROOT, "cost     gRPC through   p50 %.0f us, p99 %.0f us, %.0f calls a second of CPU%n", grpc.p50Us,
+                    grpc.p99Us, grpc.perCpuSecond);
+            System.out.printf(Locale.ROOT, "cost     HTTP through   p50 %.0f us, p99 %.0f us, %.0f requests a second of CPU%n", http.p50Us,
+                    http.p99Us, http.perCpuSecond);
+            if (grpc.p50Us - direct.p50Us > MOST_ADDED_US) {
+                shortfalls.add(String.format(Locale.ROOT, "gRPC adds %.0f us at the median", grpc.p50Us - direct.p50Us));
+            }
+            if (grpc.perCpuSecond < LEAST_THROUGHPUT * http.perCpuSecond) {
+                shortfalls.add(String.format(Locale.ROOT, "gRPC has %.2f of HTTP/1.1's requests a second of CPU",
+                        grpc.perCpuSecond / http.perCpuSecond));
+            }
+        }
+    }
+
+    private Run run(World world, Clients clients, int port, int rate, SidecarProcess sidecar) throws Exception {
+        long cpuBefore = sidecar == null ? 0 : cpuMs(sidecar);
+        clients.start(new java.net.InetSocketAddress("127.0.0.1", port), rate);
+        world.play(Math.max(3, seconds / 3) * 1_000L);
+        clients.stop();
+        world.play(300);
+        long[] sorted = clients.latenciesUs().stream().mapToLong(l -> l).sorted().toArray();
+        if (sorted.length == 0) {
+            return new Run(Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 0);
+        }
+        double cpu = sidecar == null ? Double.NaN : (cpuMs(sidecar) - cpuBefore) / 1000.0;
+        return new Run(sorted[sorted.length / 2], sorted[(int) (sorted.length * 0.99)], sorted.length / cpu);
+    }
+
+    private static long cpuMs(SidecarProcess s) {
+        return s.process().info().totalCpuDuration().orElseThrow().toMillis();
+    }
+
+    /** A thousand streams, each with one message there and back, then idle. */
+    private void streams() throws Exception {
+        int wanted = 1_000;
+        try (World world = new World(QUICK_NODE).grpc().nodes(6)) {
+            SidecarProcess sidecar = sidecar(world, "0");
+            Clients warm = world.grpcClients(sidecar.name());
+            warm.start(sidecar.grpcAddress(), 200);
+            world.play(2_000);
+            warm.stop();
+            world.play(500);
+            double before = residentMb(sidecar);
+            int open = world.idleStreams(sidecar.grpcAddress(), wanted, 12_000);
+            double held = residentMb(sidecar) - before;
+            System.out.printf(Locale.ROOT, "streams  %d of %d open, %.1f MB more resident (from %.1f)%n", open, wanted, held, before);
+            if (open < wanted) {
+                shortfalls.add("only " + open + " of " + wanted + " streams were opened");
+            }
+            if (held > MOST_STREAMS_MB) {
+                shortfalls.add(String.format(Locale.ROOT, "%d streams hold %.1f MB", open, held));
+            }
+        }
+    }
+
+    private static double residentMb(SidecarProcess s) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + s.process().pid() + "/status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", "")) / 1024.0;
+            }
+        }
+        throw new IOException("no VmRSS");
+    }
+}
--- a/src/main/java/rushproxy/membership/Member.java
+++ b/src/main/java/rushproxy/membership/Member.java
@@ -5,14 +5,20 @@
 /**
  * One upstream as a source named it.
  *
+ * @param grpcAddress where it speaks gRPC, likewise; null where it does not
  * @param address where it listens, as {@code ip:port} with the address in numbers; the source has checked that it is one
  */
-public record Member(Upstream upstream, String address) {
+public record Member(Upstream upstream, String address, String grpcAddress) {
+    /** One that speaks HTTP/1.1 alone. */
+    public Member(Upstream upstream, String address) {
+        this(upstream, address, null);
+    }
+
     String id() {
         return upstream.id();
     }
 
     Member with(Upstream other) {
-        return new Member(other, address);
+        return new Member(other, address, grpcAddress);
     }
 }
--- a/src/main/java/rushproxy/membership/Membership.java
+++ b/src/main/java/rushproxy/membership/Membership.java
@@ -56,7 +56,7 @@
         Member told() {
             Upstream u = member.upstream();
             return member.with(new Upstream(u.id(), u.zone(), u.kind(), u.cell(), u.startedUs(), u.weight(), u.state(),
-                    doubt, coldSinceUs));
+                    doubt, coldSinceUs, u.speaks()));
         }
     }
 
--- a/src/main/java/rushproxy/membership/registry/RegistryList.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryList.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import rushproxy.Balancer;
+import rushproxy.Balancer.Doubt;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
 import rushproxy.core.Addresses;
@@ -28,9 +30,15 @@
             };
             String address = e.text("hostPort");
             Addresses.parse(address);
+            // Not in the platform's form: other installations name a second port of the same node.
+            String grpc = e.has("grpcPort")
+                    ? address.substring(0, address.lastIndexOf(':') + 1) + e.number("grpcPort") : null;
+            if (grpc != null) {
+                Addresses.parse(grpc);
+            }
             members.add(new Member(new Upstream(e.text("instanceId"), e.textOr("zone", ""), e.textOr("machineType", ""),
-                    (int) e.numberOr("cell", -1), e.numberOr("startedAtMs", 0) * 1000, e.realOr("weight", 1), state),
-                    address));
+                    (int) e.numberOr("cell", -1), e.numberOr("startedAtMs", 0) * 1000, e.realOr("weight", 1), state,
+                    Doubt.NONE, 0, grpc == null ? Balancer.HTTP1 : Balancer.HTTP1 | Balancer.GRPC), address, grpc));
         }
         return new Listing(origin, json.number("generation"), json.flag("reset"), asOfUs, members);
     }
@@ -51,6 +59,9 @@
         });
         e.put("weight", u.weight());
         e.put("startedAtMs", u.startedUs() / 1000);
+        if (m.grpcAddress() != null) {
+            e.put("grpcPort", Integer.parseInt(m.grpcAddress().substring(m.grpcAddress().lastIndexOf(':') + 1)));
+        }
         return e;
     }
 }
--- a/src/main/java/rushproxy/operator/Operator.java
+++ b/src/main/java/rushproxy/operator/Operator.java
@@ -1,16 +1,21 @@
 package rushproxy.operator;
 
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
+import rushproxy.grpc.mapping.Route;
+import rushproxy.grpc.mapping.Routes;
 import rushproxy.membership.Trust;
 
 /**
  * What the operator's file says, one part for each subsystem; a part that is null is off.
  *
+ * @param grpc       the gRPC front; null where there is none
  * @param membership how lists are judged; null where they are taken as they are
  */
-public record Operator(MembershipOptions membership) {
+public record Operator(MembershipOptions membership, GrpcOptions grpc) {
     /** Without a file: nothing is on that the platform has not asked for. */
-    public static final Operator NONE = new Operator(null);
+    public static final Operator NONE = new Operator(null, null);
 
     public Trust trust() {
         return membership == null ? Trust.BLIND : membership.trust();
@@ -22,6 +27,21 @@
      */
     public record MembershipOptions(Trust trust, long spreadUs, DiskOptions disk) {}
 
+    /**
+     * @param connections    of clients at the same time
+     * @param streams        of one connection at the same time
+     * @param streamDrainUs  streams that have begun may go on for so long after their node, or this sidecar, was told to drain
+     * @param tenantHeader   metadata key that names the tenant, or empty
+     * @param customerHeader metadata key that tells what a call is about, or empty
+     */
+    public record GrpcOptions(InetSocketAddress listen, int connections, int streams, long streamDrainUs,
+                              String tenantHeader, String customerHeader, Routes table, List<Route> routes) {
+        /** Null where the path is none of a call. */
+        public Route route(CharSequence path) {
+            return table.of(path);
+        }
+    }
+
     /**
      * @param fleet     a list of another fleet is not taken
      * @param refreshUs an unchanged list is written again this often, to say that it still holds
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -1,16 +1,22 @@
 package rushproxy.operator;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 import rushproxy.membership.Trust;
+import rushproxy.grpc.mapping.Route;
+import rushproxy.grpc.mapping.Routes;
 import rushproxy.operator.Operator.DiskOptions;
+import rushproxy.operator.Operator.GrpcOptions;
 import rushproxy.operator.Operator.MembershipOptions;
 
 /** Reads the operator's file, strictly: whatever it does not know or can't use is an error with its place. */
@@ -29,7 +35,7 @@
             throw new Broken(name + ":" + first.position().line() + ": no TOML: " + first.getMessage());
         }
         Table root = new Table(name, "", toml, 1);
-        Operator operator = new Operator(membership(root.table("membership")));
+        Operator operator = new Operator(membership(root.table("membership")), grpc(root.table("grpc")));
         root.done();
         return operator;
     }
@@ -51,6 +57,39 @@
         return options;
     }
 
+    private static GrpcOptions grpc(Table t) throws Broken {
+        if (t == null) {
+            return null;
+        }
+        InetSocketAddress listen = t.address("listen");
+        int connections = t.whole("connections", 64, 1, 1024);
+        int streams = t.whole("streams", 100, 1, 1000);
+        long drain = t.duration("stream_drain", "30s", "0s", "1h", null);
+        String tenant = t.text("tenant_key", "x-org");
+        String customer = t.text("customer_key", "x-customer");
+        Map<String, Route> byName = new LinkedHashMap<>();
+        List<Route> routes = new ArrayList<>();
+        for (Table m : t.tables("method")) {
+            String name = m.text("name", null);
+            Route route = new Route(m.text("class", null), m.flag("streams", false), m.text("key", "idempotency-key"));
+            m.done();
+            routes.add(route);
+            if (byName.put(name, route) != null) {
+                throw m.broken("name", "a name that no other method has");
+            }
+        }
+        Table other = t.table("other");
+        if (other == null) {
+            throw t.broken("other", "a table, [grpc.other], with the class of all methods that are not named");
+        }
+        Route unknown = new Route(other.text("class", null), other.flag("streams", true), other.text("key", "idempotency-key"));
+        other.done();
+        routes.add(unknown);
+        t.done();
+        return new GrpcOptions(listen, connections, streams, drain, tenant, customer, new Routes(byName, unknown),
+                List.copyOf(routes));
+    }
+
     private static DiskOptions disk(Table t) throws Broken {
         if (t == null) {
             return null;
@@ -68,6 +107,7 @@
         MembershipOptions m = operator.membership();
         if (m == null) {
             lines.add("membership: off; the list given at the start is taken as it is");
+            explain(operator.grpc(), lines);
             return lines;
         }
         Trust trust = m.trust();
@@ -81,9 +121,17 @@
         lines.add(d == null ? "membership.disk: off; no list is kept" : "membership.disk: the list of fleet '" + d.fleet()
                 + "' is kept in " + d.folder() + ", at most " + d.writesPerMinute() + " writes a minute and "
                 + d.largestBytes() + " bytes, written again every " + seconds(d.refreshUs()));
+        explain(operator.grpc(), lines);
         return lines;
     }
 
+    private static void explain(GrpcOptions g, List<String> lines) {
+        lines.add(g == null ? "grpc: off; no listener, no HTTP/2" : "grpc: listens on " + g.listen() + " for "
+                + g.connections() + " connections of " + g.streams() + " streams; " + (g.routes().size() - 1)
+                + " names have a class, all others have '" + g.routes().get(g.routes().size() - 1).requestClass()
+                + "'; streams go on for " + seconds(g.streamDrainUs()) + " on a node that drains");
+    }
+
     private static String seconds(long us) {
         return us % 1_000_000 == 0 ? us / 1_000_000 + " s" : us / 1_000 + " ms";
     }
--- a/src/main/java/rushproxy/operator/Table.java
+++ b/src/main/java/rushproxy/operator/Table.java
@@ -1,11 +1,16 @@
 package rushproxy.operator;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
 
@@ -20,6 +25,10 @@
     private static final Pattern SIZE = Pattern.compile("([0-9]{1,9})(B|KiB|MiB)");
     private static final Map<String, Long> SIZE_BYTES = Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20);
 
+    /** Digits alone: no name is looked up. */
+    private static final Pattern ADDRESS =
+            Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]{2,39}\\]):([0-9]{1,5})");
+
     private final String file;
     private final String path;
     private final TomlTable table;
@@ -86,6 +95,48 @@
         return (int) number;
     }
 
+    boolean flag(String key, boolean absent) throws Broken {
+        Object value = value(key);
+        if (value != null && !(value instanceof Boolean)) {
+            throw broken(key, "true or false", value);
+        }
+        return value == null ? absent : (Boolean) value;
+    }
+
+    /** An address in numbers with its port, on which this program is to listen. */
+    InetSocketAddress address(String key) throws Broken {
+        Object value = value(key);
+        Matcher m = ADDRESS.matcher(value instanceof String s ? s : "");
+        if (!m.matches() || Integer.parseInt(m.group(2)) > 65_535) {
+            throw broken(key, "an address such as \"127.0.0.1:8443\"", value);
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2)));
+        } catch (UnknownHostException e) {
+            throw broken(key, "an address such as \"127.0.0.1:8443\"", value);
+        }
+    }
+
+    /** The tables of a list, [[name]]; none where there is no such list. */
+    List<Table> tables(String key) throws Broken {
+        Object value = value(key);
+        if (value == null) {
+            return List.of();
+        }
+        List<Table> tables = new ArrayList<>();
+        if (value instanceof TomlArray array) {
+            for (int i = 0; i < array.size(); i++) {
+                if (array.get(i) instanceof TomlTable t) {
+                    tables.add(new Table(file, name(key), t, array.inputPositionOf(i).line()));
+                }
+            }
+        }
+        if (!(value instanceof TomlArray array) || tables.size() != array.size()) {
+            throw broken(key, "a list of tables, [[" + name(key) + "]]", value);
+        }
+        return tables;
+    }
+
     /** A text that is not empty; one must be there where {@code absent} is null. */
     String text(String key, String absent) throws Broken {
         Object value = value(key);
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Upstream;
@@ -40,6 +41,7 @@
     private long refreshUs;
     private long keptAtUs;
     private boolean stopped;
+    private BiConsumer<Boolean, List<Member>> other;
 
     Members(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, Membership membership, Trial trial) {
         this.loop = loop;
@@ -50,6 +52,11 @@
         this.trial = trial;
     }
 
+    /** Before the start: another protocol's connections, told the same as the first one's. */
+    void tellToo(BiConsumer<Boolean, List<Member>> pool) {
+        other = pool;
+    }
+
     /** Null keeps no list from now on; the one who kept it before has been closed by the caller. */
     void keepWith(ListKeeper keeper, long refreshUs) {
         this.keeper = keeper;
@@ -61,7 +68,7 @@
     List<Upstream> start(List<Listing> lists) {
         Change change = membership.start(clock.now(), lists);
         change.notes().forEach(Log::line);
-        upstreams.update(true, change.members());
+        update(change);
         return module(change);
     }
 
@@ -112,12 +119,20 @@
     private void tell(Change change, ListKind kind) {
         change.notes().forEach(Log::line);
         if (!change.none()) {
-            upstreams.update(change.whole(), change.members());
+            update(change);
             List<Upstream> told = module(change);
             decisions.call(m -> m.onList(clock.now(), kind, told), () -> { });
         }
     }
 
+    /** All that send are told before the module, which may send at once. */
+    private void update(Change change) {
+        upstreams.update(change.whole(), change.members());
+        if (other != null) {
+            other.accept(change.whole(), change.members());
+        }
+    }
+
     private static List<Upstream> module(Change change) {
         List<Upstream> list = new ArrayList<>(change.members().size());
         for (Member m : change.members()) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +13,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
@@ -18,6 +22,7 @@
 import rushproxy.core.Decisions;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
+import rushproxy.grpc.GrpcServer;
 import rushproxy.http1.ClientServer;
 import rushproxy.http1.Trial;
 import rushproxy.http1.Upstreams;
@@ -58,6 +63,8 @@
     private final Members members;
     private final Peers peers;
     private final ClientServer clients;
+    /** Null where it is off: then no class of HTTP/2 is loaded. */
+    private final GrpcServer grpc;
     private InetSocketAddress listening;
     /** Discovery is not asked before: a fleet that starts together would rush it. */
     private long firstCallUs;
@@ -92,6 +99,11 @@
                 new Membership(operator.trust(), config.seed(), clock.now()), new Trial(loop, asks(settings), TRIAL_MS));
         requests = new Requests(loop, clock, decisions, settings.limits().maxAttempts(), members::ended);
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
+        grpc = operator.grpc() == null ? null : new GrpcServer(loop, clock, requests, settings.classes(), operator.grpc(),
+                settings.limits().connIdleUs(), config.dialTimeoutUs(), config.name());
+        if (grpc != null) {
+            members.tellToo(grpc::update);
+        }
         clients = new ClientServer(loop, clock, requests, upstreams, settings.classes(), upstreams::anyReady, fromClients);
     }
 
@@ -110,6 +122,9 @@
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment, Operators operators) throws InterruptedException {
+        // Named, not looked for; and what a client does to a connection is no line of the log, however often it does it.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        Logger.getLogger("io.netty").setLevel(Level.WARNING);
         Reload reload = new Reload(environment, operators);
         Config config;
         Operator operator;
@@ -121,7 +136,14 @@
             return 2;
         }
         Module module = (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions);
-        Sidecar sidecar = new Sidecar(config, operator, module);
+        Sidecar sidecar;
+        try {
+            sidecar = new Sidecar(config, operator, module);
+        } catch (IllegalArgumentException e) {
+            // Each file is right by itself; together they are not.
+            Log.line("operator's file: " + e.getMessage());
+            return 2;
+        }
         Rehearsal rehearsal = new Rehearsal(config, module);
         sidecar.notReadyBefore(rehearsal::cut);
         try {
@@ -182,6 +204,9 @@
             peers.listen(loop, config.peerListen());
         }
         listening = clients.listen(config.listen());
+        if (grpc != null) {
+            Log.line("takes gRPC on " + grpc.listen());
+        }
         beatAtUs = clock.now();
         loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
     }
@@ -246,6 +271,9 @@
             if (!told.equals(operator)) {
                 DiskOptions before = operator.membership() == null ? null : operator.membership().disk();
                 DiskOptions after = told.membership() == null ? null : told.membership().disk();
+                if (!Objects.equals(operator.grpc(), told.grpc())) {
+                    Log.line("what changed under [grpc] holds from the next start on");
+                }
                 operator = told;
                 if (!Objects.equals(before, after)) {
                     members.keepWith(null, 0);
@@ -263,12 +291,26 @@
 
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
-        loop.execute(() -> clients.stop(() -> {
+        loop.execute(() -> stopFronts(() -> {
             members.stop();
             letGo(stopped);
         }));
     }
 
+    /** Both fronts serve on and answer what they hold; {@code then} runs when the later of the two has. */
+    private void stopFronts(Runnable then) {
+        int[] left = {grpc == null ? 1 : 2};
+        Runnable one = () -> {
+            if (--left[0] == 0) {
+                then.run();
+            }
+        };
+        clients.stop(one);
+        if (grpc != null) {
+            grpc.stop(one);
+        }
+    }
+
     /** Ends at once, whatever is held. */
     void end() {
         loop.execute(() -> {
--- a/src/main/java/rushproxy/standin/Clients.java
+++ b/src/main/java/rushproxy/standin/Clients.java
@@ -1,53 +1,43 @@
 package rushproxy.standin;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer.Semantics;
 import rushproxy.core.Clock;
-import rushproxy.http1.Dialling;
 
 /**
  * The application beside one sidecar: sends a mix of classes at a steady rate that does not wait for answers, keeps
  * connections and opens more when all are busy, waits no longer than its time, and tries a refused or a lost request once
  * more where that is harmless. Bounded in number and time; all on the stage's loop.
  */
-public final class Clients {
+public abstract class Clients {
     /** A class of requests; the settings that the stage gives a sidecar name them. */
     enum Kind {
-        LOOKUP("slot-lookup", Semantics.SAFE), NOTE("note-change", Semantics.UNSAFE), CONFIRM("booking-confirm", Semantics.KEYED);
+        LOOKUP("slot-lookup", "Lookup", Semantics.SAFE), NOTE("note-change", "Note", Semantics.UNSAFE),
+        CONFIRM("booking-confirm", "Confirm", Semantics.KEYED);
 
         final String lane;
+        /** Its name as a gRPC method. */
+        final String method;
         final Semantics semantics;
 
-        Kind(String lane, Semantics semantics) {
+        Kind(String lane, String method, Semantics semantics) {
             this.lane = lane;
+            this.method = method;
             this.semantics = semantics;
         }
     }
 
     static final long AIM_MS = 200, GIVE_UP_MS = 600;
-    private static final int MOST_CONNECTIONS = 128;
+    private static final int MOST_LATENCIES = 1 << 20;
     private static final long AGAIN_MS = 50;
-    private static final int MAX_BODY = 1 << 20;
 
     /** How the requests of one span of time ended. Those unreachable found no sidecar that took their connection. */
     public record Tally(int sent, int inTime, int late, int refused, int failed, int unreachable) {
@@ -62,14 +52,12 @@
         }
     }
 
-    private final EventLoop loop;
-    private final Clock clock;
+    final EventLoop loop;
+    final Clock clock;
     private final Referee referee;
     private final String sidecar;
     private final SplittableRandom random;
-    private final Bootstrap bootstrap;
-    private final ArrayDeque<Channel> idle = new ArrayDeque<>();
-    private final Set<Channel> connections = new HashSet<>();
+    private final List<Long> latenciesUs = new ArrayList<>();
     private InetSocketAddress to;
     private Future<?> ticking;
     private long startUs;
@@ -81,7 +69,7 @@
     /** By the second in which their request was first sent. */
     private final TreeMap<Integer, int[]> seconds = new TreeMap<>();
 
-    private final class Asked {
+    final class Asked {
         final Kind kind;
         final String intent;
         final long firstUs;
@@ -91,6 +79,7 @@
         boolean over;
         Future<?> timeout;
         Channel on;
+        long sentUs;
 
         Asked(Kind kind, String intent, long firstUs, boolean again) {
             this.kind = kind;
@@ -106,7 +95,6 @@
         this.referee = referee;
         this.sidecar = sidecar;
         random = new SplittableRandom(seed);
-        bootstrap = Dialling.http(loop, 500, MAX_BODY, Handler::new);
     }
 
     /** Sends {@code rate} requests a second to the address from now on, until {@link #stop}. */
@@ -137,7 +125,7 @@
 
     void close() {
         stop();
-        loop.execute(() -> Set.copyOf(connections).forEach(Channel::close));
+        loop.execute(this::hangUp);
     }
 
     private void tick() {
@@ -160,69 +148,42 @@
     }
 
     private void ask(Asked a) {
-        a.id = sidecar + "-" + ++numbers + "-" + Long.toHexString(startUs % 0xfffff);
+        a.id = sidecar + "-" + idMark() + ++numbers + "-" + Long.toHexString(startUs % 0xfffff);
         a.untilUs = a.firstUs + GIVE_UP_MS * 1000;
-        Channel channel = null;
-        while (channel == null && !idle.isEmpty()) {
-            channel = idle.poll();
-            channel = channel.isActive() ? channel : null;
-        }
-        if (channel != null) {
-            write(channel, a);
-        } else if (connections.size() >= MOST_CONNECTIONS) {
-            end(a, 5);
-        } else {
-            var connecting = bootstrap.connect(to);
-            connections.add(connecting.channel());
-            connecting.channel().closeFuture().addListener(f -> {
-                connections.remove(connecting.channel());
-                idle.remove(connecting.channel());
-            });
-            connecting.addListener(f -> {
-                if (f.isSuccess()) {
-                    write(connecting.channel(), a);
-                } else {
-                    connections.remove(connecting.channel());
-                    again(a, 5);
-                }
-            });
-        }
+        send(a, to);
     }
 
-    private void write(Channel channel, Asked a) {
-        long now = clock.now();
-        if (now >= a.untilUs) {
-            idle.push(channel);
-            end(a, 5);
-            return;
-        }
-        FullHttpRequest m = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                a.kind == Kind.LOOKUP ? HttpMethod.GET : HttpMethod.POST, "/api/" + a.kind.lane);
-        m.headers().set(HttpHeaderNames.HOST, "api.internal").set("X-Txn", a.id).set("X-Lane", a.kind.lane)
-                .set("X-Remaining-Ms", Math.max(1, (a.untilUs - now) / 1000)).set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        if (a.kind == Kind.CONFIRM) {
-            m.headers().set("Idempotency-Key", a.intent);
-        }
-        if (a.again) {
-            m.headers().set("X-Resent", "1");
-        }
-        a.on = channel;
-        channel.pipeline().get(Handler.class).asked = a;
+    /** Which of the two protocols they speak. */
+    public abstract boolean grpc();
+
+    /** Sets the ids of two protocols beside one sidecar apart. */
+    abstract String idMark();
+
+    /** Sends it on some connection, after {@link #sent}; or ends it as unreachable. */
+    abstract void send(Asked a, InetSocketAddress to);
+
+    /** Nobody waits for it any longer. */
+    abstract void giveUp(Asked a);
+
+    abstract void hangUp();
+
+    /** Its last byte is about to be written. */
+    void sent(Asked a, long now) {
         referee.sent(now, a.id, a.intent, a.kind.semantics, a.untilUs);
+        a.sentUs = now;
         a.timeout = loop.schedule(() -> timedOut(a), a.untilUs - now + 100_000, TimeUnit.MICROSECONDS);
-        channel.writeAndFlush(m);
     }
 
     /** A little after its time: an answer that comes just then is late, not lost. */
     private void timedOut(Asked a) {
         if (!a.over) {
-            a.on.close();
+            giveUp(a);
             end(a, 4);
         }
     }
 
     /** Once more where that is harmless and time is left; else it has ended so. */
-    private void again(Asked a, int as) {
+    void again(Asked a, int as) {
         if (a.again || clock.now() + AGAIN_MS * 1000 >= a.untilUs) {
             end(a, as);
         } else {
@@ -235,7 +196,7 @@
         }
     }
 
-    private void end(Asked a, int as) {
+    void end(Asked a, int as) {
         if (!a.over) {
             a.over = true;
             if (a.timeout != null) {
@@ -261,65 +222,50 @@
         return loop.submit(() -> firstServedUs).syncUninterruptibly().getNow();
     }
 
-    private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
-        private Asked asked;
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
-            Asked a = asked;
-            asked = null;
-            if (a == null) {
-                referee.answered(clock.now(), "nothing on " + ctx.channel().localAddress(), Referee.Ending.FAILED, false);
-                ctx.close();
-                return;
-            }
-            long now = clock.now();
-            int code = answer.status().code();
-            Referee.Ending ending = code == 200 ? Referee.Ending.SERVED
-                    : code == 429 || code == 503 ? Referee.Ending.REFUSED : Referee.Ending.FAILED;
-            String body = answer.content().toString(StandardCharsets.UTF_8);
-            referee.answered(now, a.id, ending, body.contains("\"txn\":\"" + a.id + "\""));
-            switch (ending) {
-                case SERVED -> {
-                    firstServedUs = firstServedUs == 0 ? now : firstServedUs;
-                    end(a, now - a.firstUs <= AIM_MS * 1000 ? 1 : 2);
-                }
-                case REFUSED -> again(a, 3);
-                case FAILED -> {
-                    if (a.kind == Kind.LOOKUP) {
-                        again(a, 4);
-                    } else {
-                        end(a, 4);
-                    }
+    /** The final answer to it has come. */
+    void answered(Asked a, Referee.Ending ending, String body) {
+        long now = clock.now();
+        referee.answered(now, a.id, ending, body.contains("\"txn\":\"" + a.id + "\""));
+        switch (ending) {
+            case SERVED -> {
+                firstServedUs = firstServedUs == 0 ? now : firstServedUs;
+                if (latenciesUs.size() < MOST_LATENCIES) {
+                    latenciesUs.add(now - a.sentUs);
                 }
+                end(a, now - a.firstUs <= AIM_MS * 1000 ? 1 : 2);
             }
-            if (HttpUtil.isKeepAlive(answer)) {
-                idle.push(ctx.channel());
-            } else {
-                ctx.close();
-            }
-        }
-
-        /** A sidecar that was killed owes nothing, nor one that closed a connection before it read the request. */
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            Asked a = asked;
-            asked = null;
-            if (a != null && !a.over && clock.now() < a.untilUs) {
-                if (mayLose) {
-                    referee.released(a.id);
-                }
+            case REFUSED -> again(a, 3);
+            case FAILED -> {
                 if (a.kind == Kind.LOOKUP) {
-                    again(a, 5);
+                    again(a, 4);
                 } else {
-                    end(a, 5);
+                    end(a, 4);
                 }
             }
         }
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+    /** An answer came where nothing was asked. */
+    void unasked(String where) {
+        referee.answered(clock.now(), "nothing on " + where, Referee.Ending.FAILED, false);
+    }
+
+    /** Its connection ended. A sidecar that was killed owes nothing; one that was not has lost it, says the referee. */
+    void lost(Asked a) {
+        if (!a.over && clock.now() < a.untilUs) {
+            if (mayLose) {
+                referee.released(a.id);
+            }
+            if (a.kind == Kind.LOOKUP) {
+                again(a, 5);
+            } else {
+                end(a, 5);
+            }
         }
     }
+
+    /** Time from a request's last byte to its answer, in microseconds, of those that were served; in no order. */
+    public List<Long> latenciesUs() {
+        return loop.submit(() -> List.copyOf(latenciesUs)).syncUninterruptibly().getNow();
+    }
 }
--- a/src/main/java/rushproxy/standin/Node.java
+++ b/src/main/java/rushproxy/standin/Node.java
@@ -25,6 +25,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import rushproxy.core.Clock;
 
 /**
@@ -36,7 +37,7 @@
     private static final int MAX_BODY = 64 * 1024;
     private static final int RELISTEN_MS = 20;
 
-    private record Job(ChannelHandlerContext from, String id) {}
+    private record Job(String id, Consumer<String> served) {}
 
     private final EventLoop loop;
     private final Clock clock;
@@ -57,6 +58,7 @@
     /** Counts the lives of the process: work of an earlier one ends nowhere. */
     private int life;
     private volatile int served;
+    private volatile GrpcFace grpc;
 
     Node(EventLoop loop, Clock clock, Referee referee, String id, String zone, Shape shape) {
         this.loop = loop;
@@ -117,6 +119,9 @@
     private void die() {
         life++;
         listener.close();
+        if (grpc != null) {
+            grpc.die();
+        }
         for (Channel c : Set.copyOf(connections)) {
             c.config().setOption(ChannelOption.SO_LINGER, 0);
             c.close();
@@ -135,12 +140,19 @@
         long now = clock.now();
         model = new NodeModel(shape, now);
         startedUs = now;
+        if (grpc != null) {
+            grpc.listenAgain();
+        }
+        bindAgain();
+    }
+
+    private void bindAgain() {
         bind(address).bind().addListener(f -> {
             if (f.isSuccess()) {
                 listener = ((io.netty.channel.ChannelFuture) f).channel();
             } else if (!loop.isShuttingDown()) {
                 // The old listener is not gone yet.
-                loop.schedule(this::comeBack, RELISTEN_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(this::bindAgain, RELISTEN_MS, TimeUnit.MILLISECONDS);
             }
         });
     }
@@ -191,11 +203,61 @@
             }
             working--;
             served++;
-            answer(job.from, HttpResponseStatus.OK, "{\"node\":\"" + id + "\",\"txn\":\"" + job.id + "\"}", false);
+            job.served.accept("{\"node\":\"" + id + "\",\"txn\":\"" + job.id + "\"}");
             begin();
         }, us, TimeUnit.MICROSECONDS);
     }
 
+    /** A request has come whole, by whichever protocol; one of the three runs, or none where the process dies. */
+    private void take(String txn, Consumer<String> served, Runnable turnedAway, Runnable reset) {
+        long now = clock.now();
+        referee.attempted(now, World.sidecarOf(txn), id, txn);
+        double multiple = model.push(now);
+        if (model.warmth(now) < 1) {
+            referee.pushed(now, id, multiple);
+        }
+        if (model.fallen()) {
+            die();
+        } else if (resetting) {
+            referee.ran(now, id, zone, txn);
+            reset.run();
+        } else if (draining || waiting.size() >= shape.waiting()) {
+            turnedAway.run();
+        } else {
+            waiting.add(new Job(txn, served));
+            begin();
+        }
+    }
+
+    /** From now on the node speaks gRPC too, on a port of its own. */
+    Node speakGrpc() throws InterruptedException {
+        GrpcFace made = new GrpcFace(loop, new GrpcFace.Work() {
+            @Override
+            public void take(String txn, Consumer<String> served, Runnable turnedAway, Runnable reset) {
+                Node.this.take(txn, served, turnedAway, reset);
+            }
+
+            @Override
+            public void ran(String txn) {
+                long now = clock.now();
+                referee.attempted(now, World.sidecarOf(txn), id, txn);
+                referee.ran(now, id, zone, txn);
+            }
+        }, this::load);
+        made.listen();
+        grpc = made;
+        return this;
+    }
+
+    /** 0 where it does not speak gRPC. */
+    public int grpcPort() {
+        return grpc == null ? 0 : grpc.port();
+    }
+
+    GrpcFace grpc() {
+        return grpc;
+    }
+
     private String load() {
         return String.format(Locale.ROOT, "TEXT inflight=%d, queue=%d, util=%.2f", working + waiting.size(),
                 waiting.size(), (double) working / shape.cores());
@@ -229,24 +291,11 @@
                 answer(ctx, HttpResponseStatus.NOT_FOUND, "", false);
                 return;
             }
-            long now = clock.now();
-            referee.attempted(now, World.sidecarOf(txn), id, txn);
-            double multiple = model.push(now);
-            if (model.warmth(now) < 1) {
-                referee.pushed(now, id, multiple);
-            }
-            if (model.fallen()) {
-                die();
-            } else if (resetting) {
-                referee.ran(now, id, zone, txn);
-                ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-                ctx.close();
-            } else if (draining || waiting.size() >= shape.waiting()) {
-                answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true);
-            } else {
-                waiting.add(new Job(ctx, txn));
-                begin();
-            }
+            take(txn, body -> answer(ctx, HttpResponseStatus.OK, body, false),
+                    () -> answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true), () -> {
+                        ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                        ctx.close();
+                    });
         }
 
         @Override
--- a/src/main/java/rushproxy/standin/Registry.java
+++ b/src/main/java/rushproxy/standin/Registry.java
@@ -190,6 +190,9 @@
                 e.put("lifecycle", l.lifecycle);
                 e.put("weight", 1.0);
                 e.put("startedAtMs", l.node.startedMs());
+                if (l.node.grpcPort() > 0) {
+                    e.put("grpcPort", l.node.grpcPort());
+                }
                 instances.add(e);
                 told.add(l);
             }
--- a/src/main/java/rushproxy/standin/SidecarProcess.java
+++ b/src/main/java/rushproxy/standin/SidecarProcess.java
@@ -21,6 +21,7 @@
 /** A real sidecar as a process of its own, started as {@code run} starts it, from the same jar or classes as this stage. */
 public final class SidecarProcess implements AutoCloseable {
     private static final Pattern SERVES = Pattern.compile(".* serves on [^/]*/([0-9.]+):([0-9]+),.*");
+    private static final Pattern GRPC = Pattern.compile(".* takes gRPC on [^/]*/([0-9.]+):([0-9]+)");
     /** Like those of the line {@code run}; a class archive beside the jar is used where there is one. */
     private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
             "-XX:C1MaxInlineSize=12", "-XX:Tier0InvokeNotifyFreqLog=5", "-XX:Tier3InvocationThreshold=64",
@@ -102,6 +103,15 @@
         return listening.get(60, TimeUnit.SECONDS);
     }
 
+    /** Where its gRPC clients connect. */
+    public InetSocketAddress grpcAddress() throws Exception {
+        Matcher m = GRPC.matcher(awaitLog("takes gRPC on "));
+        if (!m.matches()) {
+            throw new IOException("no address in its log: " + log());
+        }
+        return new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2)));
+    }
+
     /** Waits for a line of its log, past or to come. */
     public String awaitLog(String part) throws Exception {
         Awaited a = new Awaited(l -> l.contains(part), new CompletableFuture<>());
--- a/src/main/java/rushproxy/standin/World.java
+++ b/src/main/java/rushproxy/standin/World.java
@@ -45,6 +45,7 @@
     private final Registry registry = new Registry(loop, clock, referee);
     private final Shape shape;
     private final Path folder;
+    private boolean grpc;
     private final List<Node> nodes = new ArrayList<>();
     private final List<SidecarProcess> sidecars = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
@@ -55,6 +56,23 @@
         folder = Files.createTempDirectory("world");
     }
 
+    /** Nodes that are made from now on speak gRPC too. */
+    public World grpc() {
+        grpc = true;
+        return this;
+    }
+
+    /** The table [grpc] of a sidecar's operator's file, on any free port; its methods have the stage's classes. */
+    public static String grpcTable() {
+        StringBuilder t = new StringBuilder("[grpc]\nlisten = \"127.0.0.1:0\"\n");
+        for (Clients.Kind k : Clients.Kind.values()) {
+            t.append("[[grpc.method]]\nname = \"stage.Booking/").append(k.method).append("\"\nclass = \"").append(k.lane)
+                    .append("\"\n");
+        }
+        return t.append("[[grpc.method]]\nname = \"stage.Booking/Echo\"\nclass = \"note-change\"\nstreams = true\n")
+                .append("[grpc.other]\nclass = \"note-change\"\n").toString();
+    }
+
     static String sidecarOf(String id) {
         return id.substring(0, Math.max(0, id.indexOf('-')));
     }
@@ -87,6 +105,9 @@
     public Node node() throws InterruptedException {
         int number = nodes.size();
         Node node = new Node(loop, clock, referee, "n" + number, ZONES.get(number % ZONES.size()), shape).listen();
+        if (grpc) {
+            node.speakGrpc();
+        }
         nodes.add(node);
         registry.list(node, "Ready");
         return node;
@@ -97,9 +118,13 @@
     }
 
     /** A line of a list, as a sidecar's {@code known} or the list on disk has it. */
-    public record Listed(String id, String address, String zone, long startedMs) {
+    public record Listed(String id, String address, String zone, long startedMs, int grpcPort) {
+        public Listed(String id, String address, String zone, long startedMs) {
+            this(id, address, zone, startedMs, 0);
+        }
+
         public static Listed of(Node n) {
-            return new Listed(n.id(), n.address(), n.zone(), n.startedMs());
+            return new Listed(n.id(), n.address(), n.zone(), n.startedMs(), n.grpcPort());
         }
 
         Map<String, Object> json() {
@@ -112,6 +137,9 @@
             e.put("lifecycle", "Ready");
             e.put("weight", 1.0);
             e.put("startedAtMs", startedMs);
+            if (grpcPort > 0) {
+                e.put("grpcPort", grpcPort);
+            }
             return e;
         }
     }
@@ -186,7 +214,15 @@
 
     /** The application beside the sidecar of this name. */
     public Clients clients(String sidecar) {
-        Clients c = new Clients(loop, clock, referee, sidecar, 17 + clients.size());
+        return add(new HttpClients(loop, clock, referee, sidecar, 17 + clients.size()));
+    }
+
+    /** The same application speaking gRPC. */
+    public Clients grpcClients(String sidecar) {
+        return add(new GrpcClients(loop, clock, referee, sidecar, 17 + clients.size()));
+    }
+
+    private Clients add(Clients c) {
         clients.add(c);
         return c;
     }
@@ -230,6 +266,17 @@
         return ready;
     }
 
+    /**
+     * Opens so many streams that echo, a hundred to a connection, each with one message there and back, and leaves them open
+     * until this world ends.
+     *
+     * @return how many had their message back within {@code ms}
+     */
+    public int idleStreams(InetSocketAddress sidecar, int wanted, long ms) throws InterruptedException {
+        IdleStreams streams = new IdleStreams(loop, sidecar, wanted);
+        return streams.open(ms);
+    }
+
     /** Runs it on the stage's loop after so long; for troubles that a plan names. */
     public void after(long ms, Runnable trouble) {
         loop.schedule(trouble, ms, TimeUnit.MILLISECONDS);
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -758,7 +758,7 @@
     // ---- what is in doubt --------------------------------------------------------------------------
 
     private static Upstream doubted(String id, String zone, Balancer.Doubt doubt, long coldSinceUs) {
-        return new Upstream(id, zone, "k", 1, 0, 1, UpstreamState.READY, doubt, coldSinceUs);
+        return new Upstream(id, zone, "k", 1, 0, 1, UpstreamState.READY, doubt, coldSinceUs, Balancer.HTTP1);
     }
 
     /** An old list's word on zones is no promise that a repeat is dropped. */
@@ -806,4 +806,69 @@
         }
         assertTrue(sent[1] < sent[0] / 3, sent[1] + " as cold, " + sent[0] + " as warm");
     }
+
+    // ---- two protocols -----------------------------------------------------------------------------
+
+    private static Upstream speaking(String id, int protocols) {
+        return new Upstream(id, "za", "k", 1, 0, 1, UpstreamState.READY, Balancer.Doubt.NONE, 0, protocols);
+    }
+
+    private static Request in(String id, int protocol) {
+        return new Request(id, -1, false, false, 0, 800_000, null, "c", protocol);
+    }
+
+    @Test
+    void aRequestGoesOnlyToWhoSpeaksItsProtocol() {
+        Rig rig = new Rig();
+        rig.start().list(speaking("h", Balancer.HTTP1), speaking("g", Balancer.GRPC));
+        rig.policy.onRequest(rig.now, in("a", Balancer.GRPC));
+        rig.policy.onRequest(rig.now, in("b", Balancer.HTTP1));
+        assertEquals("g", rig.sentTo("a", 0));
+        assertEquals("h", rig.sentTo("b", 0));
+    }
+
+    /** What one protocol's requests meet keeps the other's away too: there is one knowledge of each server. */
+    @Test
+    void failuresOfOneProtocolCountForTheOther() {
+        for (int failing : new int[] {Balancer.HTTP1, Balancer.GRPC}) {
+            int other = failing == Balancer.HTTP1 ? Balancer.GRPC : Balancer.HTTP1;
+            Rig rig = new Rig();
+            int both = Balancer.HTTP1 | Balancer.GRPC;
+            rig.maxAttempts = 1;
+            rig.start().list(speaking("s1", both), speaking("s2", both), speaking("s3", both));
+            for (int i = 0; i < 40; i++) {
+                rig.policy.onRequest(rig.now, in("f" + i, failing));
+                String to = rig.sentTo("f" + i, 0);
+                rig.outcome("f" + i, 0, to, to.equals("s1") ? Outcome.ERROR : Outcome.OK, 10_000);
+                rig.after(1_000);
+                if (rig.take("send f").stream().filter(l -> l.contains(" s1 ")).count() >= 2) {
+                    break;
+                }
+            }
+            for (int i = 0; i < 30; i++) {
+                rig.policy.onRequest(rig.now, in("o" + i, other));
+                assertNotEquals("s1", rig.sentTo("o" + i, 0), "the other protocol went to a server that fails");
+                rig.outcome("o" + i, 0, rig.sentTo("o" + i, 0), Outcome.OK, 10_000);
+                rig.after(1_000);
+            }
+        }
+    }
+
+    /** A stream may be open for an hour: it is no work that never ends, and its server is not full of it. */
+    @Test
+    void streamsThatHaveBegunHoldNoPlace() {
+        Rig rig = new Rig();
+        rig.stream = true;
+        rig.start().list(Rig.up("s1", "za", 1));
+        for (int i = 0; i < 200; i++) {
+            rig.request("r" + i);
+            assertEquals("s1", rig.sentTo("r" + i, 0), "stream " + i + " found no room");
+            rig.policy.onStreamStart(rig.now, "r" + i, 0, "s1", 1_000);
+            rig.after(100_000);
+        }
+        for (int i = 0; i < 200; i++) {
+            rig.policy.onOutcome(rig.now, "r" + i, 0, "s1", Outcome.OK, 60_000_000, true, null);
+        }
+        assertEquals(0, rig.policy.servers.get("s1").own);
+    }
 }
--- a/src/test/java/rushproxy/cli/MainTest.java
+++ b/src/test/java/rushproxy/cli/MainTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import rushproxy.standin.SidecarProcess;
 
 /** The program as its platform starts and ends it. */
 @Timeout(120)
@@ -19,31 +19,23 @@
     @TempDir
     Path folder;
 
-    private Process start(String config, String... before) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, config);
-        List<String> command = new ArrayList<>(List.of(before));
-        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "rushproxy.cli.Main", "serve"));
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_"));
-        builder.environment().put("BALANCER_CONFIG", file.toString());
-        builder.environment().put("BALANCER_DISCOVERY", "127.0.0.1:9");
-        builder.redirectError(folder.resolve("log").toFile());
-        return builder.start();
+    private SidecarProcess start(String config, String operator, String... before) throws Exception {
+        List<String> wrapper = new ArrayList<>(List.of("env", "BALANCER_DISCOVERY=127.0.0.1:9"));
+        wrapper.addAll(List.of(before));
+        return new SidecarProcess("sidecar", Files.writeString(folder.resolve("config.json"), config),
+                operator == null ? null : Files.writeString(folder.resolve("operator.toml"), operator), wrapper);
     }
 
-    private List<String> log() throws Exception {
-        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8).lines()
-                .filter(l -> !l.startsWith("Picked up ")).toList();
+    private static void endsWith(SidecarProcess p, int code, String part) throws Exception {
+        assertTrue(p.process().waitFor(60, TimeUnit.SECONDS));
+        assertEquals(code, p.process().exitValue());
+        assertTrue(p.awaitLog(part).contains(part));
+        assertEquals(1, p.log().size(), p.log().toString());
     }
 
     @Test
     void aBrokenConfigurationEndsItWithOneLine() throws Exception {
-        Process p = start("{\"name\":\"n\"}");
-        assertEquals(2, p.waitFor());
-        assertEquals(1, log().size(), log().toString());
-        assertTrue(log().get(0).contains("'settings' is missing"), log().toString());
+        endsWith(start("{\"name\":\"n\"}", null), 2, "'settings' is missing");
     }
 
     private static final String CONFIG = """
@@ -53,32 +45,48 @@
               "profiles":[{"name":"c","semantics":"safe","objective_us":1,"give_up_us":1}],
               "rules":{"drain_grace_us":1,"cold_share":0.2,"ramp_time_us":1,"fall_multiple":3,"fall_us":1}}}""";
 
-    private void awaitLine(Process p, String part) throws Exception {
-        while (log().stream().noneMatch(l -> l.contains(part))) {
-            assertTrue(p.isAlive(), "it ended: " + log());
-            Thread.sleep(20);
-        }
+    private static void hangUp(SidecarProcess p) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + p.process().pid()).start().waitFor());
     }
 
-    private static void hangUp(Process p) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + p.pid()).start().waitFor());
+    @Test
+    void aBrokenOperatorsFileEndsItWithItsPlace() throws Exception {
+        endsWith(start(CONFIG, "\n[membership]\nfresh = 3\n"), 2, "operator.toml:3: membership.fresh: expected a duration");
     }
 
     /** SIGHUP ends a program that does not handle it. The file's word holds then, also against the environment's. */
     @Test
     void toldOfANewConfigurationItServesOnWithIt() throws Exception {
-        Process p = start(CONFIG);
-        awaitLine(p, " serves on ");
-        Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
-        hangUp(p);
-        awaitLine(p, "discovery is now at /127.0.0.2:9");
-        Files.writeString(folder.resolve("config.json"), "{");
-        hangUp(p);
-        awaitLine(p, "goes on as before: ");
-        assertTrue(p.isAlive());
-        p.destroy();
-        assertTrue(p.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(0, p.exitValue(), log().toString());
+        try (SidecarProcess p = start(CONFIG, null)) {
+            p.awaitLog(" serves on ");
+            Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
+            hangUp(p);
+            p.awaitLog("discovery is now at /127.0.0.2:9");
+            Files.writeString(folder.resolve("config.json"), "{");
+            hangUp(p);
+            p.awaitLog("goes on as before: ");
+            assertTrue(p.process().isAlive());
+            assertEquals(0, p.terminate(), p.log().toString());
+        }
+    }
+
+    /** The operator's file is read again with it: where the list is kept changes at once, a broken one changes nothing. */
+    @Test
+    void toldOfANewOperatorsFileItKeepsItsListThere() throws Exception {
+        String table = "[membership.disk]\nfleet = \"f\"\nfolder = \"";
+        try (SidecarProcess p = start(CONFIG, table + folder.resolve("a") + "\"\n")) {
+            p.awaitLog(" serves on ");
+            Files.writeString(folder.resolve("operator.toml"), table + folder.resolve("b") + "\"\n");
+            hangUp(p);
+            p.awaitLog("keeps its list in " + folder.resolve("b"));
+            Files.writeString(folder.resolve("operator.toml"), "[membership.disc]\n");
+            hangUp(p);
+            assertTrue(p.awaitLog("goes on as before: ").contains(":1: membership.disc: unknown"), p.log().toString());
+            Files.writeString(folder.resolve("operator.toml"), "");
+            hangUp(p);
+            p.awaitLog("keeps no list from now on");
+            assertEquals(0, p.terminate(), p.log().toString());
+        }
     }
 
     private static final String[] NO_HANG_UP = {"sh", "-c", "trap '' HUP; exec \"$@\"", "sh"};
@@ -86,11 +94,10 @@
     /** Under nohup the signal never comes: on a day on which discovery moved, half of the service was lost to that. */
     @Test
     void startedWithTheSignalIgnoredItSaysSo() throws Exception {
-        Process p = start(CONFIG, NO_HANG_UP);
-        awaitLine(p, " serves on ");
-        assertTrue(log().get(0).contains("SIGHUP is ignored by whoever started this"), log().toString());
-        p.destroy();
-        assertTrue(p.waitFor(60, TimeUnit.SECONDS));
+        try (SidecarProcess p = start(CONFIG, null, NO_HANG_UP)) {
+            p.awaitLog(" serves on ");
+            assertTrue(p.log().get(0).contains("SIGHUP is ignored by whoever started this"), p.log().toString());
+        }
     }
 
     /** The line {@code run} takes the signal back, whoever gave it away. */
@@ -98,25 +105,22 @@
     void startedAsInTheDeployFileItHearsTheSignalAllTheSame() throws Exception {
         String run = Files.readString(Path.of("deploy/balancer.toml")).lines().filter(l -> l.startsWith("run = "))
                 .findFirst().orElse("");
-        String[] start = run.substring(run.indexOf("exec ") + 5, run.indexOf(" java ")).split(" ");
         List<String> before = new ArrayList<>(List.of(NO_HANG_UP));
-        before.addAll(List.of(start));
-        Process p = start(CONFIG, before.toArray(String[]::new));
-        awaitLine(p, " serves on ");
-        Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
-        hangUp(p);
-        awaitLine(p, "discovery is now at /127.0.0.2:9");
-        p.destroy();
-        assertTrue(p.waitFor(60, TimeUnit.SECONDS));
+        before.addAll(List.of(run.substring(run.indexOf("exec ") + 5, run.indexOf(" java ")).split(" ")));
+        try (SidecarProcess p = start(CONFIG, null, before.toArray(String[]::new))) {
+            p.awaitLog(" serves on ");
+            Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
+            hangUp(p);
+            p.awaitLog("discovery is now at /127.0.0.2:9");
+        }
     }
 
     /** Asked to end it exits with 0 once it is empty, which a signal's own exit code would not tell. */
     @Test
     void askedToEndItExitsWithZero() throws Exception {
-        Process p = start(CONFIG);
-        awaitLine(p, " serves on ");
-        p.destroy();
-        assertTrue(p.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(0, p.exitValue(), log().toString());
+        try (SidecarProcess p = start(CONFIG, null)) {
+            p.awaitLog(" serves on ");
+            assertEquals(0, p.terminate(), p.log().toString());
+        }
     }
 }
--- a/src/test/java/rushproxy/operator/OperatorFileTest.java
+++ b/src/test/java/rushproxy/operator/OperatorFileTest.java
@@ -54,24 +54,29 @@
         assertEquals(new Trust(60_000_000, 7 * 86_400_000_000L, 7_200_000_000L, 3, 5), m.trust());
         assertEquals(250_000, m.spreadUs());
         assertEquals(new Operator.DiskOptions(Path.of("/var/lib/x"), "f", 10, 20_000_000, 65_536), m.disk());
-        assertEquals(5, OperatorFile.explain(new Operator(m)).size() + 1, OperatorFile.explain(new Operator(m)).toString());
+        assertEquals(5, OperatorFile.explain(new Operator(m, null)).size());
     }
 
     /** The file that comes with the program is right, says what it does, and turns nothing on that this platform lacks. */
     @Test
     void theFileInDeployIsRight() throws Exception {
         Operator operator = OperatorFile.read("deploy/operator.toml");
-        assertNull(operator.membership() == null ? null : operator.membership().disk());
+        assertEquals(Operator.NONE, operator);
         String all = Files.readString(Path.of("deploy/operator.toml")).replaceAll("(?m)^#(?=[a-z\\[])", "");
         Operator.MembershipOptions m = read(all).membership();
         assertEquals("wien-termine", m.disk().fleet());
         assertEquals(read("[membership]").membership().trust(), m.trust(), "a commented value is not the default");
+        Operator.GrpcOptions g = read(all).grpc();
+        assertEquals("booking-confirm", g.route("/zahnplan.Booking/Confirm").requestClass());
+        assertEquals("slot-lookup", g.route("/zahnplan.Slots/Any").requestClass());
+        assertEquals("booking-confirm", g.route("/other.Service/Any").requestClass());
+        assertNull(g.route("/nonsense"));
     }
 
     @Test
     void whatIsWrongIsNamedWithItsLine() {
         broken("[membership]\nfresch = \"1s\"\n", 2, "membership.fresch: unknown; expected one of disk, fresh, ");
-        broken("[members]\n", 1, "members: unknown; expected one of membership");
+        broken("[members]\n", 1, "members: unknown; expected one of grpc, membership");
         broken("[membership]\n\nfresh = \"1 s\"\n", 3, "membership.fresh: expected a duration from");
         broken("[membership]\nfresh = 30\n", 2, "found 30");
         broken("[membership]\nfresh = \"2h\"\n", 2, "\"1h\"");
@@ -84,6 +89,12 @@
         broken("[membership.disk]\nfolder = \"\"\nfleet = \"f\"\n", 2, "membership.disk.folder");
         broken("[membership.disk]\nfolder = \"x\"\nfleet = \"f\"\nlargest = \"1GB\"\n", 4, "a size from");
         broken("[membership]\nfresh = \"1s\"\nfresh = \"2s\"\n", 3, "no TOML");
+        broken("[grpc]\nlisten = \"localhost:1\"\n", 2, "an address such as");
+        broken("[grpc]\nlisten = \"127.0.0.1:1\"\n", 1, "grpc.other: expected a table");
+        broken("[grpc]\nlisten = \"127.0.0.1:1\"\nmethod = 3\n", 3, "a list of tables");
+        broken("[grpc]\nlisten = \"127.0.0.1:1\"\n[grpc.other]\nclass = \"c\"\nstreams = 1\n", 5, "true or false");
+        broken("[grpc]\nlisten = \"127.0.0.1:1\"\n[[grpc.method]]\nname = \"a\"\nclass = \"c\"\n[[grpc.method]]\n"
+                + "name = \"a\"\nclass = \"c\"\n", 7, "a name that no other method has");
         broken("[membership\n", 1, "no TOML");
         Broken e = assertThrows(Broken.class, () -> OperatorFile.read(folder.resolve("none").toString()));
         assertTrue(e.getMessage().contains("can't be read"), e.getMessage());
