--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -24,6 +24,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
 import rushproxy.core.Clock;
@@ -48,6 +50,9 @@
     private static final long SERVE_ON_MS = 600, LOOK_MS = 20;
     private static final int ANY_STREAM = Integer.MAX_VALUE;
 
+    /** Kept, or the level is forgotten with it. What a client does to a connection is no line of the log, however often. */
+    private static final Logger CODEC = Logger.getLogger("io.netty.handler.codec.http2");
+
     private final EventLoop loop;
     private final Clock clock;
     private final Requests requests;
@@ -65,6 +70,7 @@
     /** {@code name} is this sidecar's: the ids that calls without one get begin with it. */
     public GrpcServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, GrpcOptions options,
                       long connIdleUs, long dialTimeoutUs, String name) {
+        CODEC.setLevel(Level.WARNING);
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -3,8 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.internal.logging.InternalLoggerFactory;
-import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,8 +11,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Policy;
@@ -122,9 +118,6 @@
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment, Operators operators) throws InterruptedException {
-        // Named, not looked for; and what a client does to a connection is no line of the log, however often it does it.
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        Logger.getLogger("io.netty").setLevel(Level.WARNING);
         Reload reload = new Reload(environment, operators);
         Config config;
         Operator operator;
