--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -871,4 +871,25 @@
         }
         assertEquals(0, rig.policy.servers.get("s1").own);
     }
+
+    /** A cold server can be pushed over by both together: what one protocol sent is gone from the other's budget. */
+    @Test
+    void theColdBudgetIsOneForBothProtocols() {
+        int[] sent = new int[2];
+        for (int mixed = 0; mixed < 2; mixed++) {
+            Rig rig = new Rig();
+            rig.start().list(new Upstream("s1", "za", "k", 1, rig.now, 1, UpstreamState.READY, Balancer.Doubt.NONE, 0,
+                    Balancer.HTTP1 | Balancer.GRPC));
+            for (int n = 0; n < 400; n++) {
+                rig.policy.onRequest(rig.now, in("r" + n, mixed == 1 && n % 2 == 0 ? Balancer.GRPC : Balancer.HTTP1));
+                if (rig.sentTo("r" + n, 0) != null) {
+                    sent[mixed]++;
+                    rig.outcome("r" + n, 0, "s1", Outcome.OK, 20_000);
+                }
+                rig.after(2_000);
+            }
+        }
+        assertEquals(sent[0], sent[1]);
+        assertTrue(sent[0] > 0 && sent[0] < 200, sent[0] + " of 400");
+    }
 }
--- /dev/null
+++ b/src/test/java/rushproxy/json/JsonTest.java
@@ -0,0 +1,109 @@
+package rushproxy.json;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** What is read field by field, and an error that names the field. */
+class JsonTest {
+    private static Json parse(String text) {
+        return Json.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void fieldsOfEachKind() {
+        Json json = parse("{\"t\":\"ü\",\"n\":7,\"r\":1.5,\"f\":true,\"o\":{\"x\":1},\"l\":[{\"y\":2},{\"y\":3}],\"s\":[\"a\",4],\"z\":null}");
+        assertEquals("ü", json.text("t"));
+        assertEquals(7, json.number("n"));
+        assertEquals(1.5, json.realOr("r", 0));
+        assertTrue(json.flag("f"));
+        assertEquals(1, json.object("o").number("x"));
+        assertEquals(List.of(2L, 3L), json.objects("l").stream().map(j -> j.number("y")).toList());
+        assertEquals(List.of("a", "4"), json.textsOrNone("s"));
+        assertEquals(List.of(), json.textsOrNone("none"));
+        assertFalse(json.has("z"));
+        assertEquals("d", json.textOr("z", "d"));
+        assertEquals(9, json.numberOr("none", 9));
+    }
+
+    @Test
+    void aFieldOfTheWrongKindIsNamed() {
+        Json json = parse("{\"n\":7,\"l\":[1],\"t\":\"x\"}");
+        Map<String, org.junit.jupiter.api.function.Executable> wrong = Map.of(
+                "'n' is not a text", () -> json.text("n"),
+                "'t' is not a number", () -> json.number("t"),
+                "'t' is not true or false", () -> json.flag("t"),
+                "'n' is not an object", () -> json.object("n"),
+                "'l' holds what is no object", () -> json.objects("l"),
+                "'none' is missing", () -> json.text("none"));
+        wrong.forEach((message, call) ->
+                assertEquals(message, assertThrows(IllegalArgumentException.class, call).getMessage()));
+    }
+
+    @Test
+    void whatIsNoObjectIsOneLine() {
+        for (String text : new String[] {"", "[]", "7", "\"x\"", "null", "{", "{\"a\":", "{\"a\":1", "{\"a\":1}x", "{\"a\":1}{}",
+            "{\"a\":[1,}", "{a:1}", "\u0001", "{\"a\":01}"}) {
+            IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> parse(text), text);
+            assertTrue(e.getMessage().startsWith("no JSON object"), text + ": " + e.getMessage());
+            assertEquals(1, e.getMessage().lines().count(), text);
+        }
+    }
+
+    /** Deep or long beyond all sense: refused, not followed. */
+    @Test
+    void nestingIsBounded() {
+        assertThrows(IllegalArgumentException.class, () -> parse("{\"a\":" + "[".repeat(100_000) + "]".repeat(100_000) + "}"));
+    }
+
+    @Test
+    void allValuesByTheirPaths() {
+        assertEquals(Map.of("a.b", "1", "l", "x,2", "o.count", "2", "o.0.c", "true", "o.1.c", "false"),
+                parse("{\"a\":{\"b\":1},\"l\":[\"x\",2],\"o\":[{\"c\":true},{\"c\":false}],\"n\":null}").flat());
+    }
+
+    @Test
+    void whatIsWrittenIsReadAgain() {
+        Map<String, Object> object = new LinkedHashMap<>();
+        object.put("text", "a \"quoted\" \\ line\nand ü");
+        object.put("whole", 1L << 53);
+        object.put("real", 0.25);
+        object.put("flag", false);
+        object.put("none", null);
+        object.put("list", List.of(Map.of("x", 1), Map.of("x", 2)));
+        Json json = Json.parse(Json.write(object));
+        assertEquals(object.get("text"), json.text("text"));
+        assertEquals(1L << 53, json.number("whole"));
+        assertEquals(0.25, json.realOr("real", 0));
+        assertFalse(json.flag("flag"));
+        assertFalse(json.has("none"));
+        assertEquals(2, json.objects("list").get(1).number("x"));
+    }
+
+    /** Whatever bytes come: an object or the one exception. */
+    @Test
+    void noise() {
+        SplittableRandom random = new SplittableRandom(5);
+        byte[] good = "{\"a\":[{\"b\":1.5e3,\"c\":\"x\\u00fc\"},null,true]}".getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = Arrays.copyOf(good, random.nextInt(good.length + 1));
+            for (int k = 0; k < random.nextInt(4) && bytes.length > 0; k++) {
+                bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+            }
+            try {
+                Json.parse(bytes).flat();
+            } catch (IllegalArgumentException e) {
+                assertTrue(e.getMessage().startsWith("no JSON object"), e.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/settings/SettingsReaderTest.java
@@ -0,0 +1,102 @@
+package rushproxy.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import rushproxy.Balancer.Group;
+import rushproxy.Balancer.LoadReport;
+import rushproxy.Balancer.Reports;
+import rushproxy.Balancer.Semantics;
+import rushproxy.Balancer.Settings;
+
+/** The settings that both the wire and a sidecar's configuration bring, as path and value. */
+class SettingsReaderTest {
+    private final Map<String, String> values = new HashMap<>(Map.ofEntries(
+            Map.entry("me", "2"), Map.entry("balancers", "5"), Map.entry("zone", "za"),
+            Map.entry("profiles.count", "1"), Map.entry("profiles.0.name", "c"), Map.entry("profiles.0.semantics", "keyed"),
+            Map.entry("profiles.0.objective_us", "330000"), Map.entry("profiles.0.give_up_us", "830000"),
+            Map.entry("rules.drain_grace_us", "500000"), Map.entry("rules.cold_share", "0.13"),
+            Map.entry("rules.ramp_time_us", "24000000"), Map.entry("rules.fall_multiple", "3"),
+            Map.entry("rules.fall_us", "1000000")));
+
+    private Settings read() {
+        return new SettingsReader(values).read();
+    }
+
+    @Test
+    void whatIsThere() {
+        values.putAll(Map.of("azs", "za,zb", "kinds", "k1,k2", "profiles.0.group", "zone", "profiles.0.window_us", "4e6",
+                "profiles.0.importance", "9", "accounts.count", "1", "accounts.0.name", "t", "accounts.0.share", "0.4",
+                "limits.second_copies", "1", "load_info.how", "inline"));
+        values.put("discovery", "on_request");
+        values.put("load_info.fields", "busy_reqs,cpu_share");
+        Settings s = read();
+        assertEquals(2, s.me());
+        assertEquals(List.of("za", "zb"), s.zones());
+        assertEquals(List.of("k1", "k2"), s.kinds());
+        assertEquals(Semantics.KEYED, s.classes().get(0).semantics());
+        assertEquals(Group.ZONE, s.classes().get(0).group());
+        assertEquals(4_000_000, s.classes().get(0).windowUs());
+        assertEquals(9, s.classes().get(0).worth());
+        assertEquals(0.4, s.tenants().get(0).share());
+        assertTrue(s.limits().secondCopies());
+        assertTrue(s.discoveryOnRequest());
+        assertEquals(Reports.INLINE, s.reports());
+        assertEquals(List.of("busy_reqs", "cpu_share"), new SettingsReader(values).reportFields());
+    }
+
+    @Test
+    void whatIsNotThereHasItsDefault() {
+        Settings s = read();
+        assertEquals(List.of("za"), s.zones());
+        assertEquals(Group.ALL, s.classes().get(0).group());
+        assertEquals(1, s.limits().maxAttempts());
+        assertFalse(s.limits().probing());
+        assertFalse(s.discoveryOnRequest());
+        assertEquals(Reports.NONE, s.reports());
+        assertEquals(250_000, new SettingsReader(values).dialTimeoutUs());
+        assertEquals(List.of(), s.tenants());
+    }
+
+    @Test
+    void whatIsWrongIsNamed() {
+        Map.of("profiles.0.semantics", "semantics 'x' is unknown", "profiles.0.group", "group 'x' is unknown",
+                "me", "setting 'me' is no number: 'x'", "rules.cold_share", "setting 'rules.cold_share' is no number: 'x'")
+                .forEach((path, message) -> {
+                    String before = values.put(path, "x");
+                    assertEquals(message, assertThrows(SettingsException.class, this::read, path).getMessage());
+                    if (before == null) {
+                        values.remove(path);
+                    } else {
+                        values.put(path, before);
+                    }
+                });
+        for (String path : List.copyOf(values.keySet())) {
+            String before = values.remove(path);
+            assertTrue(assertThrows(SettingsException.class, this::read, path).getMessage().contains("'" + path + "' is missing"));
+            values.put(path, before);
+        }
+    }
+
+    @Test
+    void loadUnderEitherName() {
+        LoadValues wire = new LoadValues();
+        wire.put("busy_reqs", 3);
+        wire.put("pending", 1);
+        wire.put("cpu_share", 0.5);
+        LoadValues socket = new LoadValues();
+        socket.put("inflight", 3);
+        socket.put("queue", 1);
+        socket.put("util", 0.5);
+        socket.put("something_else", 7);
+        assertEquals(new LoadReport(3, 1, 0.5), wire.report());
+        assertEquals(wire.report(), socket.report());
+        assertEquals(new LoadReport(-1, -1, -1), new LoadValues().report());
+    }
+}
