--- a/src/main/java/rushproxy/cli/Demo.java
+++ b/src/main/java/rushproxy/cli/Demo.java
@@ -14,27 +14,8 @@
 final class Demo {
     private Demo() {}
 
-    static int run(List<String> options) throws Exception {
-        int seconds = 20;
-        int rate = 60;
-        boolean grpc = options.contains("--grpc");
-        options = options.stream().filter(o -> !o.equals("--grpc")).toList();
-        for (int i = 0; i < options.size(); i += 2) {
-            int value = i + 1 < options.size() && options.get(i + 1).matches("[0-9]{1,4}")
-                    ? Integer.parseInt(options.get(i + 1)) : -1;
-            if (options.get(i).equals("--seconds") && value >= 5 && value <= 600) {
-                seconds = value;
-            } else if (options.get(i).equals("--rate") && value >= 1 && value <= 500) {
-                rate = value;
-            } else {
-                System.err.println("demo: " + options.get(i) + ": expected --seconds 5..600, --rate 1..500 or --grpc");
-                return 2;
-            }
-        }
-        return play(seconds, rate, grpc);
-    }
-
-    private static int play(int seconds, int rate, boolean grpc) throws Exception {
+    /** {@code traces} is a folder for the sidecar's traces, or null. */
+    static int play(int seconds, int rate, boolean grpc, String traces) throws Exception {
         try (World world = grpc ? new World(Shape.SMALL).grpc() : new World(Shape.SMALL)) {
             List<World.Listed> known = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
@@ -43,7 +24,8 @@
             System.out.println("3 stand-in nodes of " + (int) (1000 / Shape.SMALL.workMs())
                     + " requests a second each, a registry, one sidecar; " + rate + " requests a second for " + seconds + " s");
             SidecarProcess sidecar = world.sidecar(1, World.list(1, known), "[membership]\nknown_age = \"0s\"\n"
-                    + (grpc ? World.grpcTable() : ""));
+                    + (grpc ? World.grpcTable() : "")
+                    + (traces == null ? "" : "[traces]\nordinary_per_second = 5\n[traces.file]\nfolder = '" + traces + "'\n"));
             world.ready(sidecar.address()).get(30, TimeUnit.SECONDS);
             System.out.println("the sidecar is ready on " + sidecar.address());
             Clients clients = world.clients(sidecar.name());
--- a/src/main/java/rushproxy/cli/Main.java
+++ b/src/main/java/rushproxy/cli/Main.java
@@ -1,8 +1,5 @@
 package rushproxy.cli;
 
-import java.util.Arrays;
-import java.util.List;
-import rushproxy.operator.Broken;
 import rushproxy.operator.Operator;
 import rushproxy.operator.OperatorFile;
 import rushproxy.sidecar.Sidecar;
@@ -10,48 +7,28 @@
 
 /** Command line; each command loads no more than it needs. */
 public final class Main {
-    private static final String USAGE = """
-            usage: java -jar rushproxy.jar COMMAND
-              serve [--operator FILE]             runs a sidecar, told by BALANCER_CONFIG and the operator's file
-              check FILE                          says what an operator's file would do, or what is wrong with it
-              demo [--seconds N] [--rate N] [--grpc]  a small world on loopback: nodes, a registry, a sidecar and its clients
-              simhost                             hosts many instances on the simulator's wire""";
-
     private Main() {}
 
+    /** What a platform starts by the thousand is told apart by hand: a library for arguments costs every start. */
     public static void main(String[] args) throws Exception {
-        List<String> rest = Arrays.asList(args).subList(Math.min(1, args.length), args.length);
-        switch (args.length == 0 ? "" : args[0]) {
-            case "simhost" -> System.exit(rest.isEmpty() ? new SimHost(System.in, System.out, System.err).run() : usage());
-            case "serve" -> System.exit(serve(rest));
-            case "check" -> System.exit(rest.size() == 1 ? check(rest.get(0)) : usage());
-            case "demo" -> System.exit(Demo.run(rest));
-            default -> System.exit(usage());
+        boolean serve = args.length > 0 && args[0].equals("serve");
+        if (serve && args.length == 1) {
+            System.exit(serve((String) null));
+        } else if (serve && args.length == 3 && args[1].equals("--operator")) {
+            System.exit(serve(args[2]));
+        } else if (args.length == 1 && args[0].equals("simhost")) {
+            System.exit(simhost());
+        } else {
+            System.exit(Commands.run(args));
         }
     }
 
-    static int usage() {
-        System.err.println(USAGE);
-        return 2;
-    }
-
-    private static int serve(List<String> rest) throws InterruptedException {
-        if (rest.isEmpty()) {
-            return Sidecar.serve(System.getenv(), () -> Operator.NONE);
-        }
-        if (rest.size() == 2 && rest.get(0).equals("--operator")) {
-            return Sidecar.serve(System.getenv(), () -> OperatorFile.read(rest.get(1)));
-        }
-        return usage();
+    /** {@code operator} is null where there is no file of the operator's. */
+    static int serve(String operator) throws InterruptedException {
+        return Sidecar.serve(System.getenv(), () -> operator == null ? Operator.NONE : OperatorFile.read(operator));
     }
 
-    private static int check(String file) {
-        try {
-            OperatorFile.explain(OperatorFile.read(file)).forEach(System.out::println);
-            return 0;
-        } catch (Broken e) {
-            System.err.println(e.getMessage());
-            return 2;
-        }
+    static int simhost() throws Exception {
+        return new SimHost(System.in, System.out, System.err).run();
     }
 }
--- a/src/main/java/rushproxy/core/Attempt.java
+++ b/src/main/java/rushproxy/core/Attempt.java
@@ -35,6 +35,12 @@
 
     boolean ended();
 
+    /** Module time at which its last byte was written, from when on it may run; 0 before it. */
+    long writtenUs();
+
+    /** Whether it had to wait for a new connection. */
+    boolean dialled();
+
     void start();
 
     /** Ends it as never sent. */
--- a/src/main/java/rushproxy/core/EventLoops.java
+++ b/src/main/java/rushproxy/core/EventLoops.java
@@ -1,5 +1,9 @@
 package rushproxy.core;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.channel.IoEventLoop;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -31,16 +35,47 @@
         };
     }
 
+    /** Tells of this loop's turns from now on; null tells nobody. Takes hold on the loop. */
+    public static void watch(EventLoop loop, Turns turns) {
+        loop.execute(() -> ((Sleeper) loop).turns = turns);
+    }
+
+    /** Stands before all else in a pipeline: something is read. */
+    public static ChannelInboundHandler ears(Turns turns) {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                turns.saw(System.nanoTime());
+                ctx.fireChannelRead(message);
+            }
+        };
+    }
+
     /** What Netty rounds to the nearest millisecond comes out as the next whole one; what is due stays due. */
     static long roundUp(long delayNanos) {
         return delayNanos <= 0 || delayNanos > Long.MAX_VALUE - MS ? delayNanos : delayNanos + MS / 2 - 1;
     }
 
     private static final class Sleeper extends SingleThreadIoEventLoop {
+        private Turns turns;
+
         Sleeper(MultiThreadIoEventLoopGroup parent, Executor executor, IoHandlerFactory handlers) {
             super(parent, executor, handlers);
         }
 
+        @Override
+        protected int runIo() {
+            if (turns == null) {
+                return super.runIo();
+            }
+            turns.began(System.nanoTime());
+            int handled = super.runIo();
+            if (turns != null) {
+                turns.handled(System.nanoTime());
+            }
+            return handled;
+        }
+
         @Override
         protected long delayNanos(long nowNanos) {
             return roundUp(super.delayNanos(nowNanos));
--- a/src/main/java/rushproxy/core/Exchange.java
+++ b/src/main/java/rushproxy/core/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import rushproxy.Balancer.Request;
+import rushproxy.trace.Trace;
 
 /** One request, from its last byte read to its one final answer and the end of its last attempt. */
 public final class Exchange {
@@ -22,17 +23,20 @@
     final long deadlineUs;
     final Attempt.Maker maker;
     final Answer answer;
+    /** Null where requests are not traced. */
+    final Trace trace;
     final List<Attempt> attempts = new ArrayList<>(1);
     Future<?> overdue;
     boolean over;
     /** The attempt whose answer the client is being given as it comes; null until one has begun. */
     Attempt streaming;
 
-    public Exchange(Request request, long deadlineUs, Attempt.Maker maker, Answer answer) {
+    public Exchange(Request request, long deadlineUs, Attempt.Maker maker, Answer answer, Trace trace) {
         this.request = request;
         this.deadlineUs = deadlineUs;
         this.maker = maker;
         this.answer = answer;
+        this.trace = trace;
     }
 
     boolean settled() {
--- a/src/main/java/rushproxy/membership/Pauses.java
+++ b/src/main/java/rushproxy/core/Pauses.java
@@ -1,4 +1,4 @@
-package rushproxy.membership;
+package rushproxy.core;
 
 import java.util.SplittableRandom;
 
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -9,6 +9,8 @@
 import java.util.function.BiConsumer;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
+import rushproxy.trace.Trace.How;
+import rushproxy.trace.Tracer;
 
 /** The requests held: each is told to the module, carried through its attempts and answered exactly once. */
 public final class Requests {
@@ -21,6 +23,9 @@
     private final int maxAttempts;
     private final BiConsumer<String, Outcome> ends;
     private final Map<String, Exchange> open = new HashMap<>();
+    /** Null where requests are not traced. */
+    private Tracer tracer;
+    private Turns turns;
 
     /** {@code ends} is told how each attempt ended, with its upstream. */
     public Requests(EventLoop loop, Clock clock, Decisions decisions, int maxAttempts, BiConsumer<String, Outcome> ends) {
@@ -31,6 +36,28 @@
         this.ends = ends;
     }
 
+    /** Requests that are taken from now on are traced so, or not at all with null. */
+    public void traceWith(Tracer with) {
+        tracer = with;
+        turns = with == null ? null : new Turns();
+        EventLoops.watch(loop, turns);
+    }
+
+    /** Told of the loop's turns while requests are traced; else null. */
+    public Turns turns() {
+        return turns;
+    }
+
+    /** How long a request that is being read may have lain there at the most. */
+    public long unreadUs() {
+        return turns == null ? 0 : turns.unreadNanos(System.nanoTime()) / 1_000;
+    }
+
+    /** For the fronts, which know what their clients said; null where requests are not traced. */
+    public Tracer tracer() {
+        return tracer;
+    }
+
     public boolean knows(String id) {
         return open.containsKey(id);
     }
@@ -43,8 +70,17 @@
 
     /** The client has left: nothing is owed any more, and what is out ends by itself. */
     public void left(Exchange x) {
+        over(x, How.LEFT);
+    }
+
+    /** Its front has answered by itself that it failed. */
+    public void givenUp(Exchange x) {
+        over(x, How.FAILED);
+    }
+
+    private void over(Exchange x, How how) {
         if (!x.over) {
-            finish(x);
+            finish(x, how, 0);
             expired(x);
         }
     }
@@ -76,6 +112,9 @@
         }
         int number = x.attempts.size();
         long until = untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
+        if (x.trace != null) {
+            x.trace.tried(upstream);
+        }
         boolean moot = x.over || number >= maxAttempts || until <= clock.now();
         Attempt attempt = x.maker.attempt(upstream, until, new Attempt.Result() {
             @Override
@@ -97,11 +136,17 @@
     }
 
     private void ended(Exchange x, int number, Attempt attempt, Outcome outcome, LoadReport report, ByteBuf body) {
+        if (turns != null) {
+            turns.saw(System.nanoTime());
+        }
+        if (x.trace != null) {
+            x.trace.ended(number, outcome, attempt.writtenUs(), attempt.dialled(), report);
+        }
         if (x.streaming == attempt && !x.over) {
             // The client has been told the end with the stream itself.
-            finish(x);
+            finish(x, outcome == Outcome.OK ? How.SERVED : How.FAILED, 0);
         } else if (outcome == Outcome.OK && !x.over) {
-            finish(x);
+            finish(x, How.SERVED, 0);
             x.answer.served(body.retain());
         }
         ends.accept(attempt.upstream(), outcome);
@@ -116,6 +161,9 @@
             return false;
         }
         x.streaming = attempt;
+        if (x.trace != null) {
+            x.trace.streaming(number);
+        }
         x.overdue.cancel(false);
         long now = clock.now();
         decisions.call(m -> m.onStreamStart(now, x.request.id(), number, attempt.upstream(), now - attempt.sentUs()),
@@ -137,7 +185,7 @@
     public void refuse(String id, long retryAfterUs) {
         Exchange x = open.get(id);
         if (x != null && !x.over) {
-            finish(x);
+            finish(x, How.REFUSED, retryAfterUs);
             x.answer.refused(retryAfterUs);
         }
     }
@@ -150,7 +198,7 @@
 
     private void fail(Exchange x) {
         if (!x.over) {
-            finish(x);
+            finish(x, How.FAILED, 0);
             x.answer.failed();
         }
     }
@@ -158,12 +206,18 @@
     public void cancel(String id, int attempt) {
         Exchange x = open.get(id);
         if (x != null && attempt >= 0 && attempt < x.attempts.size()) {
+            if (x.trace != null) {
+                x.trace.cancelled(attempt);
+            }
             x.attempts.get(attempt).cancel();
         }
     }
 
-    private void finish(Exchange x) {
+    private void finish(Exchange x, How how, long retryAfterUs) {
         x.over = true;
+        if (x.trace != null) {
+            x.trace.answered(how, retryAfterUs);
+        }
         x.overdue.cancel(false);
         forgetIfSettled(x);
     }
@@ -171,6 +225,9 @@
     private void forgetIfSettled(Exchange x) {
         if (x.settled()) {
             open.remove(x.request.id());
+            if (x.trace != null) {
+                x.trace.settled();
+            }
         }
     }
 }
--- a/src/main/java/rushproxy/grpc/GrpcAttempt.java
+++ b/src/main/java/rushproxy/grpc/GrpcAttempt.java
@@ -68,7 +68,8 @@
     private boolean timedOut;
     private boolean begun;
     /** The whole request is written, or, of a streaming one, its head: it may run. */
-    private boolean written;
+    private long writtenUs;
+    private boolean dialled;
     private boolean ended;
     private boolean owns;
     private Http2Headers headers;
@@ -103,6 +104,16 @@
         return ended;
     }
 
+    @Override
+    public long writtenUs() {
+        return writtenUs;
+    }
+
+    @Override
+    public boolean dialled() {
+        return dialled;
+    }
+
     @Override
     public void start() {
         sentUs = clock.now();
@@ -124,13 +135,14 @@
     void sentTo(GrpcUpstreams.Target node, Future<?> runningOut) {
         target = node;
         timeout = runningOut;
+        dialled = !node.crowded();
     }
 
     void timedOut() {
         timedOut = true;
         // One that waited for its turn says nothing of the node's health.
         abandon(!begun && target.crowded() ? new Ending(Outcome.NOT_SENT, Code.DEADLINE_EXCEEDED, "no stream was free in time")
-                : Ending.timedOut(written));
+                : Ending.timedOut(writtenUs > 0));
     }
 
     /** When it was sent, if its time ran out without an end; before all times otherwise. */
@@ -252,7 +264,7 @@
     private void write(Object frame, boolean mayRunThen) {
         stream.writeAndFlush(frame).addListener(f -> {
             if (f.isSuccess()) {
-                written |= mayRunThen;
+                writtenUs = writtenUs == 0 && mayRunThen ? clock.now() : writtenUs;
             }
         });
     }
@@ -381,13 +393,13 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            end(Ending.connectionLost(written));
+            end(Ending.connectionLost(writtenUs > 0));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             reset(Http2Error.INTERNAL_ERROR);
-            end(Ending.connectionLost(written));
+            end(Ending.connectionLost(writtenUs > 0));
         }
     }
 }
--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -30,6 +30,7 @@
 import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
 import rushproxy.core.Clock;
+import rushproxy.core.EventLoops;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
 import rushproxy.membership.Member;
@@ -115,6 +116,9 @@
         });
         Http2Settings settings = new Http2Settings().maxHeaderListSize(HEADER_LIST).initialWindowSize(WINDOW)
                 .maxConcurrentStreams(options.streams());
+        if (requests.turns() != null) {
+            channel.pipeline().addLast(EventLoops.ears(requests.turns()));
+        }
         channel.pipeline().addLast(Http2FrameCodecBuilder.forServer().initialSettings(settings)
                         .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_S)
                         .decoderEnforceMaxConsecutiveEmptyDataFrames(2)
--- a/src/main/java/rushproxy/grpc/GrpcStream.java
+++ b/src/main/java/rushproxy/grpc/GrpcStream.java
@@ -32,6 +32,9 @@
 import rushproxy.grpc.mapping.Ending;
 import rushproxy.grpc.mapping.Route;
 import rushproxy.grpc.mapping.Timeouts;
+import rushproxy.trace.SpanContext;
+import rushproxy.trace.Trace;
+import rushproxy.trace.Tracer;
 
 /**
  * One call of a client: its request is kept until no other attempt can need it, its answer is one status, told once.
@@ -51,11 +54,14 @@
     private final GrpcServer server;
     private final Channel client;
     private final long sentUs;
+    private final long unreadUs;
     private Http2Headers head;
     private Route route;
     private RequestClass spec;
     private String id;
     private Exchange exchange;
+    /** Null where calls are not traced: then what their clients said of traces goes on as it is. */
+    private Trace trace;
     /** Module time by which the client hears the end of a call, or of a stream that it gave a time; else {@link #NO_END}. */
     private long endUs = NO_END;
     /** Module time by which an answer has begun. */
@@ -79,6 +85,7 @@
         this.server = server;
         this.client = client;
         sentUs = server.clock().now();
+        unreadUs = server.requests().unreadUs();
     }
 
     // ---- from the client -------------------------------------------------------------------------
@@ -231,7 +238,13 @@
     private void take() {
         Request request = new Request(id, customer(), false, false, 0, Math.max(1, deadlineUs - server.clock().now()),
                 word(server.options().tenantHeader()), spec.name(), Balancer.GRPC, route.streams());
-        exchange = new Exchange(request, deadlineUs, this::attempt, new Final());
+        Tracer tracer = server.requests().tracer();
+        if (tracer != null) {
+            String key = word(route.keyHeader());
+            trace = tracer.begin(SpanContext.parse(head.getAll("traceparent"), head.getAll("tracestate")), new Tracer.Start(
+                    request, spec.semantics(), "grpc", key.isEmpty() ? null : key, false, spec.aimUs(), sentUs, unreadUs));
+        }
+        exchange = new Exchange(request, deadlineUs, this::attempt, new Final(), trace);
         server.requests().take(exchange);
     }
 
@@ -242,8 +255,9 @@
 
     private Attempt attempt(String upstream, long untilUs, Attempt.Result result) {
         int before = attempts++;
+        SpanContext span = trace == null ? null : trace.newest();
         GrpcAttempt made = new GrpcAttempt(server.upstreams(), server.clock(), upstream, untilUs, route.streams(),
-                left -> out(left, before), this, new Attempt.Result() {
+                left -> out(left, before, span), this, new Attempt.Result() {
             @Override
             public void ended(Attempt a, Outcome outcome, Balancer.LoadReport report, ByteBuf body) {
                 GrpcAttempt of = (GrpcAttempt) a;
@@ -255,7 +269,7 @@
                 if (overflowed && !over && outcome != Outcome.OK) {
                     // Nobody could be sent it all again.
                     finish(lastEnding.code(), lastEnding.message(), lastTrailers);
-                    server.requests().left(exchange);
+                    server.requests().givenUp(exchange);
                 }
                 result.ended(a, outcome, report, body);
             }
@@ -270,7 +284,7 @@
     }
 
     /** The head that a node gets: the client's, but for what belongs to a hop. */
-    private Http2Headers out(long leftUs, int before) {
+    private Http2Headers out(long leftUs, int before, SpanContext span) {
         Http2Headers h = new DefaultHttp2Headers(false).method("POST").path(head.path()).scheme("http")
                 .authority(head.authority() == null ? "api.internal" : head.authority());
         for (Map.Entry<CharSequence, CharSequence> e : head) {
@@ -284,6 +298,13 @@
         if (endUs != NO_END) {
             h.set("grpc-timeout", Timeouts.format(Math.max(1_000, left)));
         }
+        if (span != null) {
+            h.set("traceparent", span.parent());
+            h.remove("tracestate");
+            if (!span.state().isEmpty()) {
+                h.set("tracestate", span.state());
+            }
+        }
         if (before > 0) {
             h.set("grpc-previous-rpc-attempts", String.valueOf(before));
         }
@@ -467,7 +488,7 @@
     private void endHere(Code code, String message) {
         if (!over) {
             if (exchange != null) {
-                server.requests().left(exchange);
+                server.requests().givenUp(exchange);
             }
             GrpcAttempt a = current;
             status(code, message, 0, null);
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -36,6 +36,9 @@
 import rushproxy.core.Exchange;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
+import rushproxy.trace.SpanContext;
+import rushproxy.trace.Trace;
+import rushproxy.trace.Tracer;
 
 /** One connection of the application: its requests in turn, each taken whole and answered once. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -60,6 +63,7 @@
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
+    private long unreadUs;
     private long activeUs;
     private Exchange current;
     private boolean busy;
@@ -70,7 +74,8 @@
     /** The last answer is written: whatever was sent behind its request is no request. */
     private boolean closing;
 
-    private record Arrival(FullHttpRequest message, long sentUs) {}
+    /** {@code unreadUs}: its first byte may have lain there so long before it was read. */
+    private record Arrival(FullHttpRequest message, long sentUs, long unreadUs) {}
 
     ClientConnection(Channel channel, Clock clock, Requests requests, Upstreams upstreams,
                      Map<String, RequestClass> classes, ClientServer server) {
@@ -92,6 +97,7 @@
                 activeUs = clock.now();
                 if (readingSinceUs == 0) {
                     readingSinceUs = activeUs;
+                    unreadUs = requests.unreadUs();
                 }
                 ctx.fireChannelRead(message);
             }
@@ -111,7 +117,8 @@
         }
         asked = true;
         // Where several came in one read, the first has used up its start: the others began with the read too.
-        ahead.add(new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs));
+        ahead.add(new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs,
+                unreadUs));
         readingSinceUs = 0;
         if (ahead.size() >= MOST_AHEAD) {
             channel.config().setAutoRead(false);
@@ -183,8 +190,11 @@
         boolean keepAlive = HttpUtil.isKeepAlive(m);
         Outgoing out = new Outgoing(m.method(), m.uri(), id, h.get(Headers.IDEMPOTENCY_KEY),
                 ByteBufUtil.getBytes(m.content()));
-        current = new Exchange(request, deadline,
-                (upstream, until, result) -> upstreams.call(upstream, until, out::message, result), new Exchange.Answer() {
+        Trace trace = trace(request, lane, out.idempotencyKey(), h, arrival.sentUs, arrival.unreadUs);
+        current = new Exchange(request, deadline, (upstream, until, result) -> {
+            SpanContext span = trace == null ? null : trace.newest();
+            return upstreams.call(upstream, until, left -> out.message(left, span), result);
+        }, new Exchange.Answer() {
             @Override
             public void served(ByteBuf body) {
                 write(keepAlive, HttpResponseStatus.OK, body, 0);
@@ -199,11 +209,19 @@
             public void failed() {
                 write(keepAlive, HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
             }
-        });
+        }, trace);
         server.taken();
         requests.take(current);
     }
 
+    private Trace trace(Request request, RequestClass lane, String key, HttpHeaders h, long sentUs,
+                        long unreadUs) {
+        Tracer tracer = requests.tracer();
+        return tracer == null ? null : tracer.begin(
+                SpanContext.parse(h.getAll(Headers.TRACE_PARENT), h.getAll(Headers.TRACE_STATE)),
+                new Tracer.Start(request, lane.semantics(), "http", key, request.repeat(), lane.aimUs(), sentUs, unreadUs));
+    }
+
     /** The one value of a header; empty where there is none, or where several or odd ones could be read two ways. */
     private static String word(HttpHeaders h, CharSequence name) {
         List<String> values = h.getAll(name);
--- a/src/main/java/rushproxy/http1/Headers.java
+++ b/src/main/java/rushproxy/http1/Headers.java
@@ -13,6 +13,9 @@
     public static final AsciiString RESENT = AsciiString.cached("X-Resent");
     public static final AsciiString ESTIMATE = AsciiString.cached("X-Estimate");
     public static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("Idempotency-Key");
+    /** W3C Trace Context. */
+    public static final AsciiString TRACE_PARENT = AsciiString.cached("traceparent");
+    public static final AsciiString TRACE_STATE = AsciiString.cached("tracestate");
     public static final AsciiString TURNED_AWAY = AsciiString.cached("X-Turned-Away");
     public static final AsciiString LOAD = AsciiString.cached("X-Pressure");
     /** Where probes ask for the load, and where an upstream only says that it lives. */
--- a/src/main/java/rushproxy/http1/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -53,7 +53,8 @@
         private Target target;
         private Channel channel;
         private Future<?> timeout;
-        private boolean written;
+        private long writtenUs;
+        private boolean dialled;
         private boolean forgiven;
         private boolean ended;
 
@@ -87,6 +88,20 @@
             return ended;
         }
 
+        @Override
+        public long writtenUs() {
+            return writtenUs;
+        }
+
+        @Override
+        public boolean dialled() {
+            return dialled;
+        }
+
+        private boolean written() {
+            return writtenUs > 0;
+        }
+
         @Override
         public void start() {
             pool.start(this);
@@ -125,12 +140,12 @@
 
         /** The hinge of all outcomes: without its last byte written a request has never run. */
         void broke() {
-            end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
+            end(written() ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
         }
 
         /** What came is no answer; without its last byte written the request has not run all the same. */
         void spoilt() {
-            end(written ? Outcome.SPOILT : Outcome.CONNECT_FAILED, null, null);
+            end(written() ? Outcome.SPOILT : Outcome.CONNECT_FAILED, null, null);
         }
 
         /**
@@ -144,7 +159,7 @@
                 timeout = pool.loop.schedule(this::timedOut, Math.min(lateUs, FORGIVEN_MOST_US), TimeUnit.MICROSECONDS);
                 return;
             }
-            abandon(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
+            abandon(written() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
     }
 
@@ -303,6 +318,7 @@
             return;
         }
         connections++;
+        call.dialled = true;
         ChannelFuture connecting = bootstrap.connect(call.target.address);
         call.channel = connecting.channel();
         connecting.addListener(f -> {
@@ -347,7 +363,7 @@
         connection(call.channel).begin(call, this::release);
         call.channel.writeAndFlush(message).addListener(f -> {
             if (f.isSuccess()) {
-                call.written = true;
+                call.writtenUs = clock.now();
             } else {
                 call.channel.close();
                 // What can't be put into words is its client's fault: no upstream has seen it.
@@ -357,7 +373,7 @@
     }
 
     private void release(Call call, Channel channel) {
-        if (call.target.state == UpstreamState.READY && call.written) {
+        if (call.target.state == UpstreamState.READY && call.written()) {
             connection(channel).idleSinceUs = clock.now();
             call.target.idle.addFirst(channel);
         } else {
--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -23,7 +23,7 @@
 import rushproxy.json.Json;
 import rushproxy.membership.Listing;
 import rushproxy.membership.Origin;
-import rushproxy.membership.Pauses;
+import rushproxy.core.Pauses;
 
 /**
  * The watch on discovery: one call after the other without a gap, as soon as the module has asked for it. A call
--- a/src/main/java/rushproxy/operator/Operator.java
+++ b/src/main/java/rushproxy/operator/Operator.java
@@ -6,16 +6,18 @@
 import rushproxy.grpc.mapping.Route;
 import rushproxy.grpc.mapping.Routes;
 import rushproxy.membership.Trust;
+import rushproxy.trace.Sampling;
 
 /**
  * What the operator's file says, one part for each subsystem; a part that is null is off.
  *
  * @param grpc       the gRPC front; null where there is none
+ * @param traces     what of requests' ways is kept, and where; null where nothing is
  * @param membership how lists are judged; null where they are taken as they are
  */
-public record Operator(MembershipOptions membership, GrpcOptions grpc) {
+public record Operator(MembershipOptions membership, GrpcOptions grpc, TraceOptions traces) {
     /** Without a file: nothing is on that the platform has not asked for. */
-    public static final Operator NONE = new Operator(null, null);
+    public static final Operator NONE = new Operator(null, null, null);
 
     public Trust trust() {
         return membership == null ? Trust.BLIND : membership.trust();
@@ -46,6 +48,22 @@
         }
     }
 
+    /**
+     * @param service  the name under which spans are told
+     * @param waiting  traces that may wait for a receiver
+     * @param giveUpUs a batch that a receiver does not take for so long is lost
+     * @param file     null where none is written
+     * @param collector null where none is told
+     */
+    public record TraceOptions(Sampling sampling, String service, int waiting, long giveUpUs, TraceFileOptions file,
+                               CollectorOptions collector) {}
+
+    /** @param files how many take turns, of {@code largestBytes} each */
+    public record TraceFileOptions(Path folder, int largestBytes, int files) {}
+
+    /** @param timeoutUs for a connection, and for each part of an answer */
+    public record CollectorOptions(InetSocketAddress address, String path, long timeoutUs) {}
+
     /**
      * @param fleet     a list of another fleet is not taken
      * @param refreshUs an unchanged list is written again this often, to say that it still holds
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
@@ -17,7 +18,11 @@
 import rushproxy.grpc.mapping.Routes;
 import rushproxy.operator.Operator.DiskOptions;
 import rushproxy.operator.Operator.GrpcOptions;
+import rushproxy.operator.Operator.CollectorOptions;
 import rushproxy.operator.Operator.MembershipOptions;
+import rushproxy.operator.Operator.TraceFileOptions;
+import rushproxy.operator.Operator.TraceOptions;
+import rushproxy.trace.Sampling;
 
 /** Reads the operator's file, strictly: whatever it does not know or can't use is an error with its place. */
 public final class OperatorFile {
@@ -35,7 +40,8 @@
             throw new Broken(name + ":" + first.position().line() + ": no TOML: " + first.getMessage());
         }
         Table root = new Table(name, "", toml, 1);
-        Operator operator = new Operator(membership(root.table("membership")), grpc(root.table("grpc")));
+        Operator operator = new Operator(membership(root.table("membership")), grpc(root.table("grpc")),
+                traces(root.table("traces")));
         root.done();
         return operator;
     }
@@ -93,6 +99,56 @@
                 new Routes(byName, unknown), List.copyOf(routes));
     }
 
+    private static TraceOptions traces(Table t) throws Broken {
+        if (t == null) {
+            return null;
+        }
+        Sampling sampling = new Sampling(t.whole("trouble_per_second", 50, 1, 1_000), t.whole("noted_per_second", 5, 0, 1_000),
+                t.whole("ordinary_per_second", 1, 0, 1_000), t.whole("slow_percent", 100, 1, 1_000) / 100.0,
+                Set.copyOf(t.texts("marked")), t.whole("remembered", 2_000, 0, 100_000),
+                t.duration("retry_window", "30s", "0s", "10min", null));
+        String service = t.text("service", "bridgecleat");
+        int waiting = t.whole("waiting", 1_000, 10, 100_000);
+        long giveUp = t.duration("give_up", "30s", "1s", "10min", null);
+        Table f = t.table("file");
+        TraceFileOptions file = null;
+        if (f != null) {
+            file = new TraceFileOptions(Path.of(f.text("folder", null)), (int) f.size("largest", "16MiB", "64KiB", "512MiB"),
+                    f.whole("files", 4, 1, 100));
+            f.done();
+        }
+        Table c = t.table("collector");
+        CollectorOptions collector = null;
+        if (c != null) {
+            collector = new CollectorOptions(c.address("address"), c.text("path", "/v1/traces"),
+                    c.duration("timeout", "3s", "10ms", "30s", null));
+            if (!collector.path().matches("/[!-~]{0,200}")) {
+                throw c.broken("path", "a path that begins with '/'");
+            }
+            c.done();
+        }
+        if (file == null && collector == null) {
+            throw t.broken("file", "a table, [traces.file] or [traces.collector], that says where traces go");
+        }
+        t.done();
+        return new TraceOptions(sampling, service, waiting, giveUp, file, collector);
+    }
+
+    private static void explain(TraceOptions t, List<String> lines) {
+        if (t == null) {
+            lines.add("traces: off; no header of theirs is read or written");
+            return;
+        }
+        Sampling s = t.sampling();
+        lines.add("traces: at most " + (long) s.troublePerSecond() + " of requests in trouble a second, beside a few of each kind, "
+                + (long) s.notedPerSecond() + " with second copies or kept by the client's side, "
+                + (long) s.ordinaryPerSecond() + " others; slow is beyond " + Math.round(s.slowShare() * 100) + " % of the aim");
+        lines.add("traces: " + t.waiting() + " may wait; "
+                + (t.file() == null ? "no file" : t.file().files() + " files of " + t.file().largestBytes() + " bytes in "
+                + t.file().folder()) + "; " + (t.collector() == null ? "no collector" : "to the collector at "
+                + t.collector().address() + ", given up after " + seconds(t.giveUpUs())));
+    }
+
     private static DiskOptions disk(Table t) throws Broken {
         if (t == null) {
             return null;
@@ -107,11 +163,16 @@
     /** What the file would do, a line for each thing, for {@code check}. */
     public static List<String> explain(Operator operator) {
         List<String> lines = new ArrayList<>();
-        MembershipOptions m = operator.membership();
+        explain(operator.membership(), lines);
+        explain(operator.grpc(), lines);
+        explain(operator.traces(), lines);
+        return lines;
+    }
+
+    private static void explain(MembershipOptions m, List<String> lines) {
         if (m == null) {
             lines.add("membership: off; the list given at the start is taken as it is");
-            explain(operator.grpc(), lines);
-            return lines;
+            return;
         }
         Trust trust = m.trust();
         lines.add("membership: a list up to " + seconds(trust.freshUs()) + " old is used as it is, one up to "
@@ -124,8 +185,6 @@
         lines.add(d == null ? "membership.disk: off; no list is kept" : "membership.disk: the list of fleet '" + d.fleet()
                 + "' is kept in " + d.folder() + ", at most " + d.writesPerMinute() + " writes a minute and "
                 + d.largestBytes() + " bytes, written again every " + seconds(d.refreshUs()));
-        explain(operator.grpc(), lines);
-        return lines;
     }
 
     private static void explain(GrpcOptions g, List<String> lines) {
--- a/src/main/java/rushproxy/operator/Table.java
+++ b/src/main/java/rushproxy/operator/Table.java
@@ -147,6 +147,23 @@
         return text;
     }
 
+    /** A list of texts, none of them empty; none where there is no such list. */
+    List<String> texts(String key) throws Broken {
+        Object value = value(key);
+        List<String> texts = new ArrayList<>();
+        if (value instanceof TomlArray array) {
+            for (int i = 0; i < array.size(); i++) {
+                if (array.get(i) instanceof String s && !s.isBlank()) {
+                    texts.add(s);
+                }
+            }
+        }
+        if (value != null && !(value instanceof TomlArray array && texts.size() == array.size())) {
+            throw broken(key, "a list of texts", value);
+        }
+        return texts;
+    }
+
     /** To be called when all that is known has been read. */
     void done() throws Broken {
         for (String key : table.keySet()) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -30,6 +30,7 @@
 import rushproxy.operator.Broken;
 import rushproxy.operator.Operator;
 import rushproxy.operator.Operator.DiskOptions;
+import rushproxy.operator.Operator.TraceOptions;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
 public final class Sidecar {
@@ -67,6 +68,10 @@
     /** Null until the start, which knows the version to go on from. */
     private RegistryWatch discovery;
     private ListKeeper keeper;
+    /** Null where requests are not traced: then none of its classes is loaded. */
+    private Tracing tracing;
+    /** Nothing new is begun any more. */
+    private boolean stopping;
     private long beatAtUs;
     private long worstLagUs;
     private long beats;
@@ -178,7 +183,9 @@
         if (kept != null) {
             lists.add(kept);
         }
+        Tracing traces = operator.traces() == null ? null : tracing(operator.traces());
         loop.submit(() -> {
+            trace(traces);
             if (disk != null) {
                 keepWith(store, disk);
             }
@@ -208,6 +215,41 @@
         loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Loads its library: not on the loop. */
+    private Tracing tracing(TraceOptions options) {
+        return new Tracing(options, config.name(), clock, config.seed());
+    }
+
+    /** What the file says now of traces; the last word holds where several are on their way. */
+    private void retrace(TraceOptions options) {
+        if (options == null) {
+            trace(null);
+            Log.line("keeps no traces from now on");
+            return;
+        }
+        new Thread(() -> {
+            Tracing made = tracing(options);
+            loop.execute(() -> {
+                if (options.equals(operator.traces()) && !stopping) {
+                    trace(made);
+                    Log.line("keeps traces as its file says now");
+                } else {
+                    made.close(() -> { });
+                }
+            });
+        }, "traces-start").start();
+    }
+
+    /** Null turns it off. What is under way keeps its trace, and its place on the old shelf. */
+    private void trace(Tracing made) {
+        Tracing old = tracing;
+        tracing = made;
+        requests.traceWith(tracing == null ? null : tracing.tracer());
+        if (old != null) {
+            old.close(() -> { });
+        }
+    }
+
     private static ListStore store(DiskOptions disk) {
         return new ListStore(disk.folder(), disk.fleet(), disk.largestBytes());
     }
@@ -271,7 +313,11 @@
                 if (!Objects.equals(operator.grpc(), told.grpc())) {
                     Log.line("what changed under [grpc] holds from the next start on");
                 }
+                boolean traces = !Objects.equals(operator.traces(), told.traces());
                 operator = told;
+                if (traces) {
+                    retrace(told.traces());
+                }
                 if (!Objects.equals(before, after)) {
                     members.keepWith(null, 0);
                     // Not before the old one has let go: it may be the same folder, with another pace.
@@ -289,8 +335,11 @@
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
         loop.execute(() -> stopFronts(() -> {
+            stopping = true;
             members.stop();
-            letGo(stopped);
+            Tracing last = tracing;
+            tracing = null;
+            letGo(last == null ? stopped : () -> last.close(stopped));
         }));
     }
 
@@ -311,10 +360,14 @@
     /** Ends at once, whatever is held. */
     void end() {
         loop.execute(() -> {
+            stopping = true;
             members.stop();
             if (discovery != null) {
                 discovery.stop();
             }
+            if (tracing != null) {
+                tracing.close(() -> { });
+            }
             letGo(() -> { });
         });
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Tracing.java
@@ -0,0 +1,52 @@
+package rushproxy.sidecar;
+
+import java.util.List;
+import rushproxy.core.Clock;
+import rushproxy.core.Log;
+import rushproxy.operator.Operator.TraceOptions;
+import rushproxy.trace.Tracer;
+import rushproxy.trace.export.TraceExport;
+
+/** Puts the tracer together with those who hand its traces on. */
+final class Tracing {
+    /** What waits at the end has so long; the platform may kill a sidecar 0.7 s after its last answer. */
+    private static final long LAST_MS = 300;
+
+    private final List<TraceExport> exports;
+    private final Tracer tracer;
+
+    Tracing(TraceOptions options, String instance, Clock clock, long seed) {
+        exports = TraceExport.of(options, instance, clock, seed, Log::line);
+        tracer = new Tracer(options.sampling(), clock::now, seed ^ 0x7472616365L, (trace, verdict) -> {
+            for (TraceExport e : exports) {
+                e.hand(trace, verdict);
+            }
+        }, e -> Log.trouble("tracing failed and is off, service goes on", e));
+    }
+
+    Tracer tracer() {
+        return tracer;
+    }
+
+    /** The receivers may take their time: not on the loop. {@code then} runs on any thread. */
+    void close(Runnable then) {
+        exports.forEach(TraceExport::close);
+        Thread end = new Thread(() -> {
+            try {
+                for (TraceExport e : exports) {
+                    e.join(LAST_MS / exports.size());
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } finally {
+                Tracer.Counts c = tracer.counts();
+                Log.line("traces: " + c.begun() + " begun, " + c.kept() + " kept, "
+                        + exports.stream().mapToLong(e -> e.counts().sent()).max().orElse(0) + " handed on, "
+                        + exports.stream().mapToLong(e -> e.counts().lost()).sum() + " lost, " + c.dropped() + " over the rates");
+                then.run();
+            }
+        }, "traces-end");
+        end.setDaemon(true);
+        end.start();
+    }
+}
--- a/src/main/java/rushproxy/standin/Clients.java
+++ b/src/main/java/rushproxy/standin/Clients.java
@@ -70,17 +70,30 @@
     private int numbers;
     private long firstServedUs;
     private volatile boolean mayLose;
+    private final List<Tried> tried = new ArrayList<>();
+    private boolean tracing;
+    private int leaving;
+    private long leaveMs;
     /** By the second in which their request was first sent. */
     private final TreeMap<Integer, int[]> seconds = new TreeMap<>();
 
+    /** How one try ended for its client: as the referee has it, or LEFT or LOST. */
+    public record Tried(String id, String intent, String lane, boolean again, String ending, long tookUs) {}
+
+    private static final int MOST_TRIED = 1 << 18;
+
     final class Asked {
         final Kind kind;
         final String intent;
         final long firstUs;
         final boolean again;
         String id;
+        /** The traceparent that its application gives it; null where that knows of no traces. */
+        String parent;
         long untilUs;
         boolean over;
+        /** Its user has gone: what still comes was on its way. */
+        boolean left;
         Future<?> timeout;
         Channel on;
         long sentUs;
@@ -128,6 +141,24 @@
         mayLose = true;
     }
 
+    /** From now on every second of them sends a traceparent, the same trace for a retry, and tries are written down. */
+    public Clients traced() {
+        tracing = true;
+        return this;
+    }
+
+    /** From now on each n-th try is left by its client after so long, however it stands. */
+    public Clients leaving(int nth, long ms) {
+        leaving = nth;
+        leaveMs = ms;
+        return this;
+    }
+
+    /** Each try that has ended, once {@link #traced}. */
+    public List<Tried> tried() {
+        return loop.submit(() -> List.copyOf(tried)).syncUninterruptibly().getNow();
+    }
+
     void close() {
         stop();
         loop.execute(this::hangUp);
@@ -144,10 +175,16 @@
             Kind kind = draw < 0.6 ? Kind.LOOKUP : draw < 0.8 ? Kind.NOTE : Kind.CONFIRM;
             tally(now)[0]++;
             out++;
-            ask(new Asked(kind, sidecar + "-i" + begun + "-" + startUs % 1_000_000, now, false));
+            Asked a = new Asked(kind, sidecar + "-i" + begun + "-" + startUs % 1_000_000, now, false);
+            a.parent = tracing && begun % 2 == 0 ? "00-" + digits() + digits() + "-" + digits() + "-02" : null;
+            ask(a);
         }
     }
 
+    private String digits() {
+        return Long.toHexString(random.nextLong() | 1L << 63);
+    }
+
     /** Sent, in time, late, refused, failed, unreachable. */
     private int[] tally(long firstUs) {
         return seconds.computeIfAbsent((int) ((firstUs - startUs) / 1_000_000), s -> new int[6]);
@@ -178,11 +215,32 @@
         referee.sent(now, a.id, a.intent, a.kind.semantics, a.untilUs);
         a.sentUs = now;
         a.timeout = loop.schedule(() -> timedOut(a), a.untilUs - now + 100_000, TimeUnit.MICROSECONDS);
+        if (leaving > 0 && numbers % leaving == 0) {
+            loop.schedule(() -> leave(a), leaveMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Its user has closed the page. */
+    private void leave(Asked a) {
+        if (!a.over) {
+            a.left = true;
+            referee.left(a.id);
+            write(a, "LEFT");
+            giveUp(a);
+            end(a, 4);
+        }
+    }
+
+    private void write(Asked a, String ending) {
+        if (tracing && tried.size() < MOST_TRIED) {
+            tried.add(new Tried(a.id, a.intent, a.kind.lane, a.again, ending, clock.now() - a.sentUs));
+        }
     }
 
     /** A little after its time: an answer that comes just then is late, not lost. */
     private void timedOut(Asked a) {
         if (!a.over) {
+            write(a, "LEFT");
             giveUp(a);
             end(a, 4);
         }
@@ -198,6 +256,7 @@
                 a.timeout.cancel(false);
             }
             Asked next = new Asked(a.kind, a.intent, a.firstUs, true);
+            next.parent = a.parent;
             loop.schedule(() -> ask(next), AGAIN_MS, TimeUnit.MILLISECONDS);
         }
     }
@@ -237,6 +296,12 @@
     /** The final answer to it has come. */
     void answered(Asked a, Referee.Ending ending, String body) {
         long now = clock.now();
+        if (a.left) {
+            return;
+        }
+        if (!a.over) {
+            write(a, ending.name());
+        }
         referee.answered(now, a.id, ending, body.contains("\"txn\":\"" + a.id + "\""));
         switch (ending) {
             case SERVED -> {
@@ -265,6 +330,7 @@
     /** Its connection ended. A sidecar that was killed owes nothing; one that was not has lost it, says the referee. */
     void lost(Asked a) {
         if (!a.over && clock.now() < a.untilUs) {
+            write(a, "LOST");
             if (mayLose) {
                 referee.released(a.id);
             }
--- a/src/main/java/rushproxy/standin/GrpcClients.java
+++ b/src/main/java/rushproxy/standin/GrpcClients.java
@@ -127,6 +127,9 @@
             if (a.kind == Kind.CONFIRM) {
                 h.set("idempotency-key", a.intent);
             }
+            if (a.parent != null) {
+                h.set("traceparent", a.parent);
+            }
             sent(a, at);
             stream.write(new DefaultHttp2HeadersFrame(h, false));
             stream.writeAndFlush(new DefaultHttp2DataFrame(GrpcFace.message("{}"), true));
--- a/src/main/java/rushproxy/standin/GrpcFace.java
+++ b/src/main/java/rushproxy/standin/GrpcFace.java
@@ -79,7 +79,7 @@
     /** What the node does with a call that is whole. */
     interface Work {
         /** Later one of the three runs, once, or none where the node dies. */
-        void take(String id, Consumer<String> served, Runnable turnedAway, Runnable reset);
+        void take(String id, String parent, Consumer<String> served, Runnable turnedAway, Runnable reset);
 
         /** It began to work on it, though it will be cut. */
         void ran(String id);
@@ -278,7 +278,7 @@
                 if (echo) {
                     trailers(ctx, 0);
                 } else {
-                    work.take(id, body -> served(ctx, body), () -> turnedAway(ctx),
+                    work.take(id, head.get("traceparent") == null ? null : head.get("traceparent").toString(), body -> served(ctx, body), () -> turnedAway(ctx),
                             () -> reset(ctx, Http2Error.INTERNAL_ERROR));
                 }
                 return;
--- a/src/main/java/rushproxy/standin/HttpClients.java
+++ b/src/main/java/rushproxy/standin/HttpClients.java
@@ -90,6 +90,9 @@
         if (a.again) {
             m.headers().set("X-Resent", "1");
         }
+        if (a.parent != null) {
+            m.headers().set("traceparent", a.parent);
+        }
         a.on = channel;
         channel.pipeline().get(Handler.class).asked = a;
         sent(a, now);
--- a/src/main/java/rushproxy/standin/Node.java
+++ b/src/main/java/rushproxy/standin/Node.java
@@ -22,8 +22,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import rushproxy.core.Clock;
@@ -37,7 +40,12 @@
     private static final int MAX_BODY = 64 * 1024;
     private static final int RELISTEN_MS = 20;
 
-    private record Job(String id, Consumer<String> served) {}
+    /** One request that was worked on; {@code parent} is the traceparent it came with, or null. Times are module time. */
+    public record Ran(String id, String parent, long begunUs, long endedUs) {}
+
+    private static final int MOST_RAN = 1 << 18;
+
+    private record Job(String id, String parent, Consumer<String> served) {}
 
     private final EventLoop loop;
     private final Clock clock;
@@ -55,6 +63,7 @@
     private long stalledUntilUs;
     private boolean draining;
     private boolean resetting;
+    private final Queue<Ran> ran = new ConcurrentLinkedQueue<>();
     /** Counts the lives of the process: work of an earlier one ends nowhere. */
     private int life;
     private volatile int served;
@@ -111,6 +120,11 @@
         return served;
     }
 
+    /** What it has worked on to the end, whoever still waited for it: the spans of a node. */
+    public List<Ran> ran() {
+        return List.copyOf(ran);
+    }
+
     /** The process dies: connections are reset, new ones refused, what it held is gone. */
     public void kill() {
         loop.execute(this::die);
@@ -187,29 +201,32 @@
             Job job = waiting.poll();
             working++;
             referee.ran(now, id, zone, job.id);
-            finishIn(job, model.serviceUs(now), life);
+            finishIn(job, now, model.serviceUs(now), life);
         }
     }
 
-    private void finishIn(Job job, long us, int ofLife) {
+    private void finishIn(Job job, long begunUs, long us, int ofLife) {
         loop.schedule(() -> {
             if (life != ofLife) {
                 return;
             }
             long now = clock.now();
             if (now < stalledUntilUs) {
-                finishIn(job, stalledUntilUs - now, ofLife);
+                finishIn(job, begunUs, stalledUntilUs - now, ofLife);
                 return;
             }
             working--;
             served++;
+            if (ran.size() < MOST_RAN) {
+                ran.add(new Ran(job.id, job.parent, begunUs, now));
+            }
             job.served.accept("{\"node\":\"" + id + "\",\"txn\":\"" + job.id + "\"}");
             begin();
         }, us, TimeUnit.MICROSECONDS);
     }
 
     /** A request has come whole, by whichever protocol; one of the three runs, or none where the process dies. */
-    private void take(String txn, Consumer<String> served, Runnable turnedAway, Runnable reset) {
+    private void take(String txn, String parent, Consumer<String> served, Runnable turnedAway, Runnable reset) {
         long now = clock.now();
         referee.attempted(now, World.sidecarOf(txn), id, txn);
         double multiple = model.push(now);
@@ -224,7 +241,7 @@
         } else if (draining || waiting.size() >= shape.waiting()) {
             turnedAway.run();
         } else {
-            waiting.add(new Job(txn, served));
+            waiting.add(new Job(txn, parent, served));
             begin();
         }
     }
@@ -233,8 +250,8 @@
     Node speakGrpc() throws InterruptedException {
         GrpcFace made = new GrpcFace(loop, new GrpcFace.Work() {
             @Override
-            public void take(String txn, Consumer<String> served, Runnable turnedAway, Runnable reset) {
-                Node.this.take(txn, served, turnedAway, reset);
+            public void take(String txn, String parent, Consumer<String> served, Runnable turnedAway, Runnable reset) {
+                Node.this.take(txn, parent, served, turnedAway, reset);
             }
 
             @Override
@@ -291,7 +308,7 @@
                 answer(ctx, HttpResponseStatus.NOT_FOUND, "", false);
                 return;
             }
-            take(txn, body -> answer(ctx, HttpResponseStatus.OK, body, false),
+            take(txn, request.headers().get("traceparent"), body -> answer(ctx, HttpResponseStatus.OK, body, false),
                     () -> answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true), () -> {
                         ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
                         ctx.close();
--- a/src/main/java/rushproxy/standin/SidecarProcess.java
+++ b/src/main/java/rushproxy/standin/SidecarProcess.java
@@ -153,7 +153,8 @@
 
     /** SIGTERM, then its exit code. */
     public int terminate() throws InterruptedException {
-        process.destroy();
+        // Not the process itself, which would close its log with it: what it says of its end is wanted.
+        process.toHandle().destroy();
         return process.waitFor(30, TimeUnit.SECONDS) ? process.exitValue() : -1;
     }
 
--- a/src/main/java/rushproxy/standin/World.java
+++ b/src/main/java/rushproxy/standin/World.java
@@ -50,6 +50,7 @@
     private final List<Node> nodes = new ArrayList<>();
     private final List<SidecarProcess> sidecars = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
+    private final List<Collector> collectors = new ArrayList<>();
 
     /** All nodes have this shape; the sidecars are told of its ramp and cold share as the platform tells them. */
     public World(Shape shape) throws IOException {
@@ -73,6 +74,18 @@
         return this;
     }
 
+    /** A stand-in for OpenTelemetry's collector. */
+    public Collector collector() throws InterruptedException {
+        Collector made = new Collector(loop).listen();
+        collectors.add(made);
+        return made;
+    }
+
+    /** The table [traces] of a sidecar's operator's file, with further lines of its own, to this collector. */
+    public static String tracesTable(Collector to, String more) {
+        return "[traces]\n" + more + "[traces.collector]\naddress = \"" + to.address() + "\"\ntimeout = \"500ms\"\n";
+    }
+
     /** The table [grpc] of a sidecar's operator's file, on any free port; its methods have the stage's classes. */
     public static String grpcTable() {
         StringBuilder t = new StringBuilder("[grpc]\nlisten = \"127.0.0.1:0\"\n");
@@ -334,6 +347,7 @@
         sidecars.forEach(SidecarProcess::close);
         clients.forEach(Clients::close);
         nodes.forEach(Node::close);
+        collectors.forEach(Collector::close);
         registry.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         try (Stream<Path> files = Files.walk(folder)) {
--- /dev/null
+++ b/src/main/java/rushproxy/trace/Sampler.java
@@ -0,0 +1,118 @@
+package rushproxy.trace;
+
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Set;
+import rushproxy.Balancer.Outcome;
+import rushproxy.trace.Reason.Pool;
+import rushproxy.trace.Trace.How;
+import rushproxy.trace.Trace.Step;
+
+/**
+ * Judges a trace when it is over: why it may be worth keeping, and whether the rates allow it. A few of each kind of trouble
+ * are kept whatever the rates say. Pure; time comes with each call.
+ */
+final class Sampler {
+    private static final int FEW = 3, KINDS = 512;
+    private static final long WINDOW_US = 10_000_000;
+
+    private final Sampling how;
+    private final Map<Pool, Thinner> thinners = new EnumMap<>(Pool.class);
+    private final Rare rare = new Rare(FEW, KINDS, WINDOW_US);
+
+    Sampler(Sampling how, long nowUs) {
+        this.how = how;
+        thinners.put(Pool.TROUBLE, new Thinner(how.troublePerSecond(), nowUs));
+        thinners.put(Pool.NOTED, new Thinner(how.notedPerSecond(), nowUs));
+        thinners.put(Pool.ORDINARY, new Thinner(how.ordinaryPerSecond(), nowUs));
+    }
+
+    /** The mark that a trace gets at its start, by lot: the threshold that it passed, or -1. */
+    long lot(long nowUs, long randomness) {
+        Thinner ordinary = thinners.get(Pool.ORDINARY);
+        return ordinary.passes(nowUs, randomness) ? ordinary.threshold() : -1;
+    }
+
+    boolean marked(String requestClass) {
+        return how.marked().contains(requestClass);
+    }
+
+    Verdict judge(long nowUs, Trace t) {
+        Set<Reason> reasons = reasons(t);
+        Pool pool = reasons.iterator().next().pool;
+        if (pool == Pool.TROUBLE && rare.take(nowUs, kind(t, reasons))) {
+            return new Verdict(reasons, pool, 1);
+        }
+        Thinner thinner = thinners.get(pool);
+        if (pool == Pool.ORDINARY) {
+            // Its lot was drawn at its start, so that the upstreams know of it too.
+            return new Verdict(reasons, pool, t.lot() >= 0 && thinner.take(nowUs) ? 1 / Randomness.probability(t.lot()) : 0);
+        }
+        boolean passes = thinner.passes(nowUs, Randomness.of(t.context().low(), t.context().state()));
+        return new Verdict(reasons, pool, passes && thinner.take(nowUs) ? thinner.weight() : 0);
+    }
+
+    /** The gravest first; never empty. */
+    Set<Reason> reasons(Trace t) {
+        EnumSet<Reason> reasons = EnumSet.noneOf(Reason.class);
+        switch (t.how()) {
+            case FAILED -> reasons.add(Reason.FAILED);
+            case REFUSED -> reasons.add(Reason.REFUSED);
+            case LEFT -> reasons.add(Reason.LEFT);
+            case SERVED -> { }
+        }
+        boolean bad = false;
+        for (Step s : t.steps()) {
+            if (bad && !s.secondCopy) {
+                reasons.add(Reason.RETRIED);
+            }
+            bad |= s.outcome() != Outcome.OK && s.cancelledUs() == 0;
+            if (s.secondCopy) {
+                reasons.add(Reason.HEDGED);
+            }
+        }
+        if (t.start().resent() || t.link() != null) {
+            reasons.add(Reason.RESENT);
+        }
+        long tookUs = (firstWordUs(t) == 0 ? t.answeredUs() : firstWordUs(t)) - t.start().sentUs()
+                + t.start().unreadUs();
+        if (tookUs > t.start().aimUs() * how.slowShare()) {
+            reasons.add(Reason.SLOW);
+        }
+        if (t.parent() != null && t.parent().sampled()) {
+            reasons.add(Reason.ASKED);
+        }
+        if (reasons.isEmpty()) {
+            reasons.add(Reason.ORDINARY);
+        }
+        return reasons;
+    }
+
+    /** A stream is as fast as its first byte: how long it goes on is both sides' wish. */
+    private static long firstWordUs(Trace t) {
+        for (Step s : t.steps()) {
+            if (s.streamingUs() > 0) {
+                return s.streamingUs();
+            }
+        }
+        return 0;
+    }
+
+    /** Traces of one kind have, as far as can be seen from here, one cause. */
+    private static String kind(Trace t, Set<Reason> reasons) {
+        String where = "";
+        for (Step s : t.steps()) {
+            if (s.outcome() != Outcome.OK) {
+                where = s.upstream + s.outcome();
+                break;
+            }
+        }
+        return t.request().requestClass() + t.how() + reasons.iterator().next() + where;
+    }
+
+    /** How many passed by lot and met an empty bucket: weights are too small by these. */
+    long dropped() {
+        return thinners.values().stream().mapToLong(Thinner::dropped).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/trace/Verdict.java
@@ -0,0 +1,15 @@
+package rushproxy.trace;
+
+import java.util.Set;
+
+/**
+ * What became of a trace that is over.
+ *
+ * @param weight for how many such traces it stands; 0 where it is not kept
+ * @param pool   whose rate it came under
+ */
+public record Verdict(Set<Reason> reasons, Reason.Pool pool, double weight) {
+    public boolean kept() {
+        return weight > 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/trace/export/FileSink.java
@@ -0,0 +1,90 @@
+package rushproxy.trace.export;
+
+import io.opentelemetry.exporter.internal.otlp.traces.TraceRequestMarshaler;
+import io.opentelemetry.sdk.trace.data.SpanData;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import rushproxy.operator.Operator.TraceFileOptions;
+
+/**
+ * Lines of OTLP in JSON, as OpenTelemetry's collector writes and reads them, in files that take turns: NAME.jsonl is being
+ * written, NAME.1.jsonl is the one before, and so on. A batch that could be written only in part is cut off again.
+ */
+final class FileSink implements Sink {
+    private final TraceFileOptions options;
+    private final String name;
+    private FileChannel file;
+
+    FileSink(TraceFileOptions options, String instance) {
+        this.options = options;
+        name = "traces-" + instance.replaceAll("[^A-Za-z0-9_.-]", "_");
+    }
+
+    private Path path(int age) {
+        return options.folder().resolve(age == 0 ? name + ".jsonl" : name + "." + age + ".jsonl");
+    }
+
+    @Override
+    public Sent send(List<SpanData> spans) {
+        try {
+            ByteArrayOutputStream line = new ByteArrayOutputStream(16 * 1024);
+            TraceRequestMarshaler.create(spans).writeJsonTo(line);
+            line.write('\n');
+            write(ByteBuffer.wrap(line.toByteArray()));
+            return Sent.TAKEN;
+        } catch (IOException e) {
+            close();
+            return new Sent(Delivery.End.LATER, 0, e.toString());
+        }
+    }
+
+    private void write(ByteBuffer line) throws IOException {
+        if (file == null) {
+            Files.createDirectories(options.folder());
+            file = FileChannel.open(path(0), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        }
+        long size = file.size();
+        if (size > 0 && size + line.remaining() > options.largestBytes()) {
+            turn();
+            size = 0;
+        }
+        try {
+            long at = size;
+            while (line.hasRemaining()) {
+                at += file.write(line, at);
+            }
+        } catch (IOException e) {
+            file.truncate(size);
+            throw e;
+        }
+    }
+
+    private void turn() throws IOException {
+        close();
+        for (int age = options.files() - 1; age > 0; age--) {
+            if (Files.exists(path(age - 1))) {
+                Files.move(path(age - 1), path(age), StandardCopyOption.REPLACE_EXISTING);
+            }
+        }
+        file = FileChannel.open(path(0), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING);
+    }
+
+    @Override
+    public void close() {
+        if (file != null) {
+            try {
+                file.close();
+            } catch (IOException e) {
+                // Nothing more is owed to it.
+            }
+            file = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/cli/CommandsTest.java
@@ -0,0 +1,39 @@
+package rushproxy.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Commands end with 0, with 1 where they found nothing, with 2 on wrong input. */
+class CommandsTest {
+    private static final String SPAN = """
+            {"resourceSpans":[{"resource":{},"scopeSpans":[{"spans":[{"traceId":"4bf92f3577b34da6a3ce929d0e0e4736",
+            "spanId":"1","name":"c","startTimeUnixNano":"0","endTimeUnixNano":"100000000","attributes":[
+            {"key":"bridgecleat.request.id","value":{"stringValue":"x"}},{"key":"bridgecleat.class","value":{"stringValue":"confirm"}},
+            {"key":"bridgecleat.reasons","value":{"arrayValue":{"values":[{"stringValue":"slow"}]}}}]}]}]}]}""";
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void exitCodesTellWhatCameOfIt() throws Exception {
+        String good = Files.writeString(folder.resolve("a"), SPAN.replace("\n", "") + "\n").toString();
+        String broken = Files.writeString(folder.resolve("b"), "{\n").toString();
+        assertEquals(0, Commands.run("traces", "show", "4bf9", good));
+        assertEquals(0, Commands.run("traces", "list", "-r", "slow", "-c", "confirm", "--slower", "50", good));
+        assertEquals(0, Commands.run("traces", "causes", good));
+        assertEquals(1, Commands.run("traces", "show", "another", good));
+        assertEquals(1, Commands.run("traces", "list", "-r", "failed", good));
+        assertEquals(2, Commands.run("traces", "list", broken));
+        assertEquals(2, Commands.run("traces", "causes", folder.resolve("none").toString()));
+        assertEquals(2, Commands.run("traces", "list"));
+        assertEquals(2, Commands.run("nonsense"));
+        assertEquals(2, Commands.run());
+        assertEquals(2, Commands.run("demo", "--seconds", "1"));
+        assertEquals(2, Commands.run("check", Files.writeString(folder.resolve("o"), "[traces]\n").toString()));
+        assertEquals(0, Commands.run("check", "deploy/operator.toml"));
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/core/TurnsTest.java
@@ -0,0 +1,67 @@
+package rushproxy.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
+
+class TurnsTest {
+    private static final long MS = 1_000_000;
+
+    @Test
+    void whatComesToALoopThatSleptWasReadAtOnce() {
+        Turns t = new Turns();
+        assertEquals(0, t.unreadNanos(5 * MS));
+        t.began(0);
+        t.saw(100 * MS);
+        assertEquals(0, t.unreadNanos(100 * MS));
+        // The second of the same turn has waited for the first one's sake.
+        assertEquals(3 * MS, t.unreadNanos(103 * MS));
+        t.handled(104 * MS);
+    }
+
+    /** Its events took long, or its tasks: what the next turn finds at once may have lain there all the while. */
+    @Test
+    void whatComesToABusyLoopMayHaveWaited() {
+        Turns t = new Turns();
+        t.began(0);
+        t.saw(10 * MS);
+        t.handled(60 * MS);
+        t.began(90 * MS);
+        t.saw(90 * MS);
+        assertEquals(80 * MS, t.unreadNanos(90 * MS));
+        // A turn of tasks alone counts from its events' end.
+        t.began(100 * MS);
+        t.handled(100 * MS);
+        t.began(140 * MS);
+        t.saw(140 * MS);
+        assertEquals(40 * MS, t.unreadNanos(140 * MS));
+        // And one that slept in between is not blamed for what was before.
+        t.began(141 * MS);
+        t.saw(300 * MS);
+        assertEquals(0, t.unreadNanos(300 * MS));
+    }
+
+    /** On a real loop: a task that takes long makes what is read next look late, at least by as much. */
+    @Test
+    void aRealLoopIsSeenToBeLate() throws Exception {
+        Turns turns = new Turns();
+        MultiThreadIoEventLoopGroup group = EventLoops.one();
+        EventLoops.watch(group.next(), turns);
+        long unread = 0;
+        // Both tasks may come into one turn or into two: in either case the loop has looked at nothing in between.
+        for (int i = 0; i < 100 && unread < 30 * MS; i++) {
+            group.next().execute(() -> {
+                for (long until = System.nanoTime() + 30 * MS; System.nanoTime() < until; ) {
+                    LockSupport.parkNanos(MS);
+                }
+            });
+            unread = group.next().submit(() -> turns.unreadNanos(System.nanoTime())).sync().getNow();
+        }
+        assertTrue(unread >= 30 * MS, "seen as late by " + unread);
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+}
--- a/src/test/java/rushproxy/membership/MembershipTest.java
+++ b/src/test/java/rushproxy/membership/MembershipTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import rushproxy.Balancer.Doubt;
+import rushproxy.core.Pauses;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
 
--- /dev/null
+++ b/src/test/java/rushproxy/trace/export/FileSinkTest.java
@@ -0,0 +1,99 @@
+package rushproxy.trace.export;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.opentelemetry.sdk.trace.data.SpanData;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rushproxy.Balancer.Outcome;
+import rushproxy.Balancer.Request;
+import rushproxy.Balancer.Semantics;
+import rushproxy.json.Json;
+import rushproxy.operator.Operator.TraceFileOptions;
+import rushproxy.trace.Reason;
+import rushproxy.trace.Sampling;
+import rushproxy.trace.SpanContext;
+import rushproxy.trace.Trace;
+import rushproxy.trace.Tracer;
+import rushproxy.trace.Verdict;
+
+/** Files of spans: whole lines that others can read, a bounded number of them, whatever the disk does. */
+class FileSinkTest {
+    @TempDir
+    Path folder;
+
+    private static List<SpanData> spans(String id) {
+        List<SpanData> spans = new ArrayList<>();
+        Tracer tracer = new Tracer(new Sampling(9, 9, 9, 1, Set.of(), 0, 0), () -> 1_000_000, 5, (t, v) -> { }, e -> {
+            throw e;
+        });
+        SpanContext parent = SpanContext.parse(List.of("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"), List.of("b=1,a=2"));
+        Trace t = tracer.begin(parent, new Tracer.Start(new Request(id, 0, false, false, 0, 1, "t", "c"), Semantics.SAFE, "http",
+                null, false, 1, 900_000, 0));
+        t.tried("u0");
+        t.ended(0, Outcome.TIMEOUT, 1_000_000, true, null);
+        t.answered(Trace.How.FAILED, 0);
+        t.settled();
+        new Spans("s", "i").add(t, new Verdict(EnumSet.of(Reason.FAILED), Reason.Pool.TROUBLE, 1), spans);
+        return spans;
+    }
+
+    private Set<String> files() throws Exception {
+        try (var all = Files.list(folder)) {
+            return new TreeSet<>(all.map(p -> p.getFileName().toString()).toList());
+        }
+    }
+
+    @Test
+    void filesTakeTurnsAndHoldWholeLines() throws Exception {
+        try (FileSink sink = new FileSink(new TraceFileOptions(folder, 4_000, 3), "n/0")) {
+            for (int i = 0; i < 30; i++) {
+                assertEquals(Delivery.End.TAKEN, sink.send(spans("r" + i)).end());
+            }
+        }
+        assertEquals(Set.of("traces-n_0.jsonl", "traces-n_0.1.jsonl", "traces-n_0.2.jsonl"), files());
+        List<String> lines = new ArrayList<>();
+        for (String name : List.of("traces-n_0.2.jsonl", "traces-n_0.1.jsonl", "traces-n_0.jsonl")) {
+            assertTrue(Files.size(folder.resolve(name)) <= 4_000);
+            lines.addAll(Files.readAllLines(folder.resolve(name)));
+        }
+        for (int i = 0; i < lines.size(); i++) {
+            Json spans = Json.parse(lines.get(i).getBytes()).objects("resourceSpans").get(0).objects("scopeSpans").get(0);
+            assertEquals(2, spans.objects("spans").size());
+            assertEquals("4bf92f3577b34da6a3ce929d0e0e4736", spans.objects("spans").get(0).text("traceId"));
+            assertEquals("b=1,a=2", spans.objects("spans").get(0).text("traceState"));
+            assertTrue(lines.get(i).contains("\"r" + (30 - lines.size() + i) + "\""), "in their order");
+        }
+    }
+
+    /** A later start goes on behind what an earlier one has written. */
+    @Test
+    void anEarlierFileIsGoneOnWith() throws Exception {
+        for (String id : List.of("a", "b")) {
+            try (FileSink sink = new FileSink(new TraceFileOptions(folder, 64_000, 3), "n0")) {
+                sink.send(spans(id));
+            }
+        }
+        assertEquals(2, Files.readAllLines(folder.resolve("traces-n0.jsonl")).size());
+    }
+
+    @Test
+    void aFolderThatIsNoneIsSaidAndTriedAgain() throws Exception {
+        Path blocked = Files.writeString(folder.resolve("x"), "a file");
+        try (FileSink sink = new FileSink(new TraceFileOptions(blocked, 4_000, 3), "n0")) {
+            Sink.Sent how = sink.send(spans("a"));
+            assertEquals(Delivery.End.LATER, how.end());
+            assertTrue(how.why().contains("x"), how.why());
+            Files.delete(blocked);
+            assertEquals(Delivery.End.TAKEN, sink.send(spans("a")).end());
+        }
+    }
+}
