Spill from a lost zone within bounds, ramp it back, and book its keys nowhere else

Need: with one of three data centres dark its work must not drown the others, it returns cold, and a confirmation that it may have taken must not be booked in another one.

Change: rushproxy.zones (pure) round the module: health of zones, bounded spill, damping, tiers, the operator's away, and a ledger of keys over clients' retries.

--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -87,14 +87,20 @@
      * {@code costHintUs} is 0 where there is none; {@code remainingUs} is the time until the client gives
      * up. {@code speaks} is the bit of its protocol. {@code streams}: its answer goes on for as long as both sides want, and
      * {@code remainingUs} is the time until it must have begun. It takes one of its upstream's streams, for all its life, and
-     * no place among the requests that are worked on; how long it takes tells nothing of its upstream's speed.
+     * no place among the requests that are worked on; how long it takes tells nothing of its upstream's speed. {@code intent}
+     * is what stays the same over a client's own retries, a keyed request's key; null where there is none.
      */
     record Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
-                   String tenant, String requestClass, int speaks, boolean streams) {
+                   String tenant, String requestClass, int speaks, boolean streams, String intent) {
         public Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
                        String tenant, String requestClass) {
             this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, HTTP1, false);
         }
+
+        public Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
+                       String tenant, String requestClass, int speaks, boolean streams) {
+            this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, speaks, streams, null);
+        }
     }
 
     /** A load report; a value that the site does not report is negative. */
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -76,6 +76,7 @@
 
     private final Settings cfg;
     private final Actions out;
+    private final Guide guide;
     private final SplittableRandom random;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private double topWorth;
@@ -88,8 +89,9 @@
     private final double coresGuess;
     private final int home;
 
-    public Policy(Settings settings, long seed, long now, Actions actions) {
+    public Policy(Settings settings, Guide guide, long seed, long now, Actions actions) {
         cfg = settings;
+        this.guide = guide;
         out = actions;
         random = new SplittableRandom(seed);
         for (RequestClass c : cfg.classes()) {
@@ -429,7 +431,7 @@
         for (int i = 0; i < k.length; i++) {
             for (Server s : groups.get(i)) {
                 // The floor only matters when all servers with a share are full.
-                s.share = Math.max(p[i] / k[i], 1e-6 * mu[i]);
+                s.share = Math.max(p[i] / k[i], 1e-6 * mu[i]) * guide.weight(s.entry);
                 bestSlow = Math.min(bestSlow, s.slow() / warmth(s, now));
                 all.add(s);
                 if (priced()) (s.zone == home ? near : far).add(s);
@@ -607,7 +609,7 @@
     }
 
     private void hold(long now, Req r) {
-        if (now >= lastStart(r)) {
+        if (now >= lastStart(r) || guide.hopeless(now, r.request)) {
             // Little time left, as on a client's last try: the sweep would come after its deadline.
             giveUp(now, r);
             return;
@@ -668,7 +670,7 @@
             if (!a.ended && !cfg.limits().secondCopies()) return false;
             if (a.mayHaveRun && !repeatable(r.spec, a, s, now)) return false;
         }
-        return coldRoom(now, s, r.work);
+        return coldRoom(now, s, r.work) && guide.allows(now, r.request, s.entry);
     }
 
     private static boolean repeatable(RequestClass c, Attempt earlier, Server s, long now) {
@@ -712,7 +714,7 @@
     private boolean mayRefuse(Req r) {
         if (r.over || r.streaming) return false;
         for (Attempt a : r.attempts) if (a.mayHaveRun) return false;
-        return true;
+        return guide.mayRefuse(r.request);
     }
 
     private void send(long now, Req r, Server s) {
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -29,6 +29,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.regex.Pattern;
+import rushproxy.Balancer;
 import rushproxy.Balancer.Request;
 import rushproxy.Balancer.RequestClass;
 import rushproxy.Balancer.Semantics;
@@ -186,7 +187,8 @@
         long deadline = arrival.sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4);
         Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
                 false, Math.max(0, whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
-                h.get(Headers.TENANT), lane.name());
+                h.get(Headers.TENANT), lane.name(), Balancer.HTTP1, false,
+                lane.semantics() == Semantics.KEYED ? h.get(Headers.IDEMPOTENCY_KEY) : null);
         boolean keepAlive = HttpUtil.isKeepAlive(m);
         Outgoing out = new Outgoing(m.method(), m.uri(), id, h.get(Headers.IDEMPOTENCY_KEY),
                 ByteBufUtil.getBytes(m.content()));
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -23,6 +23,7 @@
 import rushproxy.operator.Operator.TraceFileOptions;
 import rushproxy.operator.Operator.TraceOptions;
 import rushproxy.trace.Sampling;
+import rushproxy.zones.Options;
 
 /** Reads the operator's file, strictly: whatever it does not know or can't use is an error with its place. */
 public final class OperatorFile {
@@ -41,7 +42,7 @@
         }
         Table root = new Table(name, "", toml, 1);
         Operator operator = new Operator(membership(root.table("membership")), grpc(root.table("grpc")),
-                traces(root.table("traces")));
+                traces(root.table("traces")), zones(root.table("zones")));
         root.done();
         return operator;
     }
@@ -99,6 +100,38 @@
                 new Routes(byName, unknown), List.copyOf(routes));
     }
 
+    private static Options zones(Table t) throws Broken {
+        if (t == null) {
+            return null;
+        }
+        List<List<String>> tiers = new ArrayList<>();
+        Set<String> named = new java.util.HashSet<>();
+        for (Table tier : t.tables("tier")) {
+            tiers.add(tier.texts("zones"));
+            for (String zone : tiers.get(tiers.size() - 1)) {
+                if (!named.add(zone)) {
+                    throw tier.broken("zones", "zones that no other tier has");
+                }
+            }
+            tier.done();
+        }
+        Options options = new Options(List.copyOf(tiers), Set.copyOf(t.texts("away")),
+                t.whole("overprovision_percent", 140, 100, 1_000) / 100.0, t.whole("panic_percent", 30, 0, 100) / 100.0,
+                t.whole("floor_per_second", 5, 1, 1_000), t.duration("doubling", "2s", "100ms", "10min", null),
+                t.duration("trickle", "500ms", "50ms", "1min", null), t.duration("half_life", "15s", "1s", "1h", null),
+                t.whole("remembered", 20_000, 100, 1_000_000), t.duration("remember", "60s", "1s", "1h", null));
+        t.done();
+        return options;
+    }
+
+    private static void explain(Options z, List<String> lines) {
+        lines.add(z == null ? "zones: off; upstreams are taken one by one, and a client's own retry as a new request"
+                : "zones: " + (z.tiers().isEmpty() ? "none is preferred" : "preferred in the order " + z.tiers())
+                + (z.away().isEmpty() ? "" : "; away: " + z.away()) + "; a lost one is tried every " + seconds(z.trickleUs())
+                + ", others take over at most twice as much in " + seconds(z.doublingUs()) + "; " + z.remembered()
+                + " keys are remembered for " + seconds(z.rememberUs()));
+    }
+
     private static TraceOptions traces(Table t) throws Broken {
         if (t == null) {
             return null;
@@ -166,6 +199,7 @@
         explain(operator.membership(), lines);
         explain(operator.grpc(), lines);
         explain(operator.traces(), lines);
+        explain(operator.zones(), lines);
         return lines;
     }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
+import rushproxy.Guide;
 import rushproxy.Policy;
 import rushproxy.core.Clock;
 import rushproxy.core.Decisions;
@@ -31,6 +32,7 @@
 import rushproxy.operator.Operator;
 import rushproxy.operator.Operator.DiskOptions;
 import rushproxy.operator.Operator.TraceOptions;
+import rushproxy.zones.Guided;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
 public final class Sidecar {
@@ -108,6 +110,13 @@
         clients = new ClientServer(loop, clock, requests, upstreams, settings.classes(), upstreams::anyReady, fromClients);
     }
 
+    /** Zones stand beside the module only where the operator has asked for them. */
+    static Module module(Operator operator) {
+        return operator.zones() == null ? (c, now, actions) -> new Policy(c.settings(), Guide.NONE, c.seed(), now, actions)
+                : (c, now, actions) -> new Guided(operator.zones(), c.settings(), c.seed() ^ 0x7a6f6e6573L, now, actions,
+                (guide, hands) -> new Policy(c.settings(), guide, c.seed(), now, hands));
+    }
+
     private static Trial.How asks(Balancer.Settings settings) {
         if (!settings.limits().probing()) {
             return Trial.How.CONNECT;
@@ -133,7 +142,7 @@
             Log.line(e.getMessage());
             return 2;
         }
-        Module module = (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions);
+        Module module = module(operator);
         Sidecar sidecar;
         try {
             sidecar = new Sidecar(config, operator, module);
@@ -240,6 +249,17 @@
         }, "traces-start").start();
     }
 
+    private void rezone(rushproxy.zones.Options zones) {
+        decisions.call(m -> {
+            if (m instanceof Guided g && zones != null) {
+                g.change(clock.now(), zones);
+                Log.line("zones: those away and those preferred are as the file says now; the rest holds from the next start on");
+            } else {
+                Log.line("what changed under [zones] holds from the next start on");
+            }
+        }, () -> { });
+    }
+
     /** Null turns it off. What is under way keeps its trace, and its place on the old shelf. */
     private void trace(Tracing made) {
         Tracing old = tracing;
@@ -313,6 +333,9 @@
                 if (!Objects.equals(operator.grpc(), told.grpc())) {
                     Log.line("what changed under [grpc] holds from the next start on");
                 }
+                if (!Objects.equals(operator.zones(), told.zones())) {
+                    rezone(told.zones());
+                }
                 boolean traces = !Objects.equals(operator.traces(), told.traces());
                 operator = told;
                 if (traces) {
--- a/src/main/java/rushproxy/standin/Clients.java
+++ b/src/main/java/rushproxy/standin/Clients.java
@@ -72,6 +72,7 @@
     private volatile boolean mayLose;
     private final List<Tried> tried = new ArrayList<>();
     private boolean tracing;
+    private boolean insistent;
     private int leaving;
     private long leaveMs;
     /** By the second in which their request was first sent. */
@@ -94,6 +95,8 @@
         boolean over;
         /** Its user has gone: what still comes was on its way. */
         boolean left;
+        /** It has its time anew. */
+        boolean longer;
         Future<?> timeout;
         Channel on;
         long sentUs;
@@ -154,6 +157,12 @@
         return this;
     }
 
+    /** From now on a confirmation that failed, or was not answered, is asked for once more with its key. */
+    public Clients insistent() {
+        insistent = true;
+        return this;
+    }
+
     /** Each try that has ended, once {@link #traced}. */
     public List<Tried> tried() {
         return loop.submit(() -> List.copyOf(tried)).syncUninterruptibly().getNow();
@@ -192,7 +201,7 @@
 
     private void ask(Asked a) {
         a.id = sidecar + "-" + idMark() + ++numbers + "-" + Long.toHexString(startUs % 0xfffff);
-        a.untilUs = a.firstUs + GIVE_UP_MS * patience * 1000;
+        a.untilUs = (a.longer ? clock.now() : a.firstUs) + GIVE_UP_MS * patience * 1000;
         send(a, to);
     }
 
@@ -248,7 +257,7 @@
 
     /** Once more where that is harmless and time is left; else it has ended so. */
     void again(Asked a, int as) {
-        if (a.again || clock.now() + AGAIN_MS * 1000 >= a.untilUs) {
+        if (a.again || !(insistent && a.kind == Kind.CONFIRM) && clock.now() + AGAIN_MS * 1000 >= a.untilUs) {
             end(a, as);
         } else {
             a.over = true;
@@ -257,6 +266,7 @@
             }
             Asked next = new Asked(a.kind, a.intent, a.firstUs, true);
             next.parent = a.parent;
+            next.longer = insistent && a.kind == Kind.CONFIRM;
             loop.schedule(() -> ask(next), AGAIN_MS, TimeUnit.MILLISECONDS);
         }
     }
@@ -313,7 +323,7 @@
             }
             case REFUSED -> again(a, 3);
             case FAILED -> {
-                if (a.kind == Kind.LOOKUP) {
+                if (a.kind == Kind.LOOKUP || insistent && a.kind == Kind.CONFIRM) {
                     again(a, 4);
                 } else {
                     end(a, 4);
--- a/src/main/java/rushproxy/standin/NodeModel.java
+++ b/src/main/java/rushproxy/standin/NodeModel.java
@@ -7,9 +7,9 @@
  * cold share to the full over the ramp. One that is cold falls over, and stays down, when all that reaches it within a
  * second is more than a multiple of what it could do in that second at its present capacity.
  */
-final class NodeModel {
-    static final double FALL_MULTIPLE = 3;
-    static final long FALL_US = 1_000_000;
+public final class NodeModel {
+    public static final double FALL_MULTIPLE = 3;
+    public static final long FALL_US = 1_000_000;
 
     private record Push(long atUs, double workMs) {}
 
@@ -20,13 +20,13 @@
     private double latelyMs;
     private boolean fallen;
 
-    NodeModel(Shape shape, long coldSinceUs) {
+    public NodeModel(Shape shape, long coldSinceUs) {
         this.shape = shape;
         this.coldSinceUs = coldSinceUs;
     }
 
     /** Part of its full capacity, from the cold share to 1. */
-    double warmth(long nowUs) {
+    public double warmth(long nowUs) {
         if (coldSinceUs == 0) {
             return 1;
         }
@@ -35,12 +35,12 @@
     }
 
     /** Time that one request takes when it is begun now. */
-    long serviceUs(long nowUs) {
+    public long serviceUs(long nowUs) {
         return (long) (shape.workMs() * 1000 / warmth(nowUs));
     }
 
     /** A request has come, to be worked on or turned away: how many times its present capacity came in the last second. */
-    double push(long nowUs) {
+    public double push(long nowUs) {
         lately.addLast(new Push(nowUs, shape.workMs()));
         latelyMs += shape.workMs();
         while (nowUs - lately.peekFirst().atUs >= FALL_US) {
@@ -53,7 +53,7 @@
         return multiple;
     }
 
-    boolean fallen() {
+    public boolean fallen() {
         return fallen;
     }
 }
--- a/src/test/java/rushproxy/ArchitectureTest.java
+++ b/src/test/java/rushproxy/ArchitectureTest.java
@@ -24,7 +24,7 @@
             new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("rushproxy");
 
     /** Packages that decide: no I/O, no threads, time as a parameter. */
-    private static final String[] PURE = {"rushproxy", "rushproxy.membership", "rushproxy.grpc.mapping", "rushproxy.trace"};
+    private static final String[] PURE = {"rushproxy", "rushproxy.membership", "rushproxy.grpc.mapping", "rushproxy.trace", "rushproxy.zones"};
 
     @Test
     void whatDecidesDoesNoInputOrOutput() {
@@ -56,8 +56,8 @@
         Set<JavaClass> reached = new HashSet<>();
         reach(PROGRAM.get("rushproxy.sidecar.Sidecar"), reached);
         assertEquals(Set.of(), reached.stream().map(JavaClass::getPackageName)
-                .filter(p -> p.startsWith("rushproxy.standin")).collect(Collectors.toSet()));
-        noClasses().that(resideOutside("rushproxy.standin", "rushproxy.cli", "rushproxy.measure")).should()
+                .filter(p -> p.startsWith("rushproxy.standin") || p.startsWith("rushproxy.lab")).collect(Collectors.toSet()));
+        noClasses().that(resideOutside("rushproxy.standin", "rushproxy.cli", "rushproxy.measure", "rushproxy.lab")).should()
                 .dependOnClassesThat(resideInAPackage("rushproxy.standin..")).check(PROGRAM);
     }
 
--- a/src/test/java/rushproxy/sidecar/RehearsalTest.java
+++ b/src/test/java/rushproxy/sidecar/RehearsalTest.java
@@ -21,7 +21,7 @@
         AtomicInteger served = new AtomicInteger();
         CountDownLatch many = new CountDownLatch(1);
         Sidecar.Module counting = (config, now, actions) -> {
-            Balancer policy = new Policy(config.settings(), config.seed(), now, actions);
+            Balancer policy = new Policy(config.settings(), rushproxy.Guide.NONE, config.seed(), now, actions);
             return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class},
                     (proxy, method, arguments) -> {
                         if (method.getName().equals("onOutcome") && arguments[4] == Outcome.OK
