Play a deploy in a surviving zone, told late, and eight sidecars in the full measurement

Need: the hard case of a deploy in a survivor during the outage, with discovery seconds late, was not played.

--- a/src/main/java/rushproxy/lab/ZoneDay.java
+++ b/src/main/java/rushproxy/lab/ZoneDay.java
@@ -62,6 +62,8 @@
     private final boolean insistent;
     private int numbers;
     private boolean stopped;
+    /** Negative where discovery tells only what {@link #list} makes it tell. */
+    private long tellLateUs = -1;
 
     /**
      * @param perZone   nodes of each zone
@@ -158,7 +160,7 @@
 
     /** Discovery's word goes to all sidecars, a little apart. */
     public void list() {
-        List<Upstream> entries = nodes.values().stream().map(n -> new Upstream(n.id, n.zone, "std", 0, n.startedUs(), 1,
+        List<Upstream> entries = nodes.values().stream().filter(n -> tellLateUs < 0 || n.link() != Link.DEAD).map(n -> new Upstream(n.id, n.zone, "std", 0, n.startedUs(), 1,
                 UpstreamState.READY)).toList();
         for (LabSidecar s : sidecars) {
             time.in(random.nextLong(20_000), () -> s.list(ListKind.FULL, entries));
@@ -168,6 +170,37 @@
     /** From now on the nodes of a zone, or the first so many of them, are so. */
     public void zone(String zone, Link how, int first) {
         nodes.values().stream().filter(n -> n.zone.equals(zone)).limit(first).forEach(n -> n.be(how));
+        tellLater();
+    }
+
+    /** From now on discovery tells of each death and each start, so much later; to each sidecar in its own time. */
+    public ZoneDay discoveryTells(double lateS) {
+        tellLateUs = (long) (lateS * 1e6);
+        return this;
+    }
+
+    /** One node after the other of a zone ends and is back, cold, two seconds later. */
+    public void deploy(String zone, double apartS) {
+        long at = 0;
+        for (LabNode n : nodes.values()) {
+            if (n.zone.equals(zone)) {
+                time.in(at, () -> {
+                    n.be(Link.DEAD);
+                    tellLater();
+                });
+                time.in(at + 2_000_000, () -> {
+                    n.be(Link.UP);
+                    tellLater();
+                });
+                at += (long) (apartS * 1e6);
+            }
+        }
+    }
+
+    private void tellLater() {
+        if (tellLateUs >= 0) {
+            time.in(tellLateUs, this::list);
+        }
     }
 
     /** The operator's new word reaches all sidecars in this instant. */
--- a/src/main/java/rushproxy/measure/ZonesMeasure.java
+++ b/src/main/java/rushproxy/measure/ZonesMeasure.java
@@ -45,7 +45,7 @@
         m.days();
         m.flapping();
         m.preference();
-        m.sockets(quick ? 8 : 30);
+        m.sockets(quick ? 8 : 30, quick ? 4 : 8);
         System.out.println(m.shortfalls.isEmpty() ? "holds" : "falls short: " + String.join("; ", m.shortfalls));
         System.exit(m.shortfalls.isEmpty() ? 0 : 1);
     }
@@ -171,19 +171,19 @@
     }
 
     /** Real sidecars on real sockets: a zone stands still with what it holds, and goes on with it when it is back. */
-    private void sockets(int seconds) throws Exception {
+    private void sockets(int seconds, int count) throws Exception {
         for (boolean with : new boolean[] {true, false}) {
             try (World world = new World(Shape.SMALL).nodes(6)) {
                 List<Clients> all = new ArrayList<>();
                 Map<String, Object> known = World.list(1, world.nodes().stream().map(Listed::of).toList());
                 List<SidecarProcess> sidecars = new ArrayList<>();
-                for (int i = 0; i < 4; i++) {
-                    sidecars.add(world.sidecar(4, known, with ? "[zones]\n" : null));
+                for (int i = 0; i < count; i++) {
+                    sidecars.add(world.sidecar(count, known, with ? "[zones]\n" : null));
                 }
                 for (SidecarProcess s : sidecars) {
                     world.ready(s.address()).get(60, TimeUnit.SECONDS);
                     Clients c = world.clients(s.name()).insistent();
-                    c.start(s.address(), 70);
+                    c.start(s.address(), 280.0 / count);
                     all.add(c);
                 }
                 world.play(1_500);
--- a/src/test/java/rushproxy/lab/ZoneDayTest.java
+++ b/src/test/java/rushproxy/lab/ZoneDayTest.java
@@ -124,6 +124,23 @@
         kept(d);
     }
 
+    /** While one zone is out another one is being replaced, node by node, and all of that is told two seconds late. */
+    @Test
+    void aDeployInASurvivorDuringTheOutageRushesNobody() {
+        ZoneDay d = new ZoneDay(4, 8, 0.35, ZONES, true, 7).discoveryTells(2).play(10);
+        d.zone("west", Link.DEAD, 99);
+        d.play(13);
+        d.deploy("south", 6);
+        d.play(25);
+        d.zone("west", Link.UP, 99);
+        d.play(70);
+        assertTrue(d.coldPush(1) <= 3, "cold nodes were sent " + d.coldPush(1));
+        assertTrue(d.confirmsServed(10, 40) > 0.9, "confirmations " + d.confirmsServed(10, 40));
+        assertTrue(d.served(60, 69) > 0.98, "served in the end " + d.served(60, 69));
+        assertTrue(d.log().stream().anyMatch(l -> l.contains("zone west is empty")), d.log().toString());
+        kept(d);
+    }
+
     /** Half a zone is no zone: its living nodes go on, and nobody calls it dark. */
     @Test
     void halfADarkZoneGoesOn() {
