--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -48,6 +48,13 @@
         return turns;
     }
 
+    /** Something that was read is being handled. */
+    public void saw() {
+        if (turns != null) {
+            turns.saw(System.nanoTime());
+        }
+    }
+
     /** How long a request that is being read may have lain there at the most. */
     public long unreadUs() {
         return turns == null ? 0 : turns.unreadNanos(System.nanoTime()) / 1_000;
@@ -136,9 +143,7 @@
     }
 
     private void ended(Exchange x, int number, Attempt attempt, Outcome outcome, LoadReport report, ByteBuf body) {
-        if (turns != null) {
-            turns.saw(System.nanoTime());
-        }
+        saw();
         if (x.trace != null) {
             x.trace.ended(number, outcome, attempt.writtenUs(), attempt.dialled(), report);
         }
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -96,6 +96,7 @@
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
                 activeUs = clock.now();
+                requests.saw();
                 if (readingSinceUs == 0) {
                     readingSinceUs = activeUs;
                     unreadUs = requests.unreadUs();
@@ -219,9 +220,11 @@
     private Trace trace(Request request, RequestClass lane, String key, HttpHeaders h, long sentUs,
                         long unreadUs) {
         Tracer tracer = requests.tracer();
-        return tracer == null ? null : tracer.begin(
-                SpanContext.parse(h.getAll(Headers.TRACE_PARENT), h.getAll(Headers.TRACE_STATE)),
-                new Tracer.Start(request, lane.semantics(), "http", key, request.repeat(), lane.aimUs(), sentUs, unreadUs));
+        if (tracer == null) {
+            return null;
+        }
+        List<String> parents = h.getAll(Headers.TRACE_PARENT);
+        return tracer.begin(parents.isEmpty() ? null : SpanContext.parse(parents, h.getAll(Headers.TRACE_STATE)), new Tracer.Start(request, lane.semantics(), "http", key, request.repeat(), lane.aimUs(), sentUs, unreadUs));
     }
 
     /** The one value of a header; empty where there is none, or where several or odd ones could be read two ways. */
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -20,7 +20,6 @@
 import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
 import rushproxy.core.Clock;
-import rushproxy.core.EventLoops;
 import rushproxy.core.Requests;
 
 /** The application's side: listens, and says goodbye without losing what clients have sent. */
@@ -110,9 +109,6 @@
             connections.remove(connection);
             accepting.setAutoRead(connections.size() < maxConnections);
         });
-        if (requests.turns() != null) {
-            channel.pipeline().addLast(EventLoops.ears(requests.turns()));
-        }
         channel.pipeline().addLast(connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(),
                 new RequestBodies(connection::nothingOwed), connection);
     }
