Take a check out of the collector's test that could not fail

Seen on reading again: it compared a number with the smaller of itself and another. In its place the test asks that the collector was tried while it failed.

--- a/src/test/java/rushproxy/sidecar/TracesTest.java
+++ b/src/test/java/rushproxy/sidecar/TracesTest.java
@@ -177,16 +177,15 @@
         try (Peer.Client client = rig.client()) {
             for (Manner how : List.of(Manner.SILENT, Manner.RESETS, Manner.BUSY, Manner.REFUSES)) {
                 collector.be(how);
-                int before = collector.batches();
                 for (int i = 0; i < 300; i++) {
                     assertEquals(200, client.send(Rig.get(how + "-" + i, 20_000)).status());
                 }
-                assertEquals(before, Math.min(before, collector.batches()));
             }
             collector.be(Manner.TAKES);
             assertEquals(200, client.send(Rig.get("after", 20_000)).status());
         }
         request("after");
+        assertTrue(collector.batches() > 1, "it was tried while it failed");
         // The shelf holds a hundred: what matters as much and is older gave way.
         assertTrue(collector.seen().size() < 2 * 500, "more than was held came: " + collector.seen().size());
     }
