Remove what the traces and zones never use, and count silent nodes without a set

Read again as a whole. Dead: Tracer.change (a new Tracing takes its place on SIGHUP), TraceExport.waiting, Flow's three readers, Zones.states and remembered, the lab's counts of refusals, probes and single nodes' peaks. Simpler: Health counts nodes that are able instead of copying a set each 50 ms; both commands that filter share picocli's mixin instead of a group that might be null. A start without traces no longer hands the loop a task that says so.

--- a/src/main/java/rushproxy/cli/Traces.java
+++ b/src/main/java/rushproxy/cli/Traces.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import java.util.function.Predicate;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import rushproxy.trace.Names;
@@ -62,8 +63,8 @@
 
     @Command(name = "list", description = "Lists requests, a line each.")
     static final class ListOf implements Callable<Integer> {
-        @picocli.CommandLine.ArgGroup(exclusive = false)
-        private Filter filter = new Filter();
+        @Mixin
+        private Filter filter;
         @Option(names = {"-n", "--last"}, paramLabel = "N", description = "only the last N (default: ${DEFAULT-VALUE})",
                 defaultValue = "50")
         private int last;
@@ -72,7 +73,7 @@
 
         @Override
         public Integer call() throws SpanFiles.Broken {
-            List<Story> all = read(files).all().stream().filter((filter == null ? new Filter() : filter).asPredicate()).toList();
+            List<Story> all = read(files).all().stream().filter(filter.asPredicate()).toList();
             return print(all.subList(Math.max(0, all.size() - Math.max(0, last)), all.size()).stream().map(ListOf::line).toList());
         }
 
@@ -99,8 +100,8 @@
 
     @Command(name = "causes", description = "Groups requests in trouble by where their time went and whom to ask.")
     static final class CausesOf implements Callable<Integer> {
-        @picocli.CommandLine.ArgGroup(exclusive = false)
-        private Filter filter = new Filter();
+        @Mixin
+        private Filter filter;
         @Option(names = {"-n", "--most"}, paramLabel = "N", description = "only the N largest groups (default: ${DEFAULT-VALUE})",
                 defaultValue = "20")
         private int most;
@@ -109,7 +110,7 @@
 
         @Override
         public Integer call() throws SpanFiles.Broken {
-            Predicate<Story> which = (filter == null ? new Filter() : filter).asPredicate();
+            Predicate<Story> which = filter.asPredicate();
             // What is usual counts whatever is asked for.
             List<Story> all = read(files).all().stream()
                     .filter(s -> which.test(s) || s.request().text(Names.REASONS).equals("ordinary")).toList();
--- a/src/main/java/rushproxy/lab/LabNode.java
+++ b/src/main/java/rushproxy/lab/LabNode.java
@@ -38,7 +38,6 @@
     private int working;
     private int life;
     private Link link = Link.UP;
-    private double peak;
     private final List<Double> coldPushes = new ArrayList<>();
     private final Consumer<LabNode> arrivals;
 
@@ -82,8 +81,6 @@
         if (cold) {
             referee.pushed(now, id, multiple);
             coldPushes.add(multiple);
-        } else {
-            peak = Math.max(peak, multiple);
         }
         if (model.fallen()) {
             be(Link.DEAD);
@@ -116,11 +113,6 @@
         return new LoadReport(working + waiting.size(), waiting.size(), (double) working / shape.cores());
     }
 
-    /** The most that came to it in any second while warm, over what it could do. */
-    double peak() {
-        return peak;
-    }
-
     /** What came in the second before each of its requests while cold, over what it could do then. */
     List<Double> coldPushes() {
         return coldPushes;
--- a/src/main/java/rushproxy/lab/LabSidecar.java
+++ b/src/main/java/rushproxy/lab/LabSidecar.java
@@ -50,7 +50,6 @@
     /** Attempts that went to another zone than the sidecar's. */
     int crossed;
     int attempts;
-    int probes;
 
     LabSidecar(String zone, Timeline time, Map<String, LabNode> nodes, int maxAttempts, List<String> log) {
         this.zone = zone;
@@ -187,7 +186,6 @@
     @Override
     public void probe(String upstream) {
         later.add(() -> {
-            probes++;
             LabNode n = nodes.get(upstream);
             long sent = time.now();
             boolean answers = n != null && n.link() == Link.UP;
--- a/src/main/java/rushproxy/lab/ZoneDay.java
+++ b/src/main/java/rushproxy/lab/ZoneDay.java
@@ -43,8 +43,6 @@
     private static final class Second {
         double asked;
         double served;
-        int refused;
-        int failed;
         double confirmsAsked;
         double confirmsServed;
     }
@@ -145,8 +143,6 @@
                     first.confirmsServed += keyed ? 1 : 0;
                 }
             } else {
-                first.refused += end.equals("refused") ? 1 : 0;
-                first.failed += end.equals("failed") ? 1 : 0;
                 if (!again && (end.equals("refused") || keyed && insistent)) {
                     time.in(AGAIN_US, () -> ask(s, c, intent, firstUs, true));
                 }
@@ -160,8 +156,8 @@
 
     /** Discovery's word goes to all sidecars, a little apart. */
     public void list() {
-        List<Upstream> entries = nodes.values().stream().filter(n -> tellLateUs < 0 || n.link() != Link.DEAD).map(n -> new Upstream(n.id, n.zone, "std", 0, n.startedUs(), 1,
-                UpstreamState.READY)).toList();
+        List<Upstream> entries = nodes.values().stream().filter(n -> tellLateUs < 0 || n.link() != Link.DEAD)
+                .map(n -> new Upstream(n.id, n.zone, "std", 0, n.startedUs(), 1, UpstreamState.READY)).toList();
         for (LabSidecar s : sidecars) {
             time.in(random.nextLong(20_000), () -> s.list(ListKind.FULL, entries));
         }
@@ -244,16 +240,6 @@
         return asked == 0 ? 1 : served / asked;
     }
 
-    /** Tries that were refused and failed, of requests first sent in [from, to). */
-    public int[] lost(int from, int to) {
-        int[] lost = new int[2];
-        for (Second s : seconds.subMap(from, to).values()) {
-            lost[0] += s.refused;
-            lost[1] += s.failed;
-        }
-        return lost;
-    }
-
     /** Seconds from {@code from} on until three in a row serve so much of what is asked; -1 for never. */
     public int secondsUntil(int from, int to, double share) {
         for (int s = from; s + 3 <= to; s++) {
@@ -311,9 +297,4 @@
         return sidecars.stream().mapToInt(LabSidecar::held).sum()
                 + sidecars.stream().mapToInt(s -> s.module() instanceof Guided g ? g.held() : 0).sum();
     }
-
-    /** Attempts and probes of all sidecars. */
-    public int[] sent() {
-        return new int[] {sidecars.stream().mapToInt(s -> s.attempts).sum(), sidecars.stream().mapToInt(s -> s.probes).sum()};
-    }
 }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -194,7 +194,9 @@
         }
         Tracing traces = operator.traces() == null ? null : tracing(operator.traces());
         loop.submit(() -> {
-            trace(traces);
+            if (traces != null) {
+                trace(traces);
+            }
             if (disk != null) {
                 keepWith(store, disk);
             }
--- a/src/main/java/rushproxy/trace/Tracer.java
+++ b/src/main/java/rushproxy/trace/Tracer.java
@@ -33,8 +33,8 @@
     private final SplittableRandom random;
     private final BiConsumer<Trace, Verdict> kept;
     private final Consumer<RuntimeException> broken;
-    private Sampler sampler;
-    private Kin kin;
+    private final Sampler sampler;
+    private final Kin kin;
     private boolean off;
     private long begun;
     private long judged;
@@ -51,11 +51,6 @@
         random = new SplittableRandom(seed);
         this.kept = kept;
         this.broken = broken;
-        change(how);
-    }
-
-    /** What is kept from now on; traces that have begun go on. */
-    public void change(Sampling how) {
         sampler = new Sampler(how, clock.getAsLong());
         kin = new Kin(how.remembered(), how.retryWindowUs());
     }
--- a/src/main/java/rushproxy/trace/export/TraceExport.java
+++ b/src/main/java/rushproxy/trace/export/TraceExport.java
@@ -169,16 +169,6 @@
         return new Counts(sent, lost());
     }
 
-    /** How many wait. */
-    public int waiting() {
-        lock.lock();
-        try {
-            return shelf.size();
-        } finally {
-            lock.unlock();
-        }
-    }
-
     /** Nothing more comes: what waits is tried once, as long as {@link #join} waits. */
     @Override
     public void close() {
--- a/src/main/java/rushproxy/zones/Flow.java
+++ b/src/main/java/rushproxy/zones/Flow.java
@@ -84,10 +84,6 @@
         bounded = false;
     }
 
-    boolean bounded() {
-        return bounded;
-    }
-
     /** Whether one more may go; changes nothing but the passing of time. What is worth most may go ahead of the rate, others wait. */
     boolean allows(long nowUs, boolean worthMost) {
         turn(nowUs);
@@ -146,12 +142,4 @@
     boolean slack() {
         return limit >= Math.max(1.5 * rate, floor) && waiting <= PRESSED;
     }
-
-    double perSecond() {
-        return rate;
-    }
-
-    double limit() {
-        return limit;
-    }
 }
--- a/src/main/java/rushproxy/zones/Health.java
+++ b/src/main/java/rushproxy/zones/Health.java
@@ -1,7 +1,6 @@
 package rushproxy.zones;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -148,13 +147,11 @@
         if (state != State.WELL || most == 0) {
             return 0;
         }
-        Set<String> able = new HashSet<>(upstreams.keySet());
-        upstreams.forEach((id, u) -> {
-            if (silent(u, nowUs)) {
-                able.remove(id);
-            }
-        });
-        return (double) able.size() / most;
+        int able = 0;
+        for (Seen u : upstreams.values()) {
+            able += silent(u, nowUs) ? 0 : 1;
+        }
+        return (double) able / most;
     }
 
     int ready() {
--- a/src/main/java/rushproxy/zones/Zones.java
+++ b/src/main/java/rushproxy/zones/Zones.java
@@ -1,10 +1,8 @@
 package rushproxy.zones;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -349,15 +347,4 @@
         RequestClass c = classes.get(r.requestClass());
         return c != null && c.semantics() == Semantics.SAFE;
     }
-
-    /** For tests and measurements: each zone's state and what it may get. */
-    List<String> states() {
-        List<String> all = new ArrayList<>();
-        zones.values().forEach(z -> all.add(z.name + "=" + z.state + "/" + z.mode));
-        return all;
-    }
-
-    int remembered() {
-        return ledger.size();
-    }
 }
