--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -53,7 +53,7 @@
     private static final long HEARD_US = 5_000_000;
     /** Points of the result that the probes of one pair may cost at most. */
     private static final double TOLL = 0.005;
-    /** The sidecars use this part of a cold server's budget: costs and the server's speed are estimates. */
+    /** The sidecars use this part of a cold server's budget: costs and speeds are estimates. */
     private static final double COLD_PART = 0.8;
     /** Requests of others that may have come to a server unseen before it is asked for its load. */
     private static final double UNSEEN = 0.15;
@@ -695,7 +695,8 @@
         if (warmth(from, now) >= 1) return true;
         long slot = coldSlot(s, now);
         long slotStart = from + slot * (cfg.rules().fallWindowUs() / 2);
-        double capacity = warmth(from, slotStart) * Math.max(1, s.kind.cores) / s.kind.slow / Math.max(1, s.apart);
+        double slow = s.kind.slow * Math.max(1, s.apart);
+        double capacity = warmth(from, slotStart) * Math.max(1, s.kind.cores) / slow;
         double budget = COLD_PART * cfg.rules().fallMultiple() * capacity * cfg.rules().fallWindowUs();
         long requests = (long) (budget / (sampling ? 1.5 : 3) / meanWork);
         long turn = Math.floorMod(cfg.me() - mix(s.id.hashCode(), (int) slot), cfg.balancers());
