Keep each of many sidecars to a few nodes by a shared ring, off by default

Need: what a sidecar holds open, probes and learns grows with the fleet of nodes; thousands of quiet ones add up on each node. rushproxy.subset (pure): a stretch of a ring from each sidecar's own place (van der Corput), strata of zone and kind dealt out evenly, longer by its own rate and by nodes that seem gone. Members tells the module and the connections of it alone; the module is told of as many sidecars as share one's nodes. [subset] and [log] in the operator's file.

--- a/src/main/java/rushproxy/lab/Instance.java
+++ b/src/main/java/rushproxy/lab/Instance.java
@@ -166,7 +166,7 @@
     void word(int from, byte[] message) {
         if (alive) {
             world.speaks(this);
-            engine.decisions().call(m -> m.onPeer(clock.now(), from, message), () -> { });
+            engine.word(from, message);
         }
     }
 
--- a/src/main/java/rushproxy/membership/Member.java
+++ b/src/main/java/rushproxy/membership/Member.java
@@ -18,7 +18,8 @@
         return upstream.id();
     }
 
-    Member with(Upstream other) {
+    /** The same at the same place, as it is told now. */
+    public Member with(Upstream other) {
         return new Member(other, address, grpcAddress);
     }
 }
--- a/src/main/java/rushproxy/membership/Membership.java
+++ b/src/main/java/rushproxy/membership/Membership.java
@@ -309,7 +309,8 @@
         return new Change(true, usable(), List.of());
     }
 
-    private List<Member> usable() {
+    /** All that may be used, as the module is told of it. */
+    public List<Member> usable() {
         return entries.values().stream().filter(Entry::used).map(Entry::told).toList();
     }
 
--- a/src/main/java/rushproxy/operator/Operator.java
+++ b/src/main/java/rushproxy/operator/Operator.java
@@ -14,12 +14,14 @@
  * @param grpc       the gRPC front; null where there is none
  * @param traces     what of requests' ways is kept, and where; null where nothing is
  * @param zones      how zones are lost, spilled from and regained; null where they are not told apart
+ * @param subset     how many nodes one sidecar of many keeps to; null where it is all
+ * @param jsonLog    whether events are printed as lines of JSON
  * @param membership how lists are judged; null where they are taken as they are
  */
 public record Operator(MembershipOptions membership, GrpcOptions grpc, TraceOptions traces,
-                       rushproxy.zones.Options zones) {
+                       rushproxy.zones.Options zones, rushproxy.subset.Options subset, boolean jsonLog) {
     /** Without a file: nothing is on that the platform has not asked for. */
-    public static final Operator NONE = new Operator(null, null, null, null);
+    public static final Operator NONE = new Operator(null, null, null, null, null, false);
 
     public Trust trust() {
         return membership == null ? Trust.BLIND : membership.trust();
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -32,7 +32,7 @@
     /** The same from a table, which another file may hold. */
     public static Operator read(Table root) throws Broken {
         Operator operator = new Operator(membership(root.table("membership")), grpc(root.table("grpc")),
-                traces(root.table("traces")), zones(root.table("zones")));
+                traces(root.table("traces")), zones(root.table("zones")), subset(root.table("subset")), jsonLog(root.table("log")));
         root.done();
         return operator;
     }
@@ -114,6 +114,34 @@
         return options;
     }
 
+    private static rushproxy.subset.Options subset(Table t) throws Broken {
+        if (t == null) {
+            return null;
+        }
+        rushproxy.subset.Options options = new rushproxy.subset.Options(t.whole("least", 5, 2, 1_000), t.real("requests_per_node", 2, 0.01, 10_000),
+                t.duration("linger", "10s", "1s", "10min", null), t.whole("sidecars", 0, 0, 1_000_000));
+        t.done();
+        return options;
+    }
+
+    private static void explain(rushproxy.subset.Options s, List<String> lines) {
+        lines.add(s == null ? "subset: off; a sidecar keeps to all nodes" : "subset: a sidecar keeps to " + s.least()
+                + " nodes at least, one for each " + s.perNode() + " of its requests a second; what it leaves may end within "
+                + seconds(s.lingerUs()) + (s.sidecars() == 0 ? "" : "; there are " + s.sidecars() + " sidecars"));
+    }
+
+    private static boolean jsonLog(Table t) throws Broken {
+        if (t == null) {
+            return false;
+        }
+        String format = t.text("format", "text");
+        if (!format.equals("text") && !format.equals("json")) {
+            throw t.broken("format", "\"text\" or \"json\"");
+        }
+        t.done();
+        return format.equals("json");
+    }
+
     private static void explain(Options z, List<String> lines) {
         lines.add(z == null ? "zones: off; upstreams are taken one by one, and a client's own retry as a new request"
                 : "zones: " + (z.tiers().isEmpty() ? "none is preferred" : "preferred in the order " + z.tiers())
@@ -190,6 +218,8 @@
         explain(operator.grpc(), lines);
         explain(operator.traces(), lines);
         explain(operator.zones(), lines);
+        explain(operator.subset(), lines);
+        lines.add("log: " + (operator.jsonLog() ? "lines of JSON" : "lines of text"));
         return lines;
     }
 
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -22,6 +22,7 @@
 import rushproxy.membership.registry.RegistryCalls;
 import rushproxy.membership.registry.RegistryWatch;
 import rushproxy.operator.Operator;
+import rushproxy.subset.Subset;
 import rushproxy.zones.Guided;
 
 /**
@@ -58,6 +59,9 @@
     private final Timers timers;
     private final Clock clock;
     private final Settings settings;
+    private final Operator operator;
+    /** What the module is told: with subsets, of those sidecars alone that share its nodes. */
+    private Settings told;
     private final long seed;
     private final Network network;
     private final Decisions decisions = new Decisions();
@@ -72,9 +76,11 @@
     public Engine(Timers timers, Clock clock, Settings settings, Operator operator, long seed, Network network) {
         this.timers = timers;
         this.clock = clock;
-        this.settings = settings;
         this.seed = seed;
         this.network = network;
+        this.settings = settings;
+        this.operator = operator;
+        told = settings;
         members = new Members(timers, clock, decisions, network::update, new Membership(operator.trust(), seed, clock.now()),
                 network::trial);
         requests = new Requests(timers, clock, decisions, settings.limits().maxAttempts(), members::ended);
@@ -96,11 +102,19 @@
      */
     public void start(List<Listing> lists, RegistryCalls calls, boolean judged, long spreadUs, Module made) {
         firstCallUs = spreadUs == 0 ? 0 : clock.now() + new SplittableRandom(seed).nextLong(spreadUs);
+        if (operator.subset() != null) {
+            int nodes = lists.stream().mapToInt(l -> l.members().size()).max().orElse(0);
+            int sharers = Subset.sharers(operator.subset(), settings.balancers(), nodes);
+            told = new Settings(settings.me() % sharers, sharers, settings.zone(), settings.zones(), settings.kinds(), settings.classes(),
+                    settings.tenants(), settings.limits(), settings.rules(), settings.reports(), settings.discoveryOnRequest(),
+                    settings.worthByWork(), settings.overShareWorth(), settings.prices(), settings.tickUs());
+            members.keepTo(new Subset(operator.subset(), settings.me(), settings.balancers(), clock.now()));
+        }
         List<Balancer.Upstream> first = members.start(lists);
         discovery = new RegistryWatch(timers, clock, members, calls, members.generation(), settings.rules().askEveryUs(),
                 !settings.discoveryOnRequest(), judged, seed);
         decisions.start(actions -> {
-            module = made.create(settings, seed, clock.now(), actions);
+            module = made.create(told, seed, clock.now(), actions);
             module.onList(clock.now(), ListKind.CACHED, first);
             return module;
         }, new Hands());
@@ -112,6 +126,13 @@
         discovery.start();
     }
 
+    /** A peer, by its number in the settings, has said something. */
+    public void word(int peer, byte[] message) {
+        // Those that the module knows of with subsets are so many, whoever they are; itself it would not believe.
+        int known = told == settings ? peer : (told.me() + 1 + peer % Math.max(1, told.balancers() - 1)) % told.balancers();
+        decisions.call(m -> m.onPeer(clock.now(), known, message), () -> { });
+    }
+
     public Decisions decisions() {
         return decisions;
     }
@@ -136,6 +157,8 @@
 
     /** Carries out what the module decides. */
     private final class Hands implements Balancer.Actions {
+        private int spread;
+
         @Override
         public void send(String request, String upstream, long untilUs) {
             requests.send(request, upstream, untilUs);
@@ -179,7 +202,8 @@
 
         @Override
         public void tell(int peer, byte[] message) {
-            network.tell(peer, message);
+            // The module knows of as many others as share its nodes; they are anybody.
+            network.tell(told == settings || peer < 0 ? peer : (peer + settings.me() + spread++) % settings.balancers(), message);
         }
 
         @Override
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import rushproxy.Balancer.ListKind;
@@ -21,6 +23,7 @@
 import rushproxy.membership.Origin;
 import rushproxy.membership.Proof;
 import rushproxy.membership.registry.RegistryWatch;
+import rushproxy.subset.Subset;
 
 /**
  * The thin shell round {@link Membership}: hands it lists, trials and the time, and passes its changes on, first to the
@@ -29,6 +32,8 @@
 public final class Members implements RegistryWatch.Listener {
     /** How often suspects are looked through; trials are paced by {@link Membership}. */
     private static final long TRY_US = 50_000;
+    /** How often a subset is looked at: its sidecar's rate and dead nodes change it. */
+    private static final long LOOK_US = 1_000_000;
 
     private final Timers timers;
     private final Clock clock;
@@ -41,6 +46,8 @@
     private long keptAtUs;
     private boolean stopped;
     private BiConsumer<Boolean, List<Member>> other;
+    /** Null where this sidecar keeps to all nodes. */
+    private Subset subset;
 
     /**
      * @param pool  told of each change before the module, which may send at once: the whole list, or what changed
@@ -61,6 +68,11 @@
         other = pool;
     }
 
+    /** Before the start: the few of many nodes that the module and the connections are to know of. */
+    void keepTo(Subset few) {
+        subset = few;
+    }
+
     /** Null keeps no list from now on; the one who kept it before has been closed by the caller. */
     public void keepWith(Consumer<Listing> keeper, long refreshUs) {
         this.keeper = keeper;
@@ -70,7 +82,7 @@
 
     /** Before the module: what it is to be told first. */
     public List<Upstream> start(List<Listing> lists) {
-        Change change = membership.start(clock.now(), lists);
+        Change change = narrowed(membership.start(clock.now(), lists));
         change.notes().forEach(Log::line);
         update(change);
         return module(change);
@@ -79,6 +91,30 @@
     /** After the module has been told. */
     public void goOn() {
         tryOut();
+        if (subset != null) {
+            timers.in(LOOK_US, this::look);
+        }
+    }
+
+    private void look() {
+        if (!stopped) {
+            if (subset.due(clock.now())) {
+                pass(narrowed(new Change(true, List.of(), List.of())), ListKind.CACHED);
+            }
+            timers.in(LOOK_US, this::look);
+        }
+    }
+
+    /** With a subset each change is told as the whole of it: it is small. */
+    private Change narrowed(Change change) {
+        if (subset == null || change.none()) {
+            return change;
+        }
+        Map<String, Member> byId = new LinkedHashMap<>();
+        membership.usable().forEach(m -> byId.put(m.upstream().id(), m));
+        subset.listed(byId.values().stream().map(Member::upstream).toList());
+        List<Member> few = subset.told(clock.now()).stream().map(u -> byId.get(u.id()).with(u)).toList();
+        return new Change(true, few, change.notes());
     }
 
     /** Version that the watch goes on from. */
@@ -112,6 +148,9 @@
 
     /** How an attempt ended. */
     public void ended(Attempt attempt, Outcome outcome) {
+        if (subset != null) {
+            subset.ended(clock.now(), attempt.upstream(), outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT);
+        }
         if (outcome == Outcome.OK) {
             tell(membership.answered(attempt.upstream()), ListKind.CACHED);
         } else if (outcome == Outcome.CONNECT_FAILED) {
@@ -122,6 +161,10 @@
     /** {@code CACHED} is the whole list without being an answer of discovery's, which alone ends the module's asking. */
     private void tell(Change change, ListKind kind) {
         change.notes().forEach(Log::line);
+        pass(narrowed(change), subset != null && kind == ListKind.DELTA ? ListKind.FULL : kind);
+    }
+
+    private void pass(Change change, ListKind kind) {
         if (!change.none()) {
             update(change);
             List<Upstream> told = module(change);
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -13,23 +13,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import rushproxy.core.Clock;
-import rushproxy.core.Decisions;
+import java.util.function.BiConsumer;
 
 /** Short messages between sidecars. A peer's number is its place in the configuration. */
 final class Peers {
     private static final int MAX_BYTES = 256;
 
-    private final Clock clock;
-    private final Decisions decisions;
+    private final BiConsumer<Integer, byte[]> heard;
     private final List<InetSocketAddress> peers;
     private final InetSocketAddress all;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Channel channel;
 
-    Peers(Clock clock, Decisions decisions, List<InetSocketAddress> peers, InetSocketAddress all) {
-        this.clock = clock;
-        this.decisions = decisions;
+    /** {@code heard} is told, on the loop, who says what. */
+    Peers(BiConsumer<Integer, byte[]> heard, List<InetSocketAddress> peers, InetSocketAddress all) {
+        this.heard = heard;
         this.peers = peers;
         this.all = all;
         for (int i = 0; i < peers.size(); i++) {
@@ -57,8 +55,7 @@
             if (number == null || packet.content().readableBytes() > MAX_BYTES) {
                 return;
             }
-            byte[] message = ByteBufUtil.getBytes(packet.content());
-            decisions.call(m -> m.onPeer(clock.now(), number, message), () -> { });
+            heard.accept(number, ByteBufUtil.getBytes(packet.content()));
         }
 
         /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -89,7 +89,7 @@
         engine = new Engine(Timers.on(loop), clock, settings, operator, config.seed(),
                 new Sockets(new Trial(loop, asks(settings), TRIAL_MS)));
         Requests requests = engine.requests();
-        peers = new Peers(clock, engine.decisions(), config.peers(), config.peersAll());
+        peers = new Peers(engine::word, config.peers(), config.peersAll());
         grpc = operator.grpc() == null ? null : new GrpcServer(loop, clock, requests, settings.classes(), operator.grpc(),
                 settings.limits().connIdleUs(), config.dialTimeoutUs(), config.name());
         if (grpc != null) {
@@ -123,6 +123,7 @@
             Log.line(e.getMessage());
             return 2;
         }
+        Log.json(operator.jsonLog());
         Engine.Module module = Engine.module(operator);
         Sidecar sidecar;
         try {
@@ -308,6 +309,10 @@
                 if (!Objects.equals(operator.grpc(), told.grpc())) {
                     Log.line("what changed under [grpc] holds from the next start on");
                 }
+                if (!Objects.equals(operator.subset(), told.subset())) {
+                    Log.line("what changed under [subset] holds from the next start on");
+                }
+                Log.json(told.jsonLog());
                 if (!Objects.equals(operator.zones(), told.zones())) {
                     rezone(told.zones());
                 }
--- /dev/null
+++ b/src/main/java/rushproxy/subset/Options.java
@@ -0,0 +1,11 @@
+package rushproxy.subset;
+
+/**
+ * What the operator decides of subsets.
+ *
+ * @param least    nodes that a sidecar keeps to at least
+ * @param perNode  requests a second, its own, for each node that it keeps to: a busy one keeps to more
+ * @param lingerUs nodes that it leaves may end what they hold for so long, and what was learnt of them is kept
+ * @param sidecars that there are, where the platform's word is not to be taken; 0 to take it
+ */
+public record Options(int least, double perNode, long lingerUs, int sidecars) {}
--- a/src/test/java/rushproxy/ArchitectureTest.java
+++ b/src/test/java/rushproxy/ArchitectureTest.java
@@ -24,7 +24,8 @@
             new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("rushproxy");
 
     /** Packages that decide: no I/O, no threads, time as a parameter. */
-    private static final String[] PURE = {"rushproxy", "rushproxy.membership", "rushproxy.grpc.mapping", "rushproxy.trace", "rushproxy.zones"};
+    private static final String[] PURE = {"rushproxy", "rushproxy.membership", "rushproxy.grpc.mapping", "rushproxy.trace", "rushproxy.zones",
+        "rushproxy.subset"};
 
     @Test
     void whatDecidesDoesNoInputOrOutput() {
--- a/src/test/java/rushproxy/operator/OperatorFileTest.java
+++ b/src/test/java/rushproxy/operator/OperatorFileTest.java
@@ -55,7 +55,7 @@
         assertEquals(new Trust(60_000_000, 7 * 86_400_000_000L, 7_200_000_000L, 3, 5), m.trust());
         assertEquals(250_000, m.spreadUs());
         assertEquals(new Operator.DiskOptions(Path.of("/var/lib/x"), "f", 10, 20_000_000, 65_536), m.disk());
-        assertEquals(7, OperatorFile.explain(new Operator(m, null, null, null)).size());
+        assertEquals(9, OperatorFile.explain(new Operator(m, null, null, null, null, false)).size());
     }
 
     @Test
@@ -74,7 +74,7 @@
         assertEquals(new rushproxy.trace.Sampling(20, 5, 1, 1.5, java.util.Set.of("booking-confirm"), 2_000, 10_000_000), t.sampling());
         assertEquals(new Operator.TraceFileOptions(Path.of("/var/log/x"), 16 << 20, 4), t.file());
         assertEquals("/v1/traces", t.collector().path());
-        assertEquals(5, OperatorFile.explain(new Operator(null, null, t, null)).size());
+        assertEquals(7, OperatorFile.explain(new Operator(null, null, t, null, null, false)).size());
         broken("[traces]\n", 1, "traces.file: expected a table, [traces.file] or [traces.collector]");
         broken("[traces]\nmarked = [\"a\", 3]\n", 2, "traces.marked: expected a list of texts");
         broken("[traces]\nordinary_per_second = -1\n", 2, "traces.ordinary_per_second: expected a whole number from 0 to 1000");
@@ -97,7 +97,7 @@
         assertEquals(java.util.List.of(java.util.List.of("north"), java.util.List.of("south", "west")), z.tiers());
         assertEquals(java.util.Set.of("west"), z.away());
         assertEquals(4_000_000, z.doublingUs());
-        assertTrue(OperatorFile.explain(new Operator(null, null, null, z)).toString().contains("away: [west]"));
+        assertTrue(OperatorFile.explain(new Operator(null, null, null, z, null, false)).toString().contains("away: [west]"));
         broken("[zones]\nremembered = 3\n", 2, "zones.remembered: expected a whole number from 100 to 1000000");
         broken("[zones]\n[[zones.tier]]\nzones = [\"a\"]\n[[zones.tier]]\nzones = [\"a\"]\n", 5, "zones that no other tier has");
         broken("[zones]\n[[zones.tier]]\nzone = [\"a\"]\n", 3, "zone: unknown");
--- a/src/test/java/rushproxy/sidecar/TracesTest.java
+++ b/src/test/java/rushproxy/sidecar/TracesTest.java
@@ -48,7 +48,7 @@
 
     private Operator traces(Sampling how) {
         return new Operator(null, null, new TraceOptions(how, "test", 100, 20_000_000, null,
-                new CollectorOptions(Addresses.parse(collector.address()), "/v1/traces", 300_000)), null);
+                new CollectorOptions(Addresses.parse(collector.address()), "/v1/traces", 300_000)), null, null, false);
     }
 
     private static String confirm(String id, String key, String more) {
