--- a/src/main/java/rushproxy/cli/Lab.java
+++ b/src/main/java/rushproxy/cli/Lab.java
@@ -361,7 +361,7 @@
             if (runs < 1 || runs > 1_000_000) {
                 throw play.wrong("--runs: expected 1 to 1000000, found " + runs);
             }
-            Search search = new Search(name, play.instead(), null);
+            Search search = new Search(name, play.instead(), Search::sound);
             List<Day> days;
             long begun = System.nanoTime();
             try (Runner runner = new Runner(play.jobs()); Watch watch = new Watch(runner, runs); JsonLines lines = play.lines()) {
--- a/src/main/java/rushproxy/core/Log.java
+++ b/src/main/java/rushproxy/core/Log.java
@@ -35,11 +35,7 @@
         diverted.set(sink);
     }
 
-    /** What has no fields of its own. */
-    public static void line(String text) {
-        event("note", text);
-    }
-
+    /** {@code fields}: names and values in turn. */
     public static void event(String name, String text, Object... fields) {
         say(name, text, false, fields);
     }
--- a/src/main/java/rushproxy/lab/World.java
+++ b/src/main/java/rushproxy/lab/World.java
@@ -34,7 +34,7 @@
  * A fleet in one process on virtual time: nodes, discovery, network, sidecars with the real engine, their clients and a referee.
  * A scenario, its seed and a module make the same day to the last event, on any machine and beside any other day.
  */
-public final class World {
+public class World {
     private static final long START_US = 1_700_000_000_000_000L;
     /** What was asked for last has this long to be over. */
     private static final long SETTLE_US = 20_000_000;
@@ -431,6 +431,11 @@
         return scenario.nodes().dropsExpired() ? untilUs : Long.MAX_VALUE;
     }
 
+    /** Whether connections carry anything new to an upstream in this state; for worlds whose sidecars are broken on purpose. */
+    protected boolean sendsTo(UpstreamState state) {
+        return state == UpstreamState.READY;
+    }
+
     int connectionsOf(LabNode node) {
         return scenario.nodes().connections();
     }
--- a/src/main/java/rushproxy/membership/Membership.java
+++ b/src/main/java/rushproxy/membership/Membership.java
@@ -298,17 +298,22 @@
     public Change refused(long now, String id, boolean nobodyListens) {
         Entry e = entries.get(id);
         if (trust.blind() || current && !nobodyListens || e == null || !e.used()
-                || now - e.coldSinceUs < RESTART_US || now / ALIKE_US * ALIKE_US == e.goneAtUs) {
+                || now - e.coldSinceUs < RESTART_US || alike(now) == e.goneAtUs) {
             return Change.NONE;
         }
         if (nobodyListens) {
-            e.goneAtUs = now / ALIKE_US * ALIKE_US;
+            e.goneAtUs = alike(now);
         } else {
             e.coldSinceUs = now;
         }
         return new Change(true, usable(), List.of());
     }
 
+    /** The next time on the grid: where discovery's own word of the start comes later, it is mostly of before this, and changes nothing. */
+    private static long alike(long now) {
+        return (now / ALIKE_US + 1) * ALIKE_US;
+    }
+
     /** All that may be used, as the module is told of it. */
     public List<Member> usable() {
         return entries.values().stream().filter(Entry::used).map(Entry::told).toList();
--- a/src/main/java/rushproxy/membership/registry/RegistryHttp.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryHttp.java
@@ -39,7 +39,7 @@
         if (to.equals(address)) {
             return false;
         }
-        Log.line("discovery is now at " + to);
+        Log.event("discovery.moved", "discovery is now at " + to, "address", to);
         address = to;
         return true;
     }
--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -138,7 +138,7 @@
         // What may still come on it answers a call that is over.
         calls.hangUp();
         asked = false;
-        Log.line("a call to discovery failed: " + why);
+        Log.event("discovery.failed", "a call to discovery failed: " + why, "why", why);
         if (pushed) {
             again();
         } else {
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -83,7 +83,7 @@
     /** Before the module: what it is to be told first. */
     public List<Upstream> start(List<Listing> lists) {
         Change change = narrowed(membership.start(clock.now(), lists));
-        change.notes().forEach(Log::line);
+        change.notes().forEach(n -> Log.event("membership", n));
         update(change);
         return module(change);
     }
@@ -160,7 +160,7 @@
 
     /** {@code CACHED} is the whole list without being an answer of discovery's, which alone ends the module's asking. */
     private void tell(Change change, ListKind kind) {
-        change.notes().forEach(Log::line);
+        change.notes().forEach(n -> Log.event("membership", n));
         pass(narrowed(change), subset != null && kind == ListKind.DELTA ? ListKind.FULL : kind);
     }
 
--- a/src/main/java/rushproxy/sidecar/Reload.java
+++ b/src/main/java/rushproxy/sidecar/Reload.java
@@ -21,7 +21,7 @@
         this.operators = operators;
         // A shell's nohup has the whole tree below it ignore the signal, and then the runtime can't listen for it.
         if (Signal.handle(new Signal("HUP"), signal -> asked()) == SignalHandler.SIG_IGN) {
-            Log.line("SIGHUP is ignored by whoever started this: a new configuration will not be seen");
+            Log.event("reload.deaf", "SIGHUP is ignored by whoever started this: a new configuration will not be seen");
         }
     }
 
@@ -44,7 +44,7 @@
         try {
             sidecar.reconfigure(Config.readAgain(environment), operators.read());
         } catch (Config.Broken | Broken e) {
-            Log.line("goes on as before: " + e.getMessage());
+            Log.event("reload.refused", "goes on as before: " + e.getMessage(), "why", e.getMessage());
         }
     }
 }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -120,7 +120,7 @@
             config = Config.read(environment);
             operator = operators.read();
         } catch (Config.Broken | Broken e) {
-            Log.line(e.getMessage());
+            Log.event("start.refused", e.getMessage());
             return 2;
         }
         Log.json(operator.jsonLog());
@@ -130,7 +130,7 @@
             sidecar = new Sidecar(config, operator, module);
         } catch (IllegalArgumentException e) {
             // Each file is right by itself; together they are not.
-            Log.line("operator's file: " + e.getMessage());
+            Log.event("start.refused", "operator's file: " + e.getMessage());
             return 2;
         }
         Rehearsal rehearsal = new Rehearsal(config, module);
@@ -138,7 +138,7 @@
         try {
             sidecar.start();
         } catch (Exception e) {
-            Log.line("can't start: " + e);
+            Log.event("start.failed", "can't start: " + e);
             return 1;
         }
         CountDownLatch empty = new CountDownLatch(1);
@@ -152,7 +152,8 @@
             // A stop that was asked for and went well is no failure, whatever signal asked.
             Runtime.getRuntime().halt(0);
         }));
-        Log.line(config.name() + " serves on " + sidecar.listening() + ", " + config.limits());
+        Log.event("serves", config.name() + " serves on " + sidecar.listening() + ", " + config.limits(), "name", config.name(), "address",
+                sidecar.listening());
         reload.serving(sidecar);
         long begunUs = sidecar.clock.now();
         long cpuMs = CpuTime.ms();
@@ -160,7 +161,7 @@
         sidecar.rehearsed();
         long inAllMs = CpuTime.ms();
         // Beside each other they tell whether a slow start had too much to do or too little of a core.
-        Log.line("ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms" + (inAllMs < 0 ? ""
+        Log.event("ready", "ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms" + (inAllMs < 0 ? ""
                 : "; CPU since the start " + inAllMs + " ms, of it " + (inAllMs - cpuMs) + " ms for the rehearsal"));
         new CountDownLatch(1).await();
         return 0;
@@ -170,7 +171,7 @@
         List<Listing> lists = new ArrayList<>(List.of(config.known()));
         DiskOptions disk = operator.membership() == null ? null : operator.membership().disk();
         ListStore store = disk == null ? null : store(disk);
-        Listing kept = store == null ? null : store.read(Log::line);
+        Listing kept = store == null ? null : store.read(n -> Log.event("disk", n));
         if (kept != null) {
             lists.add(kept);
         }
@@ -192,7 +193,7 @@
         }
         listening = clients.listen(config.listen());
         if (grpc != null) {
-            Log.line("takes gRPC on " + grpc.listen());
+            Log.event("grpc.serves", "takes gRPC on " + grpc.listen(), "address", grpc.listen());
         }
         beatAtUs = clock.now();
         loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
@@ -207,7 +208,7 @@
     private void retrace(TraceOptions options) {
         if (options == null) {
             trace(null);
-            Log.line("keeps no traces from now on");
+            Log.event("reload.traces", "keeps no traces from now on");
             return;
         }
         new Thread(() -> {
@@ -215,7 +216,7 @@
             loop.execute(() -> {
                 if (options.equals(operator.traces()) && !stopping) {
                     trace(made);
-                    Log.line("keeps traces as its file says now");
+                    Log.event("reload.traces", "keeps traces as its file says now");
                 } else {
                     made.close(() -> { });
                 }
@@ -227,9 +228,9 @@
         engine.decisions().call(m -> {
             if (m instanceof Guided g && zones != null) {
                 g.change(clock.now(), zones);
-                Log.line("zones: those away and those preferred are as the file says now; the rest holds from the next start on");
+                Log.event("reload.zones", "zones: those away and those preferred are as the file says now; the rest holds from the next start on");
             } else {
-                Log.line("what changed under [zones] holds from the next start on");
+                Log.event("reload.later", "what changed under [zones] holds from the next start on");
             }
         }, () -> { });
     }
@@ -249,7 +250,7 @@
     }
 
     private void keepWith(ListStore store, DiskOptions disk) {
-        keeper = new ListKeeper(store, disk.writesPerMinute(), clock::now, Log::line);
+        keeper = new ListKeeper(store, disk.writesPerMinute(), clock::now, text -> Log.event("disk", text));
         engine.members().keepWith(keeper::keep, disk.refreshUs());
     }
 
@@ -274,7 +275,8 @@
         beatAtUs = now;
         if (++beats % BEATS == 0) {
             if (worstLagUs >= LAG_US) {
-                Log.line("the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s");
+                Log.event("loop.late", "the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s", "ms",
+                        worstLagUs / 1000);
             }
             worstLagUs = 0;
         }
@@ -307,10 +309,10 @@
                 DiskOptions before = operator.membership() == null ? null : operator.membership().disk();
                 DiskOptions after = told.membership() == null ? null : told.membership().disk();
                 if (!Objects.equals(operator.grpc(), told.grpc())) {
-                    Log.line("what changed under [grpc] holds from the next start on");
+                    Log.event("reload.later", "what changed under [grpc] holds from the next start on");
                 }
                 if (!Objects.equals(operator.subset(), told.subset())) {
-                    Log.line("what changed under [subset] holds from the next start on");
+                    Log.event("reload.later", "what changed under [subset] holds from the next start on");
                 }
                 Log.json(told.jsonLog());
                 if (!Objects.equals(operator.zones(), told.zones())) {
@@ -329,7 +331,7 @@
                             keepWith(store(after), after);
                         }
                     }));
-                    Log.line(after == null ? "keeps no list from now on" : "keeps its list in " + after.folder());
+                    Log.event("reload.disk", after == null ? "keeps no list from now on" : "keeps its list in " + after.folder());
                 }
             }
         });
--- a/src/main/java/rushproxy/sidecar/Tracing.java
+++ b/src/main/java/rushproxy/sidecar/Tracing.java
@@ -16,7 +16,7 @@
     private final Tracer tracer;
 
     Tracing(TraceOptions options, String instance, Clock clock, long seed) {
-        exports = TraceExport.of(options, instance, clock, seed, Log::line);
+        exports = TraceExport.of(options, instance, clock, seed, text -> Log.event("traces", text));
         tracer = new Tracer(options.sampling(), clock::now, seed ^ 0x7472616365L, (trace, verdict) -> {
             for (TraceExport e : exports) {
                 e.hand(trace, verdict);
@@ -40,7 +40,7 @@
                 Thread.currentThread().interrupt();
             } finally {
                 Tracer.Counts c = tracer.counts();
-                Log.line("traces: " + c.begun() + " begun, " + c.kept() + " kept, "
+                Log.event("traces.counts", "traces: " + c.begun() + " begun, " + c.kept() + " kept, "
                         + exports.stream().mapToLong(e -> e.counts().sent()).max().orElse(0) + " handed on, "
                         + exports.stream().mapToLong(e -> e.counts().lost()).sum() + " lost, " + c.dropped() + " over the rates");
                 then.run();
--- a/src/main/java/rushproxy/subset/Subset.java
+++ b/src/main/java/rushproxy/subset/Subset.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
 
@@ -32,6 +34,7 @@
     private final int rings;
     private final int me;
     private List<Upstream> all = List.of();
+    private Set<String> listed = Set.of();
     private List<Upstream> ordered = List.of();
     private List<String> chosen = List.of();
     /** Nodes that were left, until when they are still told of. */
@@ -73,8 +76,9 @@
     public void listed(List<Upstream> nodes) {
         all = List.copyOf(nodes);
         ordered = Ring.order(all.stream().filter(u -> u.state() == UpstreamState.READY).toList(), me % rings);
-        doubts.keySet().retainAll(all.stream().map(Upstream::id).toList());
-        leaving.keySet().retainAll(all.stream().map(Upstream::id).toList());
+        listed = all.stream().map(Upstream::id).collect(Collectors.toSet());
+        doubts.keySet().retainAll(listed);
+        leaving.keySet().retainAll(listed);
     }
 
     /** Whether the choice may be another one than before; to be asked now and then. */
@@ -121,7 +125,7 @@
         measure(now);
         List<String> next = choice(now);
         for (String id : chosen) {
-            if (!next.contains(id)) {
+            if (!next.contains(id) && listed.contains(id)) {
                 leaving.putIfAbsent(id, now + options.lingerUs());
             }
         }
--- a/src/main/java/rushproxy/toml/Table.java
+++ b/src/main/java/rushproxy/toml/Table.java
@@ -78,7 +78,10 @@
     public Table table(String key) throws Broken {
         Object value = value(key);
         if (value == null) {
-            return null;
+            String inside = name(key) + ".";
+            // A table of which other values alone speak.
+            return instead.keySet().stream().noneMatch(k -> k.startsWith(inside)) ? null
+                    : new Table(file, name(key), Toml.parse(""), line, instead, taken);
         }
         if (!(value instanceof TomlTable t)) {
             throw broken(key, "a table, [" + name(key) + "]", value);
--- a/src/test/java/rushproxy/ArchitectureTest.java
+++ b/src/test/java/rushproxy/ArchitectureTest.java
@@ -78,6 +78,8 @@
                 .dependOnClassesThat(resideInAPackage("rushproxy.trace.export")).check(PROGRAM);
         noClasses().that(resideOutside("rushproxy.cli", "rushproxy.trace.read")).should()
                 .dependOnClassesThat(resideInAPackage("picocli..")).check(PROGRAM);
+        noClasses().that(DescribedPredicate.not(resideInAPackage("rushproxy.lab.."))).should().dependOnClassesThat(
+                resideInAnyPackage("org.apache.commons.rng..", "org.jfree..", "java.awt..")).check(PROGRAM);
     }
 
     private static DescribedPredicate<JavaClass> resideOutside(String... packages) {
--- a/src/test/java/rushproxy/cli/CommandsTest.java
+++ b/src/test/java/rushproxy/cli/CommandsTest.java
@@ -36,4 +36,24 @@
         assertEquals(2, Commands.run("check", Files.writeString(folder.resolve("o"), "[traces]\n").toString()));
         assertEquals(0, Commands.run("check", "deploy/operator.toml"));
     }
+
+    @Test
+    void theLaboratorysCommandsEndAsTheOthers() throws Exception {
+        String json = folder.resolve("days.json").toString();
+        String page = folder.resolve("page.html").toString();
+        assertEquals(0, Commands.run("lab", "list"));
+        assertEquals(0, Commands.run("lab", "run", "calm", "--set", "fleet.length=6s", "--json", json, "--report", page));
+        assertEquals(1, Files.readAllLines(Path.of(json)).size());
+        assertEquals(0, Commands.run("lab", "report", json, json, "-o", page));
+        assertEquals(1, Commands.run("lab", "run", "calm", "--set", "fleet.length=6s", "--set", "traffic.load=3"));
+        assertEquals(0, Commands.run("lab", "search", "calm", "--runs", "2", "--set", "fleet.length=5s", "--out", folder.toString()));
+        assertEquals(0, Commands.run("lab", "sweep", "calm", "traffic.load=0.2,0.3", "--seeds", "1", "--set", "fleet.length=5s", "--report", page));
+        assertEquals(0, Commands.run("lab", "replay", "calm", "--set", "fleet.length=5s", "--log", folder.resolve("log").toString()));
+        assertEquals(2, Commands.run("lab", "run", "nowhere"));
+        assertEquals(2, Commands.run("lab", "run", "calm", "--set", "fleet.lenth=6s"));
+        assertEquals(2, Commands.run("lab", "run", "calm", "--jobs", "-1"));
+        assertEquals(2, Commands.run("lab", "sweep", "calm", "nodes"));
+        assertEquals(2, Commands.run("lab", "report", folder.resolve("none").toString()));
+        assertEquals(2, Commands.run("lab", "report", Files.writeString(folder.resolve("x.json"), "{}\n").toString()));
+    }
 }
--- /dev/null
+++ b/src/test/java/rushproxy/lab/search/SearchTest.java
@@ -0,0 +1,151 @@
+package rushproxy.lab.search;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import rushproxy.Balancer;
+import rushproxy.Balancer.Group;
+import rushproxy.Balancer.RequestClass;
+import rushproxy.Balancer.Rules;
+import rushproxy.Balancer.Settings;
+import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
+import rushproxy.lab.Day;
+import rushproxy.lab.Runner;
+import rushproxy.lab.World;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.scenario.ScenarioFile;
+import rushproxy.sidecar.Engine;
+
+/** A search must find what is broken; three sidecars that are broken on purpose, and one that is not. */
+class SearchTest {
+    private static final int RUNS = 200, BATCH = 25;
+
+    /** The first day that breaks a rule, of so many. */
+    private static void finds(String scenario, Map<String, Object> instead, Function<Scenario, World> broken, String rule) throws Exception {
+        Search search = new Search(scenario, instead, broken);
+        try (Runner runner = new Runner(Runtime.getRuntime().availableProcessors())) {
+            for (int run = 0; run < RUNS; run += BATCH) {
+                for (Day d : search.play(7, run, BATCH, runner, x -> { })) {
+                    if (Search.broken(d).equals(rule)) {
+                        Search.Find f = search.shrink(run, d);
+                        assertTrue(f.shrunk().scenario().faults().size() <= d.scenario().faults().size());
+                        Scenario again = ScenarioFile.parse("found", f.toml(), Map.of());
+                        assertEquals(rule, Search.broken(broken.apply(again).play()), f.toml());
+                        assertEquals("", Search.broken(Search.sound(again).play()), "sidecars as they are keep the rule on that day");
+                        return;
+                    }
+                }
+            }
+        }
+        fail(RUNS + " days found nothing");
+    }
+
+    private static Engine.Module with(Scenario s, Function<Settings, Settings> other) {
+        Engine.Module real = Engine.module(s.operator());
+        return (settings, seed, now, actions) -> real.create(other.apply(settings), seed, now, actions);
+    }
+
+    private static Settings with(Settings s, List<RequestClass> classes, Rules rules) {
+        return new Settings(s.me(), s.balancers(), s.zone(), s.zones(), s.kinds(), classes, s.tenants(), s.limits(), rules, s.reports(),
+                s.discoveryOnRequest(), s.worthByWork(), s.overShareWorth(), s.prices(), s.tickUs());
+    }
+
+    @Test
+    void aDrainThatIsIgnoredIsFound() throws Exception {
+        finds("storm-of-faults", Map.of("fleet.length", "20s"), s -> {
+            Engine.Module real = Engine.module(s.operator());
+            return new World(s, (settings, seed, now, actions) -> new Deaf(real.create(settings, seed, now, actions)), null) {
+                @Override
+                protected boolean sendsTo(UpstreamState state) {
+                    return state != UpstreamState.GONE;
+                }
+            };
+        }, "DRAINS_KEPT");
+    }
+
+    @Test
+    void aKeyedRepeatInAnotherZoneIsFound() throws Exception {
+        finds("storm-of-faults", Map.of(), s -> new World(s, with(s, settings -> with(settings, settings.classes().stream().map(c ->
+                new RequestClass(c.name(), c.semantics(), Group.ALL, c.windowUs(), c.aimUs(), c.aimStretch(), c.deadlineUs(), c.worth(),
+                        c.lateWorth(), c.stream())).toList(), settings.rules())), null), "NO_SECOND_EFFECT");
+    }
+
+    @Test
+    void aColdBudgetThatIsDoubledIsFound() throws Exception {
+        finds("cold-storm", Map.of(), s -> new World(s, with(s, settings -> {
+            Rules r = settings.rules();
+            return with(settings, settings.classes(), new Rules(r.drainGraceUs(), r.coldShare(), r.rampUs(), 2 * r.fallMultiple(),
+                    r.fallWindowUs(), r.askEveryUs(), r.answerSlackUs(), r.closeOnDrainUs()));
+        }), null), "COLD_SPARED");
+    }
+
+    @Test
+    void whatIsDrawnIsTheSameForTheSameSeedAndNumber() throws Exception {
+        Search a = new Search("storm-of-faults", Map.of(), Search::sound);
+        Search b = new Search("storm-of-faults", Map.of(), Search::sound);
+        assertEquals(a.draw(3, 17), b.draw(3, 17));
+        assertNotEquals(a.draw(3, 17).faults(), a.draw(3, 18).faults());
+    }
+
+    @Test
+    void sidecarsAsTheyAreBreakNothingOnFortyDays() throws Exception {
+        Search search = new Search("storm-of-faults", Map.of("fleet.length", "20s"), Search::sound);
+        try (Runner runner = new Runner(Runtime.getRuntime().availableProcessors())) {
+            for (Day d : search.play(11, 0, 40, runner, x -> { })) {
+                assertEquals("", Search.broken(d), d.fouls() + " " + d.troubles() + " " + d.scenario().faults());
+            }
+        }
+    }
+
+    /** A module to which nobody ever drains. */
+    private record Deaf(Balancer real) implements Balancer {
+        @Override
+        public void onList(long now, ListKind kind, List<Upstream> entries) {
+            real.onList(now, kind, entries.stream().map(u -> u.state() != UpstreamState.DRAINING ? u : new Upstream(u.id(), u.zone(), u.kind(),
+                    u.cell(), u.startedUs(), u.weight(), UpstreamState.READY)).toList());
+        }
+
+        @Override
+        public void onRequest(long now, Request request) {
+            real.onRequest(now, request);
+        }
+
+        @Override
+        public void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs, boolean done,
+                              LoadReport report) {
+            real.onOutcome(now, request, attempt, upstream, outcome, latencyUs, done, report);
+        }
+
+        @Override
+        public void onStreamStart(long now, String request, int attempt, String upstream, long latencyUs) {
+            real.onStreamStart(now, request, attempt, upstream, latencyUs);
+        }
+
+        @Override
+        public void onProbe(long now, String upstream, Outcome outcome, long latencyUs, LoadReport report) {
+            real.onProbe(now, upstream, outcome, latencyUs, report);
+        }
+
+        @Override
+        public void onExpired(long now, String request) {
+            real.onExpired(now, request);
+        }
+
+        @Override
+        public void onPeer(long now, int peer, byte[] message) {
+            real.onPeer(now, peer, message);
+        }
+
+        @Override
+        public void onTimer(long now, String mark) {
+            real.onTimer(now, mark);
+        }
+    }
+}
