--- a/src/main/java/rushproxy/cli/Lab.java
+++ b/src/main/java/rushproxy/cli/Lab.java
@@ -25,6 +25,7 @@
 import rushproxy.lab.Day;
 import rushproxy.lab.Runner;
 import rushproxy.lab.World;
+import rushproxy.lab.fuzz.Fuzz;
 import rushproxy.lab.report.Report;
 import rushproxy.lab.scenario.Scenario;
 import rushproxy.lab.scenario.ScenarioFile;
@@ -38,7 +39,7 @@
 
 /** The laboratory: a fleet in one process on virtual time. Exit code 0: it holds; 1: it falls short; 2: wrong input. */
 @Command(name = "lab", description = "A fleet in one process on virtual time: plays scenarios, sweeps over settings, searches for faults.",
-        subcommands = {Lab.Run.class, Lab.Sweeps.class, Lab.Find.class, Lab.Replay.class, Lab.Shipped.class, Lab.Pages.class,
+        subcommands = {Lab.Run.class, Lab.Sweeps.class, Lab.Find.class, Lab.Replay.class, Lab.Fuzzing.class, Lab.Shipped.class, Lab.Pages.class,
         CommandLine.HelpCommand.class})
 final class Lab {
     private Lab() {}
@@ -395,6 +396,34 @@
         }
     }
 
+    @Command(name = "fuzz", description = "Tries all that reads what others wrote with texts that are nearly right.", mixinStandardHelpOptions = true)
+    static final class Fuzzing implements Callable<Integer> {
+        @Parameters(paramLabel = "TARGET", arity = "0..*", description = "default: all of them")
+        private List<String> targets = new ArrayList<>();
+        @Option(names = "--runs", paramLabel = "N", defaultValue = "20000", description = "texts for each, 1 to 100000000 (default: ${DEFAULT-VALUE})")
+        private long runs;
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "of all that is drawn (default: ${DEFAULT-VALUE})")
+        private long seed;
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            if (runs < 1 || runs > 100_000_000 || !Fuzz.targets().containsAll(targets)) {
+                throw new ParameterException(spec.commandLine(), "expected 1 to 100000000 runs of " + String.join(", ", Fuzz.targets()));
+            }
+            int found = 0;
+            for (String t : targets.isEmpty() ? Fuzz.targets() : targets) {
+                long begun = System.nanoTime();
+                List<Fuzz.Find> finds = Fuzz.play(t, seed, runs);
+                System.out.printf(Locale.ROOT, "%-16s %d texts in %.1f s, %d broke it%n", t, runs, (System.nanoTime() - begun) / 1e9, finds.size());
+                finds.forEach(f -> System.out.println("    run " + f.run() + ": " + f.what() + ": " + f.base64()));
+                found += finds.size();
+            }
+            return found == 0 ? 0 : 1;
+        }
+    }
+
     @Command(name = "list", description = "The scenarios that come with the program.", mixinStandardHelpOptions = true)
     static final class Shipped implements Callable<Integer> {
         @Override
--- a/src/main/java/rushproxy/lab/Figures.java
+++ b/src/main/java/rushproxy/lab/Figures.java
@@ -278,7 +278,7 @@
             }
             for (String what : List.of("asked", "served", "late", "refused", "failed")) {
                 List<Object> series = new ArrayList<>();
-                for (Cell[] row : cells) {
+                for (Cell[] row : java.util.Arrays.copyOf(cells, Math.max(1, seconds()))) {
                     series.add((long) of(row[c], what));
                 }
                 one.put(what + "BySecond", series);
--- a/src/main/java/rushproxy/lab/report/Charts.java
+++ b/src/main/java/rushproxy/lab/report/Charts.java
@@ -56,7 +56,7 @@
         }
         ValueAxis x = logX ? new LogAxis(xName) : new NumberAxis(xName);
         if (x instanceof LogAxis log) {
-            log.setNumberFormatOverride(new java.text.DecimalFormat("0.####"));
+            log.setTickUnit(new org.jfree.chart.axis.NumberTickUnit(1, new java.text.DecimalFormat("0"), 9));
         }
         NumberAxis y = new NumberAxis(yName);
         y.setAutoRangeIncludesZero(true);
--- a/src/main/java/rushproxy/lab/report/Report.java
+++ b/src/main/java/rushproxy/lab/report/Report.java
@@ -71,7 +71,9 @@
         split(t, d, f);
         Map<String, Line> latency = new LinkedHashMap<>();
         for (String c : classes.names()) {
-            List<double[]> points = points(classes.object(c));
+            // What is rarer than one in all of them nobody has seen.
+            double served = java.util.Arrays.stream(classes.object(c).numbers("servedBySecond")).sum();
+            List<double[]> points = points(classes.object(c)).stream().filter(p -> p[0] < 100 - 100 / (served + 1)).toList();
             latency.put(c, new Line(points.stream().mapToDouble(p -> 1 / Math.max(1e-5, 1 - p[0] / 100)).toArray(),
                     points.stream().mapToDouble(p -> p[1]).toArray(), false));
         }
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -184,7 +184,7 @@
             network.probe(upstream, clock.now() + PROBE_US, (attempt, outcome, report, body) -> {
                 // A probe that nobody takes shows as much of a restart as an attempt; most sidecars of a fleet see no more of it.
                 if (attempt.refused()) {
-                    members.ended(attempt, outcome);
+                    members.refused(attempt.upstream());
                 }
                 decisions.call(m -> m.onProbe(clock.now(), upstream, outcome, clock.now() - attempt.sentUs(), report), () -> { });
             });
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -158,6 +158,11 @@
         }
     }
 
+    /** A probe found that nobody listens there. */
+    void refused(String upstream) {
+        tell(membership.refused(clock.now(), upstream, true), ListKind.CACHED);
+    }
+
     /** {@code CACHED} is the whole list without being an answer of discovery's, which alone ends the module's asking. */
     private void tell(Change change, ListKind kind) {
         change.notes().forEach(n -> Log.event("membership", n));
--- a/src/test/java/rushproxy/lab/WorldTest.java
+++ b/src/test/java/rushproxy/lab/WorldTest.java
@@ -43,7 +43,7 @@
     }
 
     static List<String> found() throws Exception {
-        try (Stream<Path> files = Files.list(Path.of("lab/found"))) {
+        try (Stream<Path> files = Files.list(Path.of("lab/mended"))) {
             return files.map(Path::toString).sorted().toList();
         }
     }
