--- a/bench/lab.sh
+++ b/bench/lab.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The laboratory: scenarios hold, days repeat, search, speed; in full also beside real sockets. Aims and results: docs/design/lab.md.
-# --quick: under 45 s.
+# --quick: under 45 s. --sockets: only that.
 set -eu
 cd "$(dirname "$0")/.."
 if [ ! -f target/rushproxy.jar ] || [ ! -f target/sidecar.jsa ]; then
