--- a/src/main/java/rushproxy/lab/fuzz/Mutator.java
+++ b/src/main/java/rushproxy/lab/fuzz/Mutator.java
@@ -28,7 +28,7 @@
 
     private byte[] change(byte[] text) {
         if (text.length == 0) {
-            return words.get(random.nextInt(words.size()));
+            return words.get(random.nextInt(words.size())).clone();
         }
         int from = random.nextInt(text.length);
         int to = Math.min(text.length, from + 1 + random.nextInt(24));
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -160,6 +160,9 @@
 
     /** A probe found that nobody listens there. */
     void refused(String upstream) {
+        if (subset != null) {
+            subset.lost(clock.now(), upstream);
+        }
         tell(membership.refused(clock.now(), upstream, true), ListKind.CACHED);
     }
 
--- a/src/main/java/rushproxy/subset/Subset.java
+++ b/src/main/java/rushproxy/subset/Subset.java
@@ -63,9 +63,16 @@
     /** How an attempt ended: {@code lost} where the node was silent or not to be reached. */
     public void ended(long now, String node, boolean lost) {
         count++;
-        if (!lost) {
+        if (lost) {
+            lost(now, node);
+        } else {
             doubts.remove(node);
-        } else if (chosen.contains(node)) {
+        }
+    }
+
+    /** It was silent or not to be reached, as a probe found out, which is no request of the sidecar's clients. */
+    public void lost(long now, String node) {
+        if (chosen.contains(node)) {
             Doubt d = doubts.computeIfAbsent(node, n -> new Doubt());
             d.failures++;
             d.lastUs = now;
