Remove what the laboratory counts and nobody reads

Read again as a whole: counters and accessors without a reader (first served, mean connections, writes to disk, what nodes and the registry hold, remembered servers) are gone. Nothing that serves changed.

--- a/src/main/java/rushproxy/Held.java
+++ b/src/main/java/rushproxy/Held.java
@@ -8,9 +8,4 @@
     public static int requests(Balancer module) {
         return module instanceof Policy p ? p.open.size() : 0;
     }
-
-    /** Servers that are remembered. */
-    public static int servers(Balancer module) {
-        return module instanceof Policy p ? p.servers.size() : 0;
-    }
 }
--- a/src/main/java/rushproxy/lab/Figures.java
+++ b/src/main/java/rushproxy/lab/Figures.java
@@ -35,7 +35,6 @@
     long dials;
     long calls;
     long callBytes;
-    long diskWrites;
     double coldMost;
     double coldMean99;
     int nodeConnections;
@@ -48,7 +47,6 @@
     long digest;
     double wallS;
     double virtualS;
-    long heapMiB;
 
     Figures(List<String> classes, double[] worth, int seconds) {
         this.classes = classes;
--- a/src/main/java/rushproxy/lab/Instance.java
+++ b/src/main/java/rushproxy/lab/Instance.java
@@ -42,9 +42,6 @@
     long words;
     long dialsBefore;
     int mostOpen;
-    /** When this process began, and when it first served. */
-    long bootedUs;
-    long servedUs;
 
     Instance(World world, Scenario scenario, int number, LabDisk disk) {
         this.world = world;
@@ -71,8 +68,6 @@
     void boot(Listing known, Engine.Module module, long clockAheadUs) {
         int of = ++life;
         alive = true;
-        bootedUs = world.time().now();
-        servedUs = 0;
         Timers timers = (us, what) -> world.time().in(Math.max(0, us), () -> {
             if (alive && life == of) {
                 world.speaks(this);
@@ -182,11 +177,6 @@
         return Math.max(mostOpen, lines == null ? 0 : lines.mostOpen);
     }
 
-    /** Where the module keeps to; for who has how many clients. */
-    int known() {
-        return alive ? lines.known() : 0;
-    }
-
     boolean knows(String node) {
         return alive && lines.knows(node);
     }
--- a/src/main/java/rushproxy/lab/LabDisk.java
+++ b/src/main/java/rushproxy/lab/LabDisk.java
@@ -15,7 +15,6 @@
     private byte[] before;
     private long number;
     private long writtenUs = Long.MIN_VALUE / 2;
-    long writes;
 
     LabDisk(String fleet, int writesPerMinute, Consumer<String> notes) {
         this.fleet = fleet;
@@ -29,7 +28,6 @@
             return;
         }
         writtenUs = now;
-        writes++;
         number++;
         before = files[(int) (number % 2)];
         files[(int) (number % 2)] = new ListFile(number, list).bytes(fleet);
--- a/src/main/java/rushproxy/lab/LabNode.java
+++ b/src/main/java/rushproxy/lab/LabNode.java
@@ -266,14 +266,6 @@
         return report;
     }
 
-    int held() {
-        return working.size() + waiting.size();
-    }
-
-    int cores() {
-        return shape.cores();
-    }
-
     double speed() {
         return speed;
     }
--- a/src/main/java/rushproxy/lab/LabRegistry.java
+++ b/src/main/java/rushproxy/lab/LabRegistry.java
@@ -271,9 +271,4 @@
             });
         }
     }
-
-    /** Calls that it holds. */
-    int held() {
-        return watches.size();
-    }
 }
--- a/src/main/java/rushproxy/lab/Lines.java
+++ b/src/main/java/rushproxy/lab/Lines.java
@@ -187,11 +187,6 @@
         return t != null && t.state == UpstreamState.READY;
     }
 
-    /** How many upstreams are kept. */
-    int known() {
-        return targets.size();
-    }
-
     Attempt attempt(World.Try request, String upstream, long untilUs, Attempt.Result result) {
         return new Call(request, upstream, untilUs, result);
     }
--- a/src/main/java/rushproxy/lab/World.java
+++ b/src/main/java/rushproxy/lab/World.java
@@ -366,7 +366,6 @@
         event(how.name(), w.number, id);
         Figures.Cell cell = figures.cell(w.second, w.kind);
         if (how == Referee.Ending.SERVED) {
-            i.servedUs = i.servedUs == 0 ? time.now() : i.servedUs;
             figures.latency(w.kind, time.now() - w.firstUs);
             if (time.now() - w.firstUs <= k.spec().aimUs()) {
                 cell.served++;
@@ -783,14 +782,4 @@
             }
         }
     }
-
-    /** Sidecars that can serve, and for how long each process took until it first did; for those that look at starts. */
-    public List<Long> firstServedUs() {
-        return instances.stream().filter(i -> i.servedUs > 0).map(i -> i.servedUs - i.bootedUs).toList();
-    }
-
-    /** The node's process has the most connections of any, and what a sidecar holds on the average. */
-    public double meanConnections() {
-        return instances.stream().mapToInt(Instance::open).average().orElse(0);
-    }
 }
