--- a/src/main/java/rushproxy/lab/scenario/Scenario.java
+++ b/src/main/java/rushproxy/lab/scenario/Scenario.java
@@ -67,8 +67,9 @@
     /** @param sameUs one way, within a zone; {@code jitter}: as a part of it; {@code loss}: part of messages that come once more, 200 ms later */
     public record Net(long sameUs, long crossUs, double jitter, double loss, long peerUs, double peerLoss) {}
 
-    /** What the platform allows a sidecar. */
-    public record Sidecar(Limits limits, Reports reports, Rules rules, long dialUs, int connections, long bootUs, long spreadUs) {}
+    /** What the platform allows a sidecar; {@code probePrice}: points of the result for one probe to each first try. */
+    public record Sidecar(Limits limits, Reports reports, Rules rules, long dialUs, int connections, long bootUs, long spreadUs,
+                          double probePrice) {}
 
     /**
      * What must hold; a bound that is not set is below 0.
@@ -120,7 +121,7 @@
         return new Settings(me, fleet.told(), fleet.zones().get(me % fleet.zones().size()), fleet.zones(),
                 machines.stream().map(Machine::name).toList(), classes.stream().map(Kind::spec).toList(), tenants,
                 sidecar.limits(), sidecar.rules(), sidecar.reports(), registry.asked(), false, 0.1,
-                new Prices(0.005, 0.01, 0.002, 0, 0), 1_000);
+                new Prices(0.005, 0.01, sidecar.probePrice(), 0, 0), 1_000);
     }
 
     public Scenario with(List<Fault> others, long otherSeed) {
--- a/src/main/java/rushproxy/lab/scenario/ScenarioFile.java
+++ b/src/main/java/rushproxy/lab/scenario/ScenarioFile.java
@@ -31,7 +31,7 @@
     /** The scenarios that come with the program. */
     public static final List<String> SHIPPED = List.of("calm", "monday", "deploy", "cold-fleet", "half-stalled", "zone-dark",
             "flapping", "discovery-down", "registry-restored", "quiet", "retry-storm", "keyed-repeats", "replaced", "split",
-            "storm-of-faults", "cold-storm");
+            "storm-of-faults", "cold-storm", "vast", "vast-join");
     private static final double FALL = 3;
     private static final long FALL_US = 1_000_000, GRACE_US = 500_000;
 
@@ -237,7 +237,7 @@
                 nodes.idleUs(), 0), how, new Rules(GRACE_US, nodes.coldShare(), nodes.rampUs(), FALL, FALL_US,
                 t.duration("ask_every", "10s", "1s", "60s", null), 5_000, 0), t.duration("dial_timeout", "250ms", "1ms", "60s", null),
                 t.whole("connections", 400, 4, 100_000), t.duration("boot", "1s", "0s", "60s", null),
-                t.duration("start_spread", "1s", "0s", "60s", null));
+                t.duration("start_spread", "1s", "0s", "60s", null), t.real("probe_price", 0.002, 0, 10));
         t.done();
         return s;
     }
--- a/src/test/java/rushproxy/lab/WorldTest.java
+++ b/src/test/java/rushproxy/lab/WorldTest.java
@@ -56,6 +56,28 @@
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
     }
 
+    /** Words of what others hold: without them the same day is worse by far, and false, torn or lost ones break no rule. */
+    @Test
+    void aThinlySpreadFleetPicksByWhatItsSidecarsTellEachOther() throws Exception {
+        Day told = play(ScenarioFile.read("vast", Map.of("fleet.length", "15s")));
+        Day alone = play(ScenarioFile.read("vast", Map.of("fleet.length", "15s", "sidecar.peers", false)));
+        assertTrue(told.figures().served() > alone.figures().served() + 0.03, told.line() + alone.line());
+        for (String fault : List.of("peers-lost", "peers-garbled")) {
+            Day d = play(ScenarioFile.parse("t", "base = 'vast'\n[instead]\n'fleet.length' = '15s'\n[[event]]\nat = '5s'\ndo = '"
+                    + fault + "'\nfor = '10s'\n", Map.of()));
+            assertTrue(d.sound(), d.fouls() + " " + d.troubles());
+            assertTrue(d.figures().served() > alone.figures().served() - 0.01, d.line() + alone.line());
+        }
+    }
+
+    /** Half of the sidecars are killed within a second while the settings go on counting them. */
+    @Test
+    void aFleetOfWhichHalfIsKilledKeepsTheRules() throws Exception {
+        Day d = play(ScenarioFile.parse("t", "base = 'vast'\n[instead]\n'fleet.length' = '15s'\n[[event]]\nat = '5s'\ndo = 'restart'\n"
+                + "part = 0.5\nwithin = '1s'\nfor = '3s'\n", Map.of()));
+        assertTrue(d.sound(), d.fouls() + " " + d.troubles());
+    }
+
     @Test
     void theSameSeedIsTheSameDayToTheLastEventBesideWhateverElseIsPlayed() throws Exception {
         Scenario s = ScenarioFile.read("keyed-repeats", Map.of("fleet.length", "24s"));
