--- a/src/main/java/rushproxy/fleet/Holdings.java
+++ b/src/main/java/rushproxy/fleet/Holdings.java
@@ -14,9 +14,9 @@
  *
  * <p>Bounds: a word names {@link #MOST_NAMED} attempts, a peer counts at most {@link #MOST_BELIEVED} times at one upstream and
  * with all its attempts for no more than {@link #FREE} and {@link #OFF_MEDIAN} times what the median sidecar holds, so that a
- * confused one can't make a fleet look full; it is forgotten {@link #STALE_US} after its last word. Words are paced so that no sidecar hears more than {@link #HEARD_RATE} a
- * second from all others together; where that would make them older than they are worth, or their price is over the toll, none
- * are said. Pure: no I/O, no threads, time as a parameter. Not for several threads.
+ * confused one can't make a fleet look full; it is forgotten {@link #STALE_US} after its last word. Words are paced so that no
+ * sidecar hears more than {@link #HEARD_RATE} a second from all others together; where that would make them older than they are
+ * worth, or their price is over the toll, none are said. Pure: no I/O, no threads, time as a parameter. Not for several threads.
  */
 public final class Holdings implements Others {
     /** Sets a word apart from the module's own, which begin otherwise. */
