--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -156,4 +156,9 @@
     void onPeer(long now, int peer, byte[] message);
 
     void onTimer(long now, String mark);
+
+    /** Whether it keeps requests from the upstream now, by its own judgement. */
+    default boolean avoids(long now, String upstream) {
+        return false;
+    }
 }
--- a/src/main/java/rushproxy/PeerWord.java
+++ b/src/main/java/rushproxy/PeerWord.java
@@ -27,12 +27,8 @@
 
     byte[] bytes() {
         ByteBuffer b = ByteBuffer.allocate(length()).put(TAG);
-        for (double r : rates) {
-            b.putShort(unsigned(r * 100));
-        }
-        for (int i = 0; i < slow.length; i++) {
-            b.putShort(unsigned(slow[i] * 256)).put((byte) Math.min(255, answers[i]));
-        }
+        for (double r : rates) b.putShort(unsigned(r * 100));
+        for (int i = 0; i < slow.length; i++) b.putShort(unsigned(slow[i] * 256)).put((byte) Math.min(255, answers[i]));
         return b.putShort(unsigned(crowding * 256)).putShort(unsigned(idleLimitUs / 1000.0)).array();
     }
 
@@ -42,13 +38,9 @@
 
     /** False where the bytes are no such message; nothing is to be taken from it then. */
     boolean read(byte[] message) {
-        if (message.length != length() || message[0] != TAG) {
-            return false;
-        }
+        if (message.length != length() || message[0] != TAG) return false;
         ByteBuffer b = ByteBuffer.wrap(message).position(1);
-        for (int i = 0; i < rates.length; i++) {
-            rates[i] = (b.getShort() & 65_535) / 100.0;
-        }
+        for (int i = 0; i < rates.length; i++) rates[i] = (b.getShort() & 65_535) / 100.0;
         for (int i = 0; i < slow.length; i++) {
             slow[i] = (b.getShort() & 65_535) / 256.0;
             answers[i] = b.get() & 255;
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -207,7 +207,8 @@
             // Parts of a server are rounded so that they come out right over many sidecars.
             n = Math.max(one.zone == home ? 1 : 0, Math.floor(n + cfg.me() * 0.7548776662466927 % 1));
             for (int i = 0; i < Math.min(n, of.size()); i++) {
-                chosen.add(of.get((i + ownPoint(of.size())) % of.size()));
+                // Points of successive numbers at the golden section's distance spread evenly over any circle.
+                chosen.add(of.get((i + (int) (cfg.me() * 0.6180339887498949 % 1 * of.size())) % of.size()));
             }
         }
         return chosen;
@@ -231,11 +232,6 @@
         return part;
     }
 
-    /** Points of successive numbers at the golden section's distance spread evenly over any circle. */
-    private int ownPoint(int places) {
-        return (int) (cfg.me() * 0.6180339887498949 % 1 * places);
-    }
-
     // ---- estimators -----------------------------------------------------------------------------
     private final Map<String, Double> classWork = new HashMap<>();
     private double meanWork;
@@ -323,7 +319,7 @@
         if (s == null || r == null || r.inFlight() < 0) return;
         // Overdue here and not held there: lost on its connection, and no load here either.
         int overdue = 0;
-        for (Attempt a : s.attempts) overdue += !a.ended && overdue(now, a) ? 1 : 0;
+        for (Attempt a : s.attempts) overdue += !a.ended && now - a.sentAt >= OVERDUE * a.expected ? 1 : 0;
         // Some servers count open streams as requests they hold, some do not: one that holds fewer does not.
         double held = r.inFlight() - (r.inFlight() >= s.streams ? s.streams : 0);
         s.lost = (int) Math.min(overdue, Math.max(0, s.own - Math.round(held)));
@@ -403,7 +399,7 @@
         if (now - solvedAt < RESOLVE_US) return;
         measure(now);
         solvedAt = now;
-        panic = 2 * ready.stream().filter(s -> mute(s, now) || now < s.ejectedUntil).count() > ready.size();
+        panic = 2 * ready.stream().filter(s -> avoided(s, now)).count() > ready.size();
         bestSlow = ready.isEmpty() ? 1 : Double.MAX_VALUE;
         if (now - membersAt > TELL_US) {
             membersAt = now;
@@ -568,7 +564,7 @@
     }
 
     private boolean hasRoom(long now, Req r, Server s, boolean freeCore) {
-        if (!panic && (mute(s, now) || now < s.ejectedUntil || s.ejections > 0 && s.own > 0)) return false;
+        if (!panic && (avoided(s, now) || s.ejections > 0 && s.own > 0)) return false;
         if (lapsed(now, r, s) || !maySend(now, r, s)) return false;
         // Nobody knows what takes connections there: one request at a time, of those that may be lost.
         boolean known = s.entry.doubt() != Doubt.KIND;
@@ -766,6 +762,15 @@
         return s.mutedAt > s.reportedAt && now - s.mutedAt < PROBE_US;
     }
 
+    private static boolean avoided(Server s, long now) {
+        return mute(s, now) || now < s.ejectedUntil;
+    }
+
+    @Override
+    public boolean avoids(long now, String upstream) {
+        return servers.containsKey(upstream) && avoided(servers.get(upstream), now);
+    }
+
     /** The only attempt of a request that is still worth a second copy, or null. */
     private Attempt lone(long now, Req r) {
         if (r == null || r.over || r.waiting || r.streaming) return null;
@@ -779,10 +784,6 @@
         return out;
     }
 
-    private static boolean overdue(long now, Attempt a) {
-        return now - a.sentAt >= OVERDUE * a.expected;
-    }
-
     /** Its server is asked beside the queue: for one at work a copy would be wasted. */
     private void late(long now, Req r) {
         Attempt a = lone(now, r);
@@ -825,10 +826,8 @@
 
     private void over(Req r) {
         r.over = true;
-        if (r.waiting) {
-            waiting.remove(r);
-            r.waiting = false;
-        }
+        if (r.waiting) waiting.remove(r);
+        r.waiting = false;
         if (noneOut(r)) open.remove(r.request.id());
     }
 
@@ -901,12 +900,6 @@
         idleSeenAt = now;
     }
 
-    /** A server may swallow one class and answer the rest: each answer would clear what counts against it. */
-    private static void lapse(Server s, RequestClass c, Outcome outcome) {
-        if (outcome == Outcome.OK) s.lapses.remove(c.name());
-        else if (outcome == Outcome.TIMEOUT) s.lapses.computeIfAbsent(c.name(), x -> new Lapse()).timeouts++;
-    }
-
     /** Whether its class's next try there is not due; where most servers lapse, it says little of any one. */
     private boolean lapsed(long now, Req r, Server s) {
         if (!lapsed(now, r.spec, s)) return false;
@@ -921,7 +914,9 @@
     }
 
     private void health(long now, Server s, Attempt a, Outcome outcome, long latencyUs) {
-        lapse(s, a.req.spec, outcome);
+        // A server may swallow one class and answer the rest: each answer would clear what counts against it.
+        if (outcome == Outcome.OK) s.lapses.remove(a.req.spec.name());
+        else if (outcome == Outcome.TIMEOUT) s.lapses.computeIfAbsent(a.req.spec.name(), x -> new Lapse()).timeouts++;
         if (idleDropped(now, a, outcome) || a.lost && outcome == Outcome.TIMEOUT) return;
         if (a.req.request.streams() && (outcome == Outcome.NOT_SENT || outcome == Outcome.REJECTED)) {
             // Its room for streams is used up, which is no word on its work.
@@ -950,7 +945,6 @@
                 }
                 countAsFull(s, now);
             }
-            default -> { }
         }
     }
 
--- a/src/main/java/rushproxy/core/Attempt.java
+++ b/src/main/java/rushproxy/core/Attempt.java
@@ -13,6 +13,9 @@
     interface Result {
         void ended(Attempt attempt, Outcome outcome, LoadReport report, ByteBuf body);
 
+        /** Its last byte was written: from now on it may run. */
+        default void written(Attempt attempt) {}
+
         /**
          * The answer has begun and is to go on to the client as it comes. True: from now on the request is this attempt's
          * alone, to its end, and no deadline runs. False: it is too late for that, and the attempt must be given up.
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -8,6 +8,8 @@
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Request;
+import rushproxy.figures.Figures;
+import rushproxy.figures.Figures.End;
 import rushproxy.trace.Trace.How;
 import rushproxy.trace.Tracer;
 
@@ -21,6 +23,7 @@
     private final Decisions decisions;
     private final int maxAttempts;
     private final Ends ends;
+    private final Figures figures;
     private final Map<String, Exchange> open = new HashMap<>();
     /** Null where requests are not traced. */
     private Tracer tracer;
@@ -33,12 +36,13 @@
         void ended(Request request, Attempt attempt, Outcome outcome);
     }
 
-    public Requests(Timers timers, Clock clock, Decisions decisions, int maxAttempts, Ends ends) {
+    public Requests(Timers timers, Clock clock, Decisions decisions, int maxAttempts, Ends ends, Figures figures) {
         this.timers = timers;
         this.clock = clock;
         this.decisions = decisions;
         this.maxAttempts = maxAttempts;
         this.ends = ends;
+        this.figures = figures;
     }
 
     /** Requests that are taken from now on are traced so, or not at all with null; {@code watch} is to tell of the loop's turns. */
@@ -79,7 +83,13 @@
         return open.containsKey(id);
     }
 
+    /** For the fronts, which answer some requests without taking them. */
+    public Figures figures() {
+        return figures;
+    }
+
     public void take(Exchange x) {
+        figures.taken();
         open.put(x.request.id(), x);
         x.overdue = timers.in(x.deadlineUs + OVERDUE_US - clock.now(), () -> overdue(x));
         decisions.call(m -> m.onRequest(clock.now(), x.request), () -> fail(x));
@@ -139,6 +149,11 @@
                 Requests.this.ended(x, number, a, outcome, report, body);
             }
 
+            @Override
+            public void written(Attempt a) {
+                figures.sent();
+            }
+
             @Override
             public boolean streaming(Attempt a) {
                 return Requests.this.streaming(x, number, a);
@@ -231,6 +246,12 @@
 
     private void finish(Exchange x, How how, long retryAfterUs) {
         x.over = true;
+        figures.ended(x.request.requestClass(), switch (how) {
+            case SERVED -> End.ANSWERED;
+            case REFUSED -> End.DEFERRED;
+            case FAILED -> End.ERRORED;
+            case LEFT -> End.ABANDONED;
+        });
         if (x.trace != null) {
             x.trace.answered(how, retryAfterUs);
         }
--- a/src/main/java/rushproxy/grpc/GrpcAttempt.java
+++ b/src/main/java/rushproxy/grpc/GrpcAttempt.java
@@ -264,7 +264,10 @@
     private void write(Object frame, boolean mayRunThen) {
         stream.writeAndFlush(frame).addListener(f -> {
             if (f.isSuccess()) {
-                writtenUs = writtenUs == 0 && mayRunThen ? clock.now() : writtenUs;
+                if (writtenUs == 0 && mayRunThen) {
+                    writtenUs = clock.now();
+                    result.written(this);
+                }
             }
         });
     }
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -37,6 +37,7 @@
 import rushproxy.core.Exchange;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
+import rushproxy.figures.Figures.End;
 import rushproxy.trace.SpanContext;
 import rushproxy.trace.Trace;
 import rushproxy.trace.Tracer;
@@ -180,6 +181,7 @@
         long remainingMs = whole(word(h, Headers.REMAINING));
         if (id.isEmpty() || requests.knows(id) || lane == null || remainingMs <= 0 || !fits(m, lane)) {
             // What no upstream could use is said here: there it would look like the upstream's own failure.
+            requests.figures().notTaken(lane == null ? "" : lane.name(), End.ERRORED);
             write(false, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER, 0);
             return;
         }
@@ -283,7 +285,7 @@
     }
 
     private void write(boolean keepAlive, HttpResponseStatus status, ByteBuf body, long retryAfterUs) {
-        boolean stays = keepAlive && !server.stopping();
+        boolean stays = keepAlive && !server.partsWithClients();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, Headers.CHECKED,
                 Headers.CHECKED);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -49,6 +49,8 @@
     /** Null but while a rehearsal is on. */
     private Runnable rehearsal;
     private long stopAtUs;
+    /** When clients were asked away; 0 while they are welcome. */
+    private long awaySinceUs;
     private long acceptedUs;
 
     public ClientServer(EventLoop loop, Clock clock, Requests requests, Upstreams upstreams,
@@ -127,16 +129,42 @@
         if (connections.size() >= maxConnections) {
             makeRoom(now);
         }
+        if (awaySinceUs > 0 && now - awaySinceUs >= SERVE_ON_MS * 1000) {
+            partWithQuiet(now);
+        }
     }
 
-    boolean ready() {
-        return !stopping() && rehearsal == null && canServe.getAsBoolean();
+    public boolean ready() {
+        return !stopping() && awaySinceUs == 0 && rehearsal == null && canServe.getAsBoolean();
     }
 
     boolean stopping() {
         return stopAtUs > 0;
     }
 
+    /** Whether a connection ends with its next answer. */
+    boolean partsWithClients() {
+        return stopping() || awaySinceUs > 0;
+    }
+
+    /**
+     * Out of service: what is held is answered, what is quiet is closed, whoever comes all the same is served once and asked to leave.
+     * It goes on listening: those who look whether it is ready are to hear a no, and newcomers are on their way for a while.
+     */
+    public void service(boolean out) {
+        if (!out) {
+            awaySinceUs = 0;
+        } else if (awaySinceUs == 0) {
+            awaySinceUs = clock.now();
+        }
+    }
+
+    private void partWithQuiet(long now) {
+        for (ClientConnection c : List.copyOf(connections)) {
+            c.closeIfQuiet(now - QUIET_MS * 1000, now - longestUs);
+        }
+    }
+
     /** Serves on while the application still comes, answers what is held, closes what is quiet, then says so. */
     public void stop(Runnable stopped) {
         stopAtUs = clock.now() + SERVE_ON_MS * 1000;
@@ -150,9 +178,7 @@
             if (listener.isOpen() && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
                 listener.close();
             }
-            for (ClientConnection c : Set.copyOf(connections)) {
-                c.closeIfQuiet(now - QUIET_MS * 1000, now - longestUs);
-            }
+            partWithQuiet(now);
             if (connections.isEmpty() && !listener.isOpen()) {
                 stopped.run();
                 return;
--- a/src/main/java/rushproxy/http1/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -373,6 +373,7 @@
         call.channel.writeAndFlush(message).addListener(f -> {
             if (f.isSuccess()) {
                 call.writtenUs = clock.now();
+                call.result.written(call);
             } else {
                 call.channel.close();
                 // What can't be put into words is its client's fault: no upstream has seen it.
--- a/src/main/java/rushproxy/membership/Membership.java
+++ b/src/main/java/rushproxy/membership/Membership.java
@@ -57,14 +57,10 @@
             return standing != Standing.SUSPECT;
         }
 
-        Member told() {
-            Upstream u = member.upstream();
-            return member.with(new Upstream(u.id(), u.zone(), u.kind(), u.cell(), u.startedUs(), u.weight(), u.state(),
-                    doubt, Math.max(coldSinceUs, goneAtUs), u.speaks()));
-        }
     }
 
     private final Trust trust;
+    private final Bans bans = new Bans();
     private final SplittableRandom random;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long generation;
@@ -212,9 +208,10 @@
         generation = told.generation();
         confirmed = true;
         current = true;
+        bans.listed(now, entries.keySet());
         boolean whole = told.whole() || settles;
         return new Change(whole, whole ? usable() : told.members().stream().map(m -> entries.containsKey(m.id())
-                ? entries.get(m.id()).told() : m).toList(), notes);
+                ? told(entries.get(m.id())) : m).toList(), notes);
     }
 
     /**
@@ -316,7 +313,44 @@
 
     /** All that may be used, as the module is told of it. */
     public List<Member> usable() {
-        return entries.values().stream().filter(Entry::used).map(Entry::told).toList();
+        return entries.values().stream().filter(Entry::used).map(this::told).toList();
+    }
+
+    /** One that is out by hand drains, whatever lists say of it: what it has it may finish. */
+    private Member told(Entry e) {
+        Upstream u = e.member.upstream();
+        boolean out = u.state() == UpstreamState.READY && bans.out(u.id());
+        return e.member.with(new Upstream(u.id(), u.zone(), u.kind(), u.cell(), u.startedUs(), u.weight(),
+                out ? UpstreamState.DRAINING : u.state(), e.doubt, Math.max(Math.max(e.coldSinceUs, e.goneAtUs), bans.backAtUs(u.id())),
+                u.speaks()));
+    }
+
+    /** Whether an operator may speak of it: it is listed, or out by hand and expected back. */
+    public boolean has(String id) {
+        return entries.containsKey(id) || bans.out(id);
+    }
+
+    /** Whether it is out by hand. */
+    public boolean out(String id) {
+        return bans.out(id);
+    }
+
+    /** Out by hand, or back: whoever comes back is cold, since operators restart it meanwhile. The same call again changes nothing. */
+    public Change byHand(long now, String id, boolean out) {
+        return out ? changed(bans.take(now, id), id) : changed(bans.back(alike(now), id), id);
+    }
+
+    /** What another process of this sidecar knows of upstreams out by hand. */
+    public Change bans(Bans.Kept kept) {
+        return bans.take(kept) ? new Change(true, usable(), List.of("upstreams out by hand: " + bans.kept().out().keySet())) : Change.NONE;
+    }
+
+    public Bans.Kept bans() {
+        return bans.kept();
+    }
+
+    private Change changed(boolean changed, String id) {
+        return changed ? new Change(true, usable(), List.of(id + (bans.out(id) ? " is out by hand" : " is back, and cold"))) : Change.NONE;
     }
 
     private static String name(Listing l) {
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -19,9 +19,9 @@
 import rushproxy.settings.SettingsException;
 import rushproxy.settings.SettingsReader;
 
-/** What a sidecar is told at its start. {@code peerListen} and {@code peersAll} are null where there are none. */
+/** What a sidecar is told at its start. {@code peerListen}, {@code peersAll} and {@code admin} are null where there are none. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
+              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress admin,
               Listing known, Settings settings, long dialTimeoutUs) {
 
     /** A configuration that no sidecar can start with; the message is one line and names the field. */
@@ -61,7 +61,7 @@
 
     /** The same settings for a sidecar on another stage, without peers. */
     Config elsewhere(InetSocketAddress listens, InetSocketAddress asks, Listing knows) {
-        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, knows, settings, dialTimeoutUs);
+        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, null, knows, settings, dialTimeoutUs);
     }
 
     /** The file as it is now. Where it names another discovery than the variable of the start, the file is newer. */
@@ -82,7 +82,7 @@
         int sockets = (int) (json.has("limits") ? json.object("limits").numberOr("sockets", 1024) : 1024);
         return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
                 told(json, environment, "discovery", "BALANCER_DISCOVERY"), seed(json.text("seed")), sockets,
-                optional(json, "peer_listen"), peers, optional(json, "peers_all"),
+                optional(json, "peer_listen"), peers, optional(json, "peers_all"), admin(json, environment),
                 known(json), settings, reader.dialTimeoutUs());
     }
 
@@ -99,6 +99,12 @@
         return text == null ? address(field, json.text(field)) : address(variable, text);
     }
 
+    /** Null where operators have no address here. */
+    private static InetSocketAddress admin(Json json, Map<String, String> environment) {
+        String text = environment.getOrDefault("BALANCER_ADMIN", "");
+        return text.isEmpty() ? optional(json, "admin") : address("BALANCER_ADMIN", text);
+    }
+
     private static InetSocketAddress optional(Json json, String field) {
         return json.has(field) ? address(field, json.text(field)) : null;
     }
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import rushproxy.Balancer;
@@ -16,6 +17,7 @@
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
 import rushproxy.core.Timers;
+import rushproxy.figures.Figures;
 import rushproxy.fleet.Holdings;
 import rushproxy.membership.Listing;
 import rushproxy.membership.Member;
@@ -67,6 +69,7 @@
     private final long seed;
     private final Network network;
     private final Decisions decisions = new Decisions();
+    private final Figures figures = new Figures();
     private final Requests requests;
     private final Members members;
     /** Discovery is not asked before: a fleet that starts together would rush it. */
@@ -90,7 +93,8 @@
         told = settings;
         members = new Members(timers, clock, decisions, network::update, new Membership(operator.trust(), seed, clock.now()),
                 network::trial);
-        requests = new Requests(timers, clock, decisions, settings.limits().maxAttempts(), new Ends());
+        requests = new Requests(timers, clock, decisions, settings.limits().maxAttempts(), new Ends(), figures);
+        settings.classes().forEach(c -> figures.serves(c.name()));
     }
 
     /** Zones stand beside the module only where the operator has asked for them. */
@@ -177,6 +181,15 @@
         return members;
     }
 
+    /** What this process has done, by the operators' definitions. */
+    public Map<String, Object> counters() {
+        return figures.told(members.size(), members.unhealthy(module));
+    }
+
+    public Figures figures() {
+        return figures;
+    }
+
     /** Null before the start. */
     public RegistryWatch discovery() {
         return discovery;
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Upstream;
@@ -16,6 +17,7 @@
 import rushproxy.core.Decisions;
 import rushproxy.core.Log;
 import rushproxy.core.Timers;
+import rushproxy.membership.Bans;
 import rushproxy.membership.Change;
 import rushproxy.membership.Listing;
 import rushproxy.membership.Member;
@@ -146,6 +148,36 @@
         }
     }
 
+    /** Out by hand, or back; false where the list has no such upstream, and then nothing changes. */
+    boolean byHand(String id, boolean out) {
+        if (!membership.has(id)) {
+            return false;
+        }
+        tell(membership.byHand(clock.now(), id, out), ListKind.CACHED);
+        return true;
+    }
+
+    /** What another process of this sidecar knows of upstreams out by hand. */
+    void bans(Bans.Kept kept) {
+        tell(membership.bans(kept), ListKind.CACHED);
+    }
+
+    Bans.Kept bans() {
+        return membership.bans();
+    }
+
+    /** How many upstreams the list has. */
+    int size() {
+        return membership.size();
+    }
+
+    /** Of the listed upstreams, how many are out by hand or are avoided by the module now. */
+    int unhealthy(Balancer module) {
+        long now = clock.now();
+        return (int) membership.members().stream().map(m -> m.upstream().id())
+                .filter(id -> membership.out(id) || module.avoids(now, id)).count();
+    }
+
     /** How an attempt ended. */
     public void ended(Attempt attempt, Outcome outcome) {
         if (subset != null) {
--- a/src/main/java/rushproxy/sidecar/Reload.java
+++ b/src/main/java/rushproxy/sidecar/Reload.java
@@ -44,6 +44,7 @@
         try {
             sidecar.reconfigure(Config.readAgain(environment), operators.read());
         } catch (Config.Broken | Broken e) {
+            sidecar.turnedDown();
             Log.event("reload.refused", "goes on as before: " + e.getMessage(), "why", e.getMessage());
         }
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import rushproxy.Balancer;
+import rushproxy.admin.AdminServer;
 import rushproxy.core.Attempt;
 import rushproxy.core.Clock;
 import rushproxy.core.EventLoops;
@@ -60,6 +62,8 @@
     /** Null where it is off: then no class of HTTP/2 is loaded. */
     private final GrpcServer grpc;
     private InetSocketAddress listening;
+    /** Null where operators have no address here. */
+    private InetSocketAddress adminAt;
     /** Null until the start. */
     private RegistryHttp calls;
     private ListKeeper keeper;
@@ -81,7 +85,7 @@
         this.operator = operator;
         this.module = module;
         Balancer.Settings settings = config.settings();
-        int most = Math.max(32, config.sockets() - OWN_DESCRIPTORS);
+        int most = Math.max(32, config.sockets() - OWN_DESCRIPTORS - (config.admin() == null ? 0 : AdminServer.MOST + 2));
         // Clients may hold a third of all for their requests, and others come and say nothing.
         int fromClients = most * 5 / 8;
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
@@ -138,8 +142,10 @@
         try {
             sidecar.start();
         } catch (Exception e) {
-            Log.event("start.failed", "can't start: " + e);
-            return 1;
+            // Netty throws what was not declared.
+            boolean taken = e instanceof BindException;
+            Log.event(taken ? "start.refused" : "start.failed", taken ? "an address can't be listened on: " + e.getMessage() : "can't start: " + e);
+            return taken ? 2 : 1;
         }
         CountDownLatch empty = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -187,6 +193,9 @@
             engine.start(lists, calls, operator.membership() != null,
                     operator.membership() == null ? 0 : operator.membership().spreadUs(), module);
         }).sync();
+        if (config.admin() != null) {
+            adminAt = new AdminServer(loop, new Operations(this)).listen(config.admin());
+        }
         loop.execute(engine::watch);
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
@@ -282,6 +291,19 @@
         }
     }
 
+    Engine engine() {
+        return engine;
+    }
+
+    ClientServer clients() {
+        return clients;
+    }
+
+    /** Null where operators have no address here. */
+    InetSocketAddress adminAt() {
+        return adminAt;
+    }
+
     InetSocketAddress listening() {
         return listening;
     }
@@ -302,6 +324,7 @@
      */
     void reconfigure(Config fresh, Operator told) {
         loop.execute(() -> {
+            engine.figures().reloaded(true);
             if (calls.moveTo(fresh.discovery())) {
                 engine.discovery().moved();
             }
@@ -337,6 +360,11 @@
         });
     }
 
+    /** A file at SIGHUP was broken. */
+    void turnedDown() {
+        loop.execute(() -> engine.figures().reloaded(false));
+    }
+
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
         loop.execute(() -> stopFronts(() -> {
--- a/src/main/java/rushproxy/zones/Guided.java
+++ b/src/main/java/rushproxy/zones/Guided.java
@@ -110,6 +110,11 @@
         module.onStreamStart(at, request, attempt, upstream, latencyUs);
     }
 
+    @Override
+    public boolean avoids(long at, String upstream) {
+        return module.avoids(at, upstream);
+    }
+
     @Override
     public void onProbe(long at, String upstream, Outcome outcome, long latencyUs, LoadReport report) {
         now = at;
