--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -207,7 +207,7 @@
             // Parts of a server are rounded so that they come out right over many sidecars.
             n = Math.max(one.zone == home ? 1 : 0, Math.floor(n + cfg.me() * 0.7548776662466927 % 1));
             for (int i = 0; i < Math.min(n, of.size()); i++) {
-                // Points of successive numbers at the golden section's distance spread evenly over any circle.
+                // Points at the golden section's distance spread evenly over any circle.
                 chosen.add(of.get((i + (int) (cfg.me() * 0.6180339887498949 % 1 * of.size())) % of.size()));
             }
         }
