Upgrades: two processes share the address, the bans and the room of cold upstreams

Change: SO_REUSEPORT on the clients', peers' and gRPC addresses where operators have an address; rushproxy.handover (locks and a notebook in TMPDIR; Overlap keeps cold upstreams to one process at a time); the new process listens once it is ready, the old one empties the kernel's queue and closes in the same turn. gRPC was bound twice at its start (listen() was called for the log line too): once now.

--- a/src/main/java/rushproxy/PeerWord.java
+++ b/src/main/java/rushproxy/PeerWord.java
@@ -28,7 +28,8 @@
     byte[] bytes() {
         ByteBuffer b = ByteBuffer.allocate(length()).put(TAG);
         for (double r : rates) b.putShort(unsigned(r * 100));
-        for (int i = 0; i < slow.length; i++) b.putShort(unsigned(slow[i] * 256)).put((byte) Math.min(255, answers[i]));
+        for (int i = 0; i < slow.length; i++)
+            b.putShort(unsigned(slow[i] * 256)).put((byte) Math.min(255, answers[i]));
         return b.putShort(unsigned(crowding * 256)).putShort(unsigned(idleLimitUs / 1000.0)).array();
     }
 
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -915,8 +915,9 @@
 
     private void health(long now, Server s, Attempt a, Outcome outcome, long latencyUs) {
         // A server may swallow one class and answer the rest: each answer would clear what counts against it.
-        if (outcome == Outcome.OK) s.lapses.remove(a.req.spec.name());
-        else if (outcome == Outcome.TIMEOUT) s.lapses.computeIfAbsent(a.req.spec.name(), x -> new Lapse()).timeouts++;
+        String of = a.req.spec.name();
+        if (outcome == Outcome.OK) s.lapses.remove(of);
+        else if (outcome == Outcome.TIMEOUT) s.lapses.computeIfAbsent(of, x -> new Lapse()).timeouts++;
         if (idleDropped(now, a, outcome) || a.lost && outcome == Outcome.TIMEOUT) return;
         if (a.req.request.streams() && (outcome == Outcome.NOT_SENT || outcome == Outcome.REJECTED)) {
             // Its room for streams is used up, which is no word on its work.
--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2Error;
@@ -20,6 +21,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -87,8 +89,13 @@
         });
     }
 
-    public InetSocketAddress listen() throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
+    /** {@code shared}: another process of this sidecar may listen there too. */
+    public InetSocketAddress listen(boolean shared) throws InterruptedException {
+        ServerBootstrap bootstrap = new ServerBootstrap();
+        if (shared) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        listener = bootstrap.group(loop).channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -6,9 +6,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -45,7 +46,7 @@
     /** No client waits longer than this for an answer. */
     private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
-    private Channel listener;
+    private Door listener;
     /** Null but while a rehearsal is on. */
     private Runnable rehearsal;
     private long stopAtUs;
@@ -65,8 +66,13 @@
         this.maxConnections = maxConnections;
     }
 
-    public InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
+    /** {@code shared}: another process of this sidecar may listen there too. */
+    public InetSocketAddress listen(InetSocketAddress address, boolean shared) throws InterruptedException {
+        ServerBootstrap bootstrap = new ServerBootstrap();
+        if (shared) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        listener = (Door) bootstrap.group(loop).channelFactory(Door::new)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -171,12 +177,19 @@
         look(stopped);
     }
 
+    /** Another process serves newcomers: as {@link #stop}, but takes none from now on. */
+    public void leaveTo(Runnable stopped) {
+        stopAtUs = clock.now();
+        listener.closeEmpty();
+        look(stopped);
+    }
+
     private void look(Runnable stopped) {
         long now = clock.now();
         if (now >= stopAtUs) {
             // Closing the listener would reset what waits in its backlog: only once none has come for a while.
             if (listener.isOpen() && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
-                listener.close();
+                listener.closeEmpty();
             }
             partWithQuiet(now);
             if (connections.isEmpty() && !listener.isOpen()) {
--- a/src/main/java/rushproxy/membership/Bans.java
+++ b/src/main/java/rushproxy/membership/Bans.java
@@ -47,11 +47,24 @@
         return out.size() < MOST && out.putIfAbsent(id, now) == null;
     }
 
+    /** What is kept, with one more call. */
+    public static Kept with(Kept kept, long now, String id, boolean out) {
+        Bans bans = new Bans();
+        bans.take(kept);
+        if (out) {
+            bans.take(now, id);
+        } else {
+            bans.back(now, id);
+        }
+        return bans.kept();
+    }
+
     /** False where it was not out. */
-    boolean back(long coldFromUs, String id) {
+    boolean back(long now, String id) {
         if (out.remove(id) == null) {
             return false;
         }
+        long coldFromUs = Membership.alike(now);
         back.values().removeIf(at -> coldFromUs - at > BACK_US);
         back.put(id, coldFromUs);
         return true;
--- a/src/main/java/rushproxy/membership/Membership.java
+++ b/src/main/java/rushproxy/membership/Membership.java
@@ -307,7 +307,7 @@
     }
 
     /** The next time on the grid: where discovery's own word of the start comes later, it is mostly of before this, and changes nothing. */
-    private static long alike(long now) {
+    static long alike(long now) {
         return (now / ALIKE_US + 1) * ALIKE_US;
     }
 
@@ -337,7 +337,7 @@
 
     /** Out by hand, or back: whoever comes back is cold, since operators restart it meanwhile. The same call again changes nothing. */
     public Change byHand(long now, String id, boolean out) {
-        return out ? changed(bans.take(now, id), id) : changed(bans.back(alike(now), id), id);
+        return changed(out ? bans.take(now, id) : bans.back(now, id), id);
     }
 
     /** What another process of this sidecar knows of upstreams out by hand. */
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
@@ -99,9 +100,14 @@
 
     /** Zones stand beside the module only where the operator has asked for them. */
     public static Module module(Operator operator) {
-        return operator.zones() == null ? (s, others, seed, now, actions) -> new Policy(s, Guide.NONE, others, seed, now, actions)
+        return module(operator, (guide, settings) -> guide);
+    }
+
+    /** {@code also} stands before the guide that the module would have without it. */
+    static Module module(Operator operator, BiFunction<Guide, Settings, Guide> also) {
+        return operator.zones() == null ? (s, others, seed, now, actions) -> new Policy(s, also.apply(Guide.NONE, s), others, seed, now, actions)
                 : (s, others, seed, now, actions) -> new Guided(operator.zones(), s, seed ^ 0x7a6f6e6573L, now, actions,
-                (guide, hands) -> new Policy(s, guide, others, seed, now, hands));
+                (guide, hands) -> new Policy(s, also.apply(guide, s), others, seed, now, hands));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/rushproxy/sidecar/Handover.java
@@ -0,0 +1,92 @@
+package rushproxy.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.function.Consumer;
+import rushproxy.Balancer.Settings;
+import rushproxy.Guide;
+import rushproxy.core.Clock;
+import rushproxy.core.Log;
+import rushproxy.handover.Notebook;
+import rushproxy.handover.Overlap;
+import rushproxy.membership.Bans;
+
+/** An upgrade, as one of its two processes carries it out: what crosses, and who does what meanwhile. */
+final class Handover {
+    private final Notebook notebook;
+    private final Overlap overlap = new Overlap();
+    private final boolean alone;
+    private EventLoop loop;
+    private Clock clock;
+    private Members members;
+
+    Handover(Notebook notebook) {
+        this.notebook = notebook;
+        alone = notebook.open();
+        if (!alone) {
+            overlap.other();
+        }
+    }
+
+    /** Null where operators have no address here, or both processes no folder: then there is one process at a time. */
+    static Handover of(Map<String, String> environment, Config config) {
+        String folder = environment.getOrDefault("TMPDIR", "");
+        if (config.admin() == null || folder.isEmpty()) {
+            return null;
+        }
+        try {
+            Path path = Path.of(folder);
+            if (Files.isDirectory(path) && Files.isWritable(path)) {
+                return new Handover(new Notebook(path, config.name()));
+            }
+        } catch (InvalidPathException e) {
+            // As one that is not there.
+        }
+        Log.event("handover.none", "TMPDIR is no folder that can be written to: bans and upgrades end with this process");
+        return null;
+    }
+
+    /** No other process of this sidecar was there at the start. */
+    boolean alone() {
+        return alone;
+    }
+
+    Guide guide(Guide rest, Settings settings) {
+        return overlap.over(rest, settings.rules().rampUs());
+    }
+
+    /** On the loop, before the members' start. */
+    void start(EventLoop on, Clock with, Members of) {
+        loop = on;
+        clock = with;
+        members = of;
+        members.bansAtStart(notebook.read());
+        notebook.watch(kept -> loop.execute(() -> members.bans(kept)), () -> loop.execute(overlap::alone));
+    }
+
+    void ready(long now) {
+        overlap.ready(now);
+    }
+
+    /** Out by hand, or back, in this process already; {@code done} runs on the loop once both processes know. */
+    void note(String id, boolean out, Consumer<Bans.Kept> done) {
+        long now = clock.now();
+        notebook.write(kept -> Bans.with(kept, now, id, out), kept -> loop.execute(() -> done.accept(kept)));
+    }
+
+    /** At SIGTERM, from any thread but the loop: whether a newer process serves. If so, cold upstreams are its own from now on. */
+    boolean succeeded() {
+        boolean succeeded = notebook.succeeded();
+        if (succeeded) {
+            loop.execute(overlap::other);
+        }
+        return succeeded;
+    }
+
+    void close() {
+        notebook.close();
+    }
+}
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -162,6 +162,11 @@
         tell(membership.bans(kept), ListKind.CACHED);
     }
 
+    /** Before the start: nobody is told yet. */
+    void bansAtStart(Bans.Kept kept) {
+        membership.bans(kept).notes().forEach(n -> Log.event("membership", n));
+    }
+
     Bans.Kept bans() {
         return membership.bans();
     }
--- a/src/main/java/rushproxy/sidecar/Operations.java
+++ b/src/main/java/rushproxy/sidecar/Operations.java
@@ -8,9 +8,12 @@
 /** Carries out what operators ask of this process. On the loop. */
 final class Operations implements Control {
     private final Sidecar sidecar;
+    private final Handover handover;
 
-    Operations(Sidecar sidecar) {
+    /** {@code handover}: null where what operators ask concerns this process alone. */
+    Operations(Sidecar sidecar, Handover handover) {
         this.sidecar = sidecar;
+        this.handover = handover;
     }
 
     @Override
@@ -25,7 +28,15 @@
 
     @Override
     public void upstream(String id, boolean out, Consumer<Boolean> known) {
-        known.accept(sidecar.engine().members().byHand(id, out));
+        Members members = sidecar.engine().members();
+        if (!members.byHand(id, out)) {
+            known.accept(false);
+        } else if (handover == null) {
+            known.accept(true);
+        } else {
+            // Not before it is noted: an upgrade may begin with the yes.
+            handover.note(id, out, kept -> known.accept(true));
+        }
     }
 
     @Override
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -8,8 +8,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,8 +37,13 @@
         }
     }
 
-    void listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
-        channel = new Bootstrap().group(loop).channelFactory(NioDatagramChannel::new).handler(new Handler())
+    /** {@code shared}: another process of this sidecar may listen there too; each peer's words reach one of them. */
+    void listen(EventLoop loop, InetSocketAddress address, boolean shared) throws InterruptedException {
+        Bootstrap bootstrap = new Bootstrap();
+        if (shared) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        channel = bootstrap.group(loop).channelFactory(NioDatagramChannel::new).handler(new Handler())
                 .bind(address).sync().channel();
     }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -71,6 +71,8 @@
     private Tracing tracing;
     /** Nothing new is begun any more. */
     private boolean stopping;
+    /** Null where no other process can take over from this one. */
+    private final Handover handover;
     private long beatAtUs;
     private long worstLagUs;
     private long beats;
@@ -81,6 +83,11 @@
     }
 
     Sidecar(Config config, Operator operator, Engine.Module module) {
+        this(config, operator, module, null);
+    }
+
+    Sidecar(Config config, Operator operator, Engine.Module module, Handover handover) {
+        this.handover = handover;
         this.config = config;
         this.operator = operator;
         this.module = module;
@@ -128,24 +135,21 @@
             return 2;
         }
         Log.json(operator.jsonLog());
-        Engine.Module module = Engine.module(operator);
+        Handover handover = Handover.of(environment, config);
         Sidecar sidecar;
         try {
-            sidecar = new Sidecar(config, operator, module);
+            sidecar = new Sidecar(config, operator, handover == null ? Engine.module(operator) : Engine.module(operator, handover::guide), handover);
         } catch (IllegalArgumentException e) {
             // Each file is right by itself; together they are not.
             Log.event("start.refused", "operator's file: " + e.getMessage());
             return 2;
         }
-        Rehearsal rehearsal = new Rehearsal(config, module);
+        Rehearsal rehearsal = new Rehearsal(config, Engine.module(operator));
         sidecar.notReadyBefore(rehearsal::cut);
         try {
             sidecar.start();
         } catch (Exception e) {
-            // Netty throws what was not declared.
-            boolean taken = e instanceof BindException;
-            Log.event(taken ? "start.refused" : "start.failed", taken ? "an address can't be listened on: " + e.getMessage() : "can't start: " + e);
-            return taken ? 2 : 1;
+            return cantStart(e);
         }
         CountDownLatch empty = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -158,13 +162,20 @@
             // A stop that was asked for and went well is no failure, whatever signal asked.
             Runtime.getRuntime().halt(0);
         }));
-        Log.event("serves", config.name() + " serves on " + sidecar.listening() + ", " + config.limits(), "name", config.name(), "address",
-                sidecar.listening());
+        if (sidecar.listening() != null) {
+            sidecar.saysWhere();
+        } else {
+            Log.event("handover.begun", config.name() + " takes over: it listens once it is ready, beside the process that serves");
+        }
         reload.serving(sidecar);
         long begunUs = sidecar.clock.now();
         long cpuMs = CpuTime.ms();
         rehearsal.play();
-        sidecar.rehearsed();
+        try {
+            sidecar.rehearsed();
+        } catch (Exception e) {
+            return cantStart(e);
+        }
         long inAllMs = CpuTime.ms();
         // Beside each other they tell whether a slow start had too much to do or too little of a core.
         Log.event("ready", "ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms" + (inAllMs < 0 ? ""
@@ -173,6 +184,17 @@
         return 0;
     }
 
+    /** Netty throws what was not declared. */
+    private static int cantStart(Exception e) {
+        boolean taken = e instanceof BindException;
+        Log.event(taken ? "start.refused" : "start.failed", taken ? "an address can't be listened on: " + e.getMessage() : "can't start: " + e);
+        return taken ? 2 : 1;
+    }
+
+    private void saysWhere() {
+        Log.event("serves", config.name() + " serves on " + listening + ", " + config.limits(), "name", config.name(), "address", listening);
+    }
+
     void start() throws InterruptedException {
         List<Listing> lists = new ArrayList<>(List.of(config.known()));
         DiskOptions disk = operator.membership() == null ? null : operator.membership().disk();
@@ -190,19 +212,25 @@
                 keepWith(store, disk);
             }
             calls = new RegistryHttp(loop, config.discovery());
+            if (handover != null) {
+                handover.start(loop, clock, engine.members());
+            }
             engine.start(lists, calls, operator.membership() != null,
                     operator.membership() == null ? 0 : operator.membership().spreadUs(), module);
         }).sync();
         if (config.admin() != null) {
-            adminAt = new AdminServer(loop, new Operations(this)).listen(config.admin());
+            adminAt = new AdminServer(loop, new Operations(this, handover)).listen(config.admin());
         }
         loop.execute(engine::watch);
         if (config.peerListen() != null) {
-            peers.listen(loop, config.peerListen());
+            peers.listen(loop, config.peerListen(), shared());
+        }
+        if (handover == null || handover.alone()) {
+            listening = clients.listen(config.listen(), shared());
         }
-        listening = clients.listen(config.listen());
         if (grpc != null) {
-            Log.event("grpc.serves", "takes gRPC on " + grpc.listen(), "address", grpc.listen());
+            InetSocketAddress at = grpc.listen(shared());
+            Log.event("grpc.serves", "takes gRPC on " + at, "address", at);
         }
         beatAtUs = clock.now();
         loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
@@ -315,7 +343,21 @@
 
     /** Returns once it says so: a caller may believe it then. */
     void rehearsed() throws InterruptedException {
-        loop.submit(clients::rehearsed).sync();
+        if (listening == null) {
+            // Not before: what the kernel connects to this process, it has to serve at once.
+            listening = clients.listen(config.listen(), shared());
+            saysWhere();
+        }
+        loop.submit(() -> {
+            clients.rehearsed();
+            if (handover != null) {
+                handover.ready(clock.now());
+            }
+        }).sync();
+    }
+
+    private boolean shared() {
+        return handover != null;
     }
 
     /**
@@ -367,7 +409,11 @@
 
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
     void stop(Runnable stopped) {
-        loop.execute(() -> stopFronts(() -> {
+        boolean succeeded = handover != null && handover.succeeded();
+        if (succeeded) {
+            Log.event("handover.leaves", config.name() + " leaves to the process that has come beside it");
+        }
+        loop.execute(() -> stopFronts(succeeded, () -> {
             stopping = true;
             engine.members().stop();
             Tracing last = tracing;
@@ -377,14 +423,18 @@
     }
 
     /** Both fronts serve on and answer what they hold; {@code then} runs when the later of the two has. */
-    private void stopFronts(Runnable then) {
+    private void stopFronts(boolean succeeded, Runnable then) {
         int[] left = {grpc == null ? 1 : 2};
         Runnable one = () -> {
             if (--left[0] == 0) {
                 then.run();
             }
         };
-        clients.stop(one);
+        if (succeeded) {
+            clients.leaveTo(one);
+        } else {
+            clients.stop(one);
+        }
         if (grpc != null) {
             grpc.stop(one);
         }
@@ -402,6 +452,9 @@
                 tracing.close(() -> { });
             }
             letGo(() -> { });
+            if (handover != null) {
+                handover.close();
+            }
         });
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -49,6 +49,9 @@
     };
     Sidecar sidecar;
     String peerFields = "";
+    String listen = "127.0.0.1:0";
+    /** Set before the start: another process's part is played by another rig. */
+    Handover handover;
     String settings = SETTINGS;
     /** Whether the module asks for a watch. */
     boolean asks = true;
@@ -100,7 +103,7 @@
     }
 
     private String json(String discoveryAddress) {
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discoveryAddress
+        return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discoveryAddress
                 + "\",\"seed\":\"8c1f30d27a5be964\"," + peerFields + "\"known\":" + known()
                 + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}";
     }
@@ -118,7 +121,7 @@
         sidecar = new Sidecar(config, operator, (settings, others, seed, now, out) -> {
             actions = out;
             return new Recorder();
-        });
+        }, handover);
         if (rehearsal != null) {
             sidecar.notReadyBefore(rehearsal);
         }
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/UpgradeTest.java
@@ -0,0 +1,127 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import rushproxy.handover.Notebook;
+
+/** Two processes of one sidecar, played by two sidecars in this one. */
+@Timeout(60)
+class UpgradeTest {
+    @TempDir
+    Path folder;
+
+    private Rig rig() throws Exception {
+        Rig rig = new Rig();
+        rig.peerFields = "\"admin\":\"127.0.0.1:0\",";
+        rig.handover = new Handover(new Notebook(folder, "n0"));
+        rig.rehearsal = () -> { };
+        return rig;
+    }
+
+    private Rig beside(Rig old) throws Exception {
+        Rig rig = rig();
+        rig.listen = "127.0.0.1:" + old.address().getPort();
+        rig.peers.addAll(old.peers);
+        return rig.start();
+    }
+
+    private static int call(Rig rig, String path) throws Exception {
+        try (Peer.Client c = new Peer.Client(rig.sidecar.adminAt())) {
+            return c.send("POST /control/" + path + " HTTP/1.1\r\nHost: a\r\n\r\n").status();
+        }
+    }
+
+    /** Clients that open a connection for each request, and such as keep theirs, never meet a closed door. */
+    @Test
+    void underLoadNoRequestIsTurnedBack() throws Exception {
+        try (Rig old = rig()) {
+            old.upstream((m, line) -> line.answer("200 OK", "", "x"));
+            old.start().sidecar.rehearsed();
+            AtomicInteger served = new AtomicInteger();
+            CountDownLatch enough = new CountDownLatch(300);
+            List<String> wrong = new ArrayList<>();
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                int number = i;
+                clients.add(new Thread(() -> {
+                    for (int n = 0; n < 500 && !Thread.currentThread().isInterrupted(); n++) {
+                        try (Peer.Client c = old.client()) {
+                            int status = c.send(Rig.get("r" + number + "-" + n, 20_000)).status();
+                            if (status == 200) {
+                                served.incrementAndGet();
+                            } else {
+                                add(wrong, number + "-" + n + ": " + status);
+                            }
+                        } catch (Exception e) {
+                            add(wrong, number + "-" + n + ": " + e);
+                        }
+                        enough.countDown();
+                    }
+                }));
+            }
+            clients.forEach(Thread::start);
+            try (Rig next = beside(old)) {
+                next.sidecar.rehearsed();
+                CountDownLatch ended = new CountDownLatch(1);
+                old.sidecar.stop(ended::countDown);
+                assertTrue(ended.await(20, TimeUnit.SECONDS), "the old one does not end");
+                assertTrue(enough.await(30, TimeUnit.SECONDS));
+                for (Thread t : clients) {
+                    t.join();
+                }
+                // What connects in the microseconds between the last look and the close is the kernel's to reset.
+                assertTrue(wrong.size() <= 2, wrong.toString());
+                assertEquals(2_000, served.get() + wrong.size());
+            }
+        }
+    }
+
+    private static void add(List<String> wrong, String what) {
+        synchronized (wrong) {
+            wrong.add(what);
+        }
+    }
+
+    @Test
+    void theNewOneListensOnlyOnceItIsReady() throws Exception {
+        try (Rig old = rig()) {
+            old.upstream((m, line) -> line.answer("200 OK", "", "x"));
+            old.start().sidecar.rehearsed();
+            try (Rig next = beside(old)) {
+                assertNull(next.address());
+                next.sidecar.rehearsed();
+                assertEquals(old.address(), next.address());
+            }
+        }
+    }
+
+    /** What operators took out stays out in the process that comes, whichever of the two they tell, until they call it back. */
+    @Test
+    void bansHoldOverAnUpgradeAndForBoth() throws Exception {
+        try (Rig old = rig()) {
+            old.upstream((m, line) -> line.answer("200 OK", "", "x"));
+            old.upstream((m, line) -> line.answer("200 OK", "", "x"));
+            old.start().sidecar.rehearsed();
+            assertEquals(200, call(old, "upstreams/u0/offline"));
+            old.await("list CACHED u0=DRAINING,u1=READY");
+            try (Rig next = beside(old)) {
+                next.await("list CACHED u0=DRAINING,u1=READY");
+                assertEquals(200, call(next, "upstreams/u1/offline"));
+                old.await("list CACHED u0=DRAINING,u1=DRAINING");
+                assertEquals(200, call(old, "upstreams/u0/online"));
+                next.await("list CACHED u0=READY,u1=DRAINING");
+            }
+        }
+    }
+}
