Settings change at SIGHUP whole or not at all; requests keep the class they were taken under

Ruled out: the drain (its rule was kept). Change: Balancer.onSettings, Request.bound, core.Classes (2 s in which a request may be meant under either), settings.Complete (a key that the file in force has must be there), deadlines, aims and attempts over 0, each number finite.

--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -57,6 +57,15 @@
         /** Points of the result that the probes of one pair may cost at most. */
         private static final double TOLL = 0.005;
 
+        /** The same sidecar under what {@code next} says of classes, tenants, limits and rules; the rest holds for a process's life. */
+        public Settings changed(Settings next, int maxAttempts) {
+            Limits l = next.limits;
+            Limits within = new Limits(maxAttempts, l.secondCopies, l.cancelling, limits.probing, limits.peers, l.retryAfter,
+                    l.maxRetryAfterUs, limits.connIdleUs, l.cpuUsPerRequest);
+            return new Settings(me, balancers, zone, zones, kinds, next.classes, next.tenants, within, next.rules, reports, discoveryOnRequest,
+                    next.worthByWork, next.overShareWorth, prices, tickUs);
+        }
+
         /** Whether both of a pair can be asked for their load before each request: allowed, told of, and cheap. */
         public boolean asksFirst() {
             return limits.probing() && reports != Reports.NONE && 2 * prices.probe() <= TOLL;
@@ -96,10 +105,12 @@
      * up. {@code speaks} is the bit of its protocol. {@code streams}: its answer goes on for as long as both sides want, and
      * {@code remainingUs} is the time until it must have begun. It takes one of its upstream's streams, for all its life, and
      * no place among the requests that are worked on; how long it takes tells nothing of its upstream's speed. {@code intent}
-     * is what stays the same over a client's own retries, a keyed request's key; null where there is none.
+     * is what stays the same over a client's own retries, a keyed request's key; null where there is none. {@code bound} is the
+     * class as it was when the request was taken; null for the class of that name in the settings.
      */
     record Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
-                   String tenant, String requestClass, int speaks, boolean streams, String intent) {
+                   String tenant, String requestClass, int speaks, boolean streams, String intent,
+                   RequestClass bound) {
         public Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
                        String tenant, String requestClass) {
             this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, HTTP1, false);
@@ -107,7 +118,12 @@
 
         public Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
                        String tenant, String requestClass, int speaks, boolean streams) {
-            this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, speaks, streams, null);
+            this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, speaks, streams, null, null);
+        }
+
+        public Request(String id, long key, boolean repeat, boolean write, double costHintUs, long remainingUs,
+                       String tenant, String requestClass, int speaks, boolean streams, String intent) {
+            this(id, key, repeat, write, costHintUs, remainingUs, tenant, requestClass, speaks, streams, intent, null);
         }
     }
 
@@ -138,6 +154,11 @@
         void log(String text);
     }
 
+    /**
+     * Other classes, tenants, limits and rules hold from now on, for requests that come from now on; all else is as at the start.
+     */
+    default void onSettings(long now, Settings settings) {}
+
     void onList(long now, ListKind kind, List<Upstream> entries);
 
     void onRequest(long now, Request request);
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -72,7 +72,7 @@
     private static final long IDLE_LEAST_US = 200_000;
     private static final long IDLE_FORGET_US = 5_000_000;
 
-    private final Settings cfg;
+    private Settings cfg;
     private final Actions out;
     private final Guide guide;
     private final Others others;
@@ -89,17 +89,12 @@
     private final int home;
 
     public Policy(Settings settings, Guide guide, Others others, long seed, long now, Actions actions) {
-        cfg = settings;
         this.guide = guide;
         this.others = others;
         out = actions;
         random = new SplittableRandom(seed);
-        for (RequestClass c : cfg.classes()) {
-            classWork.put(c.name(), c.aimUs() / 4.0);
-            meanWork += c.aimUs() / 4.0 / cfg.classes().size();
-            classes.put(c.name(), c);
-            topWorth = Math.max(topWorth, c.worth());
-        }
+        onSettings(now, settings);
+        for (double work : classWork.values()) meanWork += work / classWork.size();
         zoneRate = new double[cfg.zones().size()];
         Limits limits = cfg.limits();
         sampling = cfg.asksFirst();
@@ -115,6 +110,18 @@
         if (cfg.discoveryOnRequest()) ask();
     }
 
+    @Override
+    public void onSettings(long now, Settings settings) {
+        cfg = settings;
+        classes.clear();
+        topWorth = 0;
+        for (RequestClass c : cfg.classes()) {
+            classWork.putIfAbsent(c.name(), c.aimUs() / 4.0);
+            classes.put(c.name(), c);
+            topWorth = Math.max(topWorth, c.worth());
+        }
+    }
+
     // ---- membership -----------------------------------------------------------------------------
     final Map<String, Server> servers = new LinkedHashMap<>();
     final Map<String, Kind> kinds = new LinkedHashMap<>();
@@ -589,7 +596,8 @@
         copies = Math.min(COPIES_MOST, copies + COPIES);
         Req r = new Req();
         r.request = request;
-        r.spec = classes.get(request.requestClass());
+        r.most = cfg.limits().maxAttempts();
+        r.spec = request.bound() != null ? request.bound() : classes.get(request.requestClass());
         if (r.spec == null) throw new IllegalArgumentException("no class '" + request.requestClass() + "'");
         r.work = request.costHintUs() > 0 ? request.costHintUs() : classWork.get(r.spec.name());
         if (!request.streams()) meanWork += 0.01 * (Math.min(r.work, TAIL * meanWork) - meanWork);
@@ -663,7 +671,7 @@
     // ---- attempts -------------------------------------------------------------------------------
     /** Whether the rules allow this send; every send passes here, whatever the rest of this file decides. */
     boolean maySend(long now, Req r, Server s) {
-        boolean spent = r.attempts.size() >= cfg.limits().maxAttempts();
+        boolean spent = r.attempts.size() >= r.most;
         if (r.over || r.streaming || !s.ready || now >= r.deadline || spent) return false;
         if ((s.entry.speaks() & r.request.speaks()) == 0) return false;
         for (Attempt a : r.attempts) {
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -98,6 +98,8 @@
         Server first, second;
         long askedAt, askNext;
         int pairs;
+        /** Attempts that it may have. */
+        int most;
         /** When the server of its attempt was asked whether it lives. */
         long lateAt;
         final List<Attempt> attempts = new ArrayList<>(1);
--- a/src/main/java/rushproxy/core/Exchange.java
+++ b/src/main/java/rushproxy/core/Exchange.java
@@ -27,6 +27,7 @@
     final List<Attempt> attempts = new ArrayList<>(1);
     Timers.Timer overdue;
     boolean over;
+    int maxAttempts;
     /** The attempt whose answer the client is being given as it comes; null until one has begun. */
     Attempt streaming;
 
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -21,7 +21,8 @@
     private final Timers timers;
     private final Clock clock;
     private final Decisions decisions;
-    private final int maxAttempts;
+    /** For requests that are taken from now on. */
+    private int maxAttempts;
     private final Ends ends;
     private final Figures figures;
     private final Map<String, Exchange> open = new HashMap<>();
@@ -83,6 +84,10 @@
         return open.containsKey(id);
     }
 
+    public void maxAttempts(int most) {
+        maxAttempts = most;
+    }
+
     /** For the fronts, which answer some requests without taking them. */
     public Figures figures() {
         return figures;
@@ -90,6 +95,7 @@
 
     public void take(Exchange x) {
         figures.taken();
+        x.maxAttempts = maxAttempts;
         open.put(x.request.id(), x);
         x.overdue = timers.in(x.deadlineUs + OVERDUE_US - clock.now(), () -> overdue(x));
         decisions.call(m -> m.onRequest(clock.now(), x.request), () -> fail(x));
@@ -142,7 +148,7 @@
         if (x.trace != null) {
             x.trace.tried(upstream);
         }
-        boolean moot = x.over || number >= maxAttempts || until <= clock.now();
+        boolean moot = x.over || number >= x.maxAttempts || until <= clock.now();
         Attempt attempt = x.maker.attempt(upstream, until, new Attempt.Result() {
             @Override
             public void ended(Attempt a, Outcome outcome, LoadReport report, ByteBuf body) {
--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -24,13 +24,12 @@
 import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
+import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.EventLoops;
 import rushproxy.core.Log;
@@ -62,7 +61,7 @@
     private final Requests requests;
     private final GrpcUpstreams upstreams;
     private final GrpcOptions options;
-    private final Map<String, RequestClass> classes;
+    private final Classes classes;
     private final Set<Channel> connections = new HashSet<>();
     private final Set<GrpcStream> calls = new HashSet<>();
     private Channel listener;
@@ -72,18 +71,18 @@
     private boolean lastWord;
 
     /** {@code name} is this sidecar's: the ids that calls without one get begin with it. */
-    public GrpcServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, GrpcOptions options,
+    public GrpcServer(EventLoop loop, Clock clock, Requests requests, Classes classes, GrpcOptions options,
                       long connIdleUs, long dialTimeoutUs, String name) {
         CODEC.setLevel(Level.WARNING);
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
         this.options = options;
-        this.classes = classes.stream().collect(Collectors.toMap(RequestClass::name, c -> c));
+        this.classes = classes;
         this.name = name;
         upstreams = new GrpcUpstreams(loop, clock, connIdleUs, dialTimeoutUs, options);
         options.routes().forEach(route -> {
-            if (!this.classes.containsKey(route.requestClass())) {
+            if (classes.chosen(route.requestClass()) == null) {
                 throw new IllegalArgumentException("grpc: the platform's settings have no class '" + route.requestClass() + "'");
             }
         });
@@ -177,7 +176,7 @@
     }
 
     RequestClass requestClass(String name) {
-        return classes.get(name);
+        return classes.chosen(name);
     }
 
     String nextId() {
--- a/src/main/java/rushproxy/grpc/GrpcStream.java
+++ b/src/main/java/rushproxy/grpc/GrpcStream.java
@@ -238,7 +238,7 @@
     private void take() {
         Request request = new Request(id, customer(), false, false, 0, Math.max(1, deadlineUs - server.clock().now()),
                 word(server.options().tenantHeader()), spec.name(), Balancer.GRPC, route.streams(),
-                spec.semantics() == Semantics.KEYED ? word(route.keyHeader()) : null);
+                spec.semantics() == Semantics.KEYED ? word(route.keyHeader()) : null, spec);
         Tracer tracer = server.requests().tracer();
         if (tracer != null) {
             String key = word(route.keyHeader());
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -27,12 +27,12 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.regex.Pattern;
 import rushproxy.Balancer;
 import rushproxy.Balancer.Request;
 import rushproxy.Balancer.RequestClass;
 import rushproxy.Balancer.Semantics;
+import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.Exchange;
 import rushproxy.core.Log;
@@ -60,7 +60,7 @@
     private final Clock clock;
     private final Requests requests;
     private final Upstreams upstreams;
-    private final Map<String, RequestClass> classes;
+    private final Classes classes;
     private final ClientServer server;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
     /** When the request being read sent its first byte; 0 between requests. */
@@ -80,7 +80,7 @@
     private record Arrival(FullHttpRequest message, long sentUs, long unreadUs) {}
 
     ClientConnection(Channel channel, Clock clock, Requests requests, Upstreams upstreams,
-                     Map<String, RequestClass> classes, ClientServer server) {
+                     Classes classes, ClientServer server) {
         this.channel = channel;
         this.clock = clock;
         this.requests = requests;
@@ -177,11 +177,12 @@
         FullHttpRequest m = arrival.message;
         HttpHeaders h = m.headers();
         String id = word(h, Headers.TXN);
-        RequestClass lane = classes.get(word(h, Headers.CLASS));
+        String named = word(h, Headers.CLASS);
+        RequestClass lane = classes.bind(clock.now(), named, c -> fits(m, c));
         long remainingMs = whole(word(h, Headers.REMAINING));
-        if (id.isEmpty() || requests.knows(id) || lane == null || remainingMs <= 0 || !fits(m, lane)) {
+        if (id.isEmpty() || requests.knows(id) || lane == null || remainingMs <= 0) {
             // What no upstream could use is said here: there it would look like the upstream's own failure.
-            requests.figures().notTaken(lane == null ? "" : lane.name(), End.ERRORED);
+            requests.figures().notTaken(named, End.ERRORED);
             write(false, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER, 0);
             return;
         }
@@ -191,7 +192,7 @@
         Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
                 false, Math.max(0, whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
                 h.get(Headers.TENANT), lane.name(), Balancer.HTTP1, false,
-                lane.semantics() == Semantics.KEYED ? h.get(Headers.IDEMPOTENCY_KEY) : null);
+                lane.semantics() == Semantics.KEYED ? h.get(Headers.IDEMPOTENCY_KEY) : null, lane);
         boolean keepAlive = HttpUtil.isKeepAlive(m);
         Outgoing out = new Outgoing(m.method(), m.uri(), id, h.get(Headers.IDEMPOTENCY_KEY),
                 ByteBufUtil.getBytes(m.content()));
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -13,13 +13,11 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
-import rushproxy.Balancer.RequestClass;
+import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.Requests;
 
@@ -40,11 +38,9 @@
     private final Requests requests;
     private final Upstreams upstreams;
     private final Clock clock;
-    private final Map<String, RequestClass> classes;
+    private final Classes classes;
     private final BooleanSupplier canServe;
     private final int maxConnections;
-    /** No client waits longer than this for an answer. */
-    private final long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
     private Door listener;
     /** Null but while a rehearsal is on. */
@@ -55,13 +51,12 @@
     private long acceptedUs;
 
     public ClientServer(EventLoop loop, Clock clock, Requests requests, Upstreams upstreams,
-                        List<RequestClass> classes, BooleanSupplier canServe, int maxConnections) {
+                        Classes classes, BooleanSupplier canServe, int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
         this.upstreams = upstreams;
-        this.classes = classes.stream().collect(Collectors.toMap(RequestClass::name, c -> c));
-        longestUs = classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        this.classes = classes;
         this.canServe = canServe;
         this.maxConnections = maxConnections;
     }
@@ -167,7 +162,7 @@
 
     private void partWithQuiet(long now) {
         for (ClientConnection c : List.copyOf(connections)) {
-            c.closeIfQuiet(now - QUIET_MS * 1000, now - longestUs);
+            c.closeIfQuiet(now - QUIET_MS * 1000, now - classes.longestUs(now));
         }
     }
 
--- a/src/main/java/rushproxy/settings/SettingsReader.java
+++ b/src/main/java/rushproxy/settings/SettingsReader.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import rushproxy.Balancer.Group;
 import rushproxy.Balancer.Limits;
 import rushproxy.Balancer.Prices;
@@ -28,11 +30,15 @@
 
     public Settings read() {
         List<RequestClass> classes = new ArrayList<>();
-        for (int i = 0; i < (int) need("profiles.count"); i++) {
+        Set<String> names = new HashSet<>();
+        for (int i = 0; i < (int) above0("profiles.count"); i++) {
             String p = "profiles." + i + ".";
+            if (!names.add(word(p + "name"))) {
+                throw new SettingsException("setting '" + p + "name' is there twice: '" + word(p + "name") + "'");
+            }
             classes.add(new RequestClass(word(p + "name"), semantics(word(p + "semantics")),
                     group(values.getOrDefault(p + "group", "all")), (long) real(p + "window_us", 0),
-                    (long) need(p + "objective_us"), real(p + "aim_stretch", 0), (long) need(p + "give_up_us"),
+                    (long) above0(p + "objective_us"), real(p + "aim_stretch", 0), (long) above0(p + "give_up_us"),
                     real(p + "importance", 1), real(p + "late_worth", 0), flag(p + "stream", false)));
         }
         List<Tenant> tenants = new ArrayList<>();
@@ -40,7 +46,7 @@
             String p = "accounts." + i + ".";
             tenants.add(new Tenant(word(p + "name"), real(p + "share", 0), real(p + "quota_rps", 0)));
         }
-        Limits limits = new Limits((int) real("limits.max_attempts", 1), flag("limits.second_copies", false),
+        Limits limits = new Limits((int) (values.containsKey("limits.max_attempts") ? above0("limits.max_attempts") : 1), flag("limits.second_copies", false),
                 flag("limits.cancelling", false), flag("limits.probing", false), flag("limits.peers", false),
                 flag("limits.retry_after", false), (long) real("limits.max_retry_after_us", 0),
                 (long) real("limits.conn_idle_us", 15_000_000), real("limits.cpu_us_per_request", 0));
@@ -82,13 +88,25 @@
         return real(path, 0);
     }
 
+    private double above0(String path) {
+        double value = need(path);
+        if (!(value >= 1)) {
+            throw new SettingsException("setting '" + path + "' has to be over 0, not '" + values.get(path) + "'");
+        }
+        return value;
+    }
+
     private double real(String path, double absent) {
         String value = values.get(path);
         if (value == null || value.equals("-")) {
             return absent;
         }
         try {
-            return Double.parseDouble(value);
+            double number = Double.parseDouble(value);
+            if (!Double.isFinite(number)) {
+                throw new SettingsException("setting '" + path + "' is no number: '" + value + "'");
+            }
+            return number;
         } catch (NumberFormatException e) {
             throw new SettingsException("setting '" + path + "' is no number: '" + value + "'");
         }
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -16,13 +16,14 @@
 import rushproxy.membership.Listing;
 import rushproxy.membership.Origin;
 import rushproxy.membership.registry.RegistryList;
+import rushproxy.settings.Complete;
 import rushproxy.settings.SettingsException;
 import rushproxy.settings.SettingsReader;
 
 /** What a sidecar is told at its start. {@code peerListen}, {@code peersAll} and {@code admin} are null where there are none. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
               InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress admin,
-              Listing known, Settings settings, long dialTimeoutUs) {
+              Listing known, Settings settings, long dialTimeoutUs, Map<String, String> keys) {
 
     /** A configuration that no sidecar can start with; the message is one line and names the field. */
     static final class Broken extends Exception {
@@ -61,7 +62,22 @@
 
     /** The same settings for a sidecar on another stage, without peers. */
     Config elsewhere(InetSocketAddress listens, InetSocketAddress asks, Listing knows) {
-        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, null, knows, settings, dialTimeoutUs);
+        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, null, knows, settings, dialTimeoutUs, keys);
+    }
+
+    /** All that the file says but the list of upstreams. */
+    private static Map<String, String> keys(Json json) {
+        Map<String, String> keys = json.flat();
+        keys.keySet().removeIf(k -> k.startsWith("known."));
+        return keys;
+    }
+
+    /** What a file that comes while this one is in force must not have lost. */
+    void holdsAllOf(Config inForce) throws Broken {
+        String missing = Complete.missing(inForce.keys, keys);
+        if (missing != null) {
+            throw new Broken("configuration: '" + missing + "' is missing, which the file in force has");
+        }
     }
 
     /** The file as it is now. Where it names another discovery than the variable of the start, the file is newer. */
@@ -83,7 +99,7 @@
         return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
                 told(json, environment, "discovery", "BALANCER_DISCOVERY"), seed(json.text("seed")), sockets,
                 optional(json, "peer_listen"), peers, optional(json, "peers_all"), admin(json, environment),
-                known(json), settings, reader.dialTimeoutUs());
+                known(json), settings, reader.dialTimeoutUs(), keys(json));
     }
 
     private static Listing known(Json json) {
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -13,6 +13,7 @@
 import rushproxy.Others;
 import rushproxy.Policy;
 import rushproxy.core.Attempt;
+import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.Decisions;
 import rushproxy.core.Log;
@@ -63,7 +64,7 @@
 
     private final Timers timers;
     private final Clock clock;
-    private final Settings settings;
+    private Settings settings;
     private final Operator operator;
     /** What the module is told: with subsets, of those sidecars alone that share its nodes. */
     private Settings told;
@@ -187,6 +188,30 @@
         return members;
     }
 
+    /**
+     * Other settings, whole: classes, tenants, limits and rules. While clients may still go by the former ones, a request gets no more
+     * attempts than both allow.
+     */
+    public void change(Settings next) {
+        int before = settings.limits().maxAttempts();
+        next.classes().forEach(c -> figures.serves(c.name()));
+        Settings changed = adopt(next, Math.min(before, next.limits().maxAttempts()));
+        timers.in(Classes.BOTH_US, () -> {
+            if (settings == changed) {
+                adopt(next, next.limits().maxAttempts());
+            }
+        });
+    }
+
+    private Settings adopt(Settings next, int maxAttempts) {
+        boolean all = told == settings;
+        settings = settings.changed(next, maxAttempts);
+        told = all ? settings : told.changed(next, maxAttempts);
+        requests.maxAttempts(maxAttempts);
+        decisions.call(m -> m.onSettings(clock.now(), told), () -> { });
+        return settings;
+    }
+
     /** What this process has done, by the operators' definitions. */
     public Map<String, Object> counters() {
         return figures.told(members.size(), members.unhealthy(module));
--- a/src/main/java/rushproxy/sidecar/Reload.java
+++ b/src/main/java/rushproxy/sidecar/Reload.java
@@ -14,6 +14,7 @@
     private final Map<String, String> environment;
     private final Sidecar.Operators operators;
     private Sidecar sidecar;
+    private Config inForce;
     private boolean wanted;
 
     Reload(Map<String, String> environment, Sidecar.Operators operators) {
@@ -30,8 +31,9 @@
         go();
     }
 
-    synchronized void serving(Sidecar started) {
+    synchronized void serving(Sidecar started, Config with) {
         sidecar = started;
+        inForce = with;
         go();
     }
 
@@ -42,8 +44,11 @@
         }
         wanted = false;
         try {
-            sidecar.reconfigure(Config.readAgain(environment), operators.read());
-        } catch (Config.Broken | Broken e) {
+            Config fresh = Config.readAgain(environment);
+            fresh.holdsAllOf(inForce);
+            sidecar.reconfigure(fresh, operators.read());
+            inForce = fresh;
+        } catch (Config.Broken | Broken | RuntimeException e) {
             sidecar.turnedDown();
             Log.event("reload.refused", "goes on as before: " + e.getMessage(), "why", e.getMessage());
         }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -14,6 +14,7 @@
 import rushproxy.Balancer;
 import rushproxy.admin.AdminServer;
 import rushproxy.core.Attempt;
+import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.EventLoops;
 import rushproxy.core.Log;
@@ -51,6 +52,9 @@
 
     private final Config config;
     private Operator operator;
+    /** As the file in force has them. */
+    private Balancer.Settings settings;
+    private final Classes classes;
     private final Engine.Module module;
     private final MultiThreadIoEventLoopGroup group = EventLoops.one();
     private final EventLoop loop = group.next();
@@ -91,7 +95,8 @@
         this.config = config;
         this.operator = operator;
         this.module = module;
-        Balancer.Settings settings = config.settings();
+        settings = config.settings();
+        classes = new Classes(settings.classes());
         int most = Math.max(32, config.sockets() - OWN_DESCRIPTORS - (config.admin() == null ? 0 : AdminServer.MOST + 2));
         // Clients may hold a third of all for their requests, and others come and say nothing.
         int fromClients = most * 5 / 8;
@@ -101,12 +106,12 @@
                 new Sockets(new Trial(loop, asks(settings), TRIAL_MS)));
         Requests requests = engine.requests();
         peers = new Peers(engine::word, config.peers(), config.peersAll());
-        grpc = operator.grpc() == null ? null : new GrpcServer(loop, clock, requests, settings.classes(), operator.grpc(),
+        grpc = operator.grpc() == null ? null : new GrpcServer(loop, clock, requests, classes, operator.grpc(),
                 settings.limits().connIdleUs(), config.dialTimeoutUs(), config.name());
         if (grpc != null) {
             engine.members().tellToo(grpc::update);
         }
-        clients = new ClientServer(loop, clock, requests, upstreams, settings.classes(), upstreams::anyReady, fromClients);
+        clients = new ClientServer(loop, clock, requests, upstreams, classes, upstreams::anyReady, fromClients);
     }
 
     private static Trial.How asks(Balancer.Settings settings) {
@@ -167,7 +172,7 @@
         } else {
             Log.event("handover.begun", config.name() + " takes over: it listens once it is ready, beside the process that serves");
         }
-        reload.serving(sidecar);
+        reload.serving(sidecar, config);
         long begunUs = sidecar.clock.now();
         long cpuMs = CpuTime.ms();
         rehearsal.play();
@@ -367,6 +372,13 @@
     void reconfigure(Config fresh, Operator told) {
         loop.execute(() -> {
             engine.figures().reloaded(true);
+            if (!settings.equals(fresh.settings())) {
+                settings = fresh.settings();
+                classes.change(clock.now(), settings.classes());
+                engine.change(settings);
+                Log.event("reload.settings", "settings are as the file says now: " + fresh.limits() + ", " + settings.limits().maxAttempts()
+                        + " attempts");
+            }
             if (calls.moveTo(fresh.discovery())) {
                 engine.discovery().moved();
             }
--- a/src/main/java/rushproxy/zones/Guided.java
+++ b/src/main/java/rushproxy/zones/Guided.java
@@ -110,6 +110,11 @@
         module.onStreamStart(at, request, attempt, upstream, latencyUs);
     }
 
+    @Override
+    public void onSettings(long at, Settings settings) {
+        module.onSettings(at, settings);
+    }
+
     @Override
     public boolean avoids(long at, String upstream) {
         return module.avoids(at, upstream);
--- a/src/main/java/rushproxy/zones/Zones.java
+++ b/src/main/java/rushproxy/zones/Zones.java
@@ -334,17 +334,21 @@
     }
 
     private RequestClass keyed(Request r) {
-        RequestClass c = r.intent() == null ? null : classes.get(r.requestClass());
+        RequestClass c = r.intent() == null ? null : spec(r);
         return c != null && c.semantics() == Semantics.KEYED ? c : null;
     }
 
     private boolean worthMost(Request r) {
-        RequestClass c = classes.get(r.requestClass());
+        RequestClass c = spec(r);
         return c != null && c.worth() >= topWorth;
     }
 
     private boolean safe(Request r) {
-        RequestClass c = classes.get(r.requestClass());
+        RequestClass c = spec(r);
         return c != null && c.semantics() == Semantics.SAFE;
     }
+
+    private RequestClass spec(Request r) {
+        return r.bound() != null ? r.bound() : classes.get(r.requestClass());
+    }
 }
--- /dev/null
+++ b/src/test/java/rushproxy/settings/CompleteTest.java
@@ -0,0 +1,60 @@
+package rushproxy.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import rushproxy.json.Json;
+
+class CompleteTest {
+    private static final String FILE = """
+            {"name":"n","settings":{"me":0,"profiles":[{"name":"a","group":"all","aim_stretch":1},{"name":"b","group":"zone","window_us":3}],
+             "accounts":[{"name":"t","share":1}],"azs":["x","y"],"limits":{"max_attempts":4},"extra":{"warm_keys":false}}}""";
+
+    private static Map<String, String> flat(String json) {
+        return Json.parse(json.getBytes(StandardCharsets.UTF_8)).flat();
+    }
+
+    private static String missing(String with, String instead) {
+        return Complete.missing(flat(FILE), flat(FILE.replace(with, instead)));
+    }
+
+    @Test
+    void aKeyThatWasThereIsMissed() {
+        assertEquals("name", missing("\"name\":\"n\",", ""));
+        assertEquals("settings.me", missing("\"me\":0,", ""));
+        assertEquals("settings.limits.max_attempts", missing("\"max_attempts\":4", ""));
+        assertEquals("settings.profiles[].group", missing("\"group\":\"zone\",", ""));
+        assertEquals("settings.accounts[].share", missing(",\"share\":1", ""));
+        assertEquals("settings.azs", missing("\"azs\":[\"x\",\"y\"],", ""));
+    }
+
+    /** Classes and tenants may come and go, and what only some of them had need not be there. */
+    @Test
+    void whatMayChangeIsNotMissed() {
+        assertNull(missing("zzz", "z"));
+        assertNull(missing(",{\"name\":\"b\",\"group\":\"zone\",\"window_us\":3}", ""));
+        assertNull(missing("{\"name\":\"b\"", "{\"name\":\"c\",\"group\":\"all\"},{\"name\":\"b\""));
+        assertNull(missing(",\"aim_stretch\":1", ""));
+        assertNull(missing(",\"extra\":{\"warm_keys\":false}", ""));
+        assertNull(missing("{\"name\":\"t\",\"share\":1}", ""));
+        assertNull(missing(",\"window_us\":3", ""));
+    }
+
+    @Test
+    void whatIsNotOverNothingIsNoSetting() {
+        String right = """
+                {"me":0,"balancers":1,"zone":"z","profiles":[{"name":"a","semantics":"safe","objective_us":1,"give_up_us":2}],
+                 "rules":{"drain_grace_us":1,"cold_share":0.1,"ramp_time_us":1,"fall_multiple":3,"fall_us":1},"limits":{"max_attempts":1}}""";
+        new SettingsReader(flat(right)).read();
+        for (String[] wrong : new String[][] {{"\"give_up_us\":2", "\"give_up_us\":0"}, {"\"give_up_us\":2", "\"give_up_us\":-5"},
+                {"\"max_attempts\":1", "\"max_attempts\":0"}, {"\"objective_us\":1", "\"objective_us\":-1"}, {"\"give_up_us\":2", "\"give_up_us\":\"NaN\""},
+                {"\"give_up_us\":2}", "\"give_up_us\":2},{\"name\":\"a\",\"semantics\":\"safe\",\"objective_us\":1,\"give_up_us\":2}"},
+                {"\"fall_multiple\":3", "\"fall_multiple\":\"Infinity\""}}) {
+            assertThrows(SettingsException.class, () -> new SettingsReader(flat(right.replace(wrong[0], wrong[1]))).read(), wrong[1]);
+        }
+    }
+}
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -172,6 +172,11 @@
             }
         }
 
+        @Override
+        public void onSettings(long now, Settings settings) {
+            told.add("settings " + settings.classes().stream().map(RequestClass::name).toList());
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             told.add("request " + request.id() + " " + request.remainingUs());
