--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -4,22 +4,28 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import io.netty.util.ReferenceCountUtil;
@@ -28,10 +34,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.regex.Pattern;
-import rushproxy.Balancer;
 import rushproxy.Balancer.Request;
 import rushproxy.Balancer.RequestClass;
 import rushproxy.Balancer.Semantics;
+import rushproxy.Balancer;
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.Exchange;
@@ -68,6 +74,10 @@
     private long unreadUs;
     private long activeUs;
     private Exchange current;
+    /** The upstream whose answer is on its way through; null while none is. */
+    private UpstreamConnection from;
+    /** Whether the client of the request at hand understands chunks. */
+    private boolean chunks;
     private boolean busy;
     private boolean asked;
     private final long openedUs;
@@ -91,7 +101,7 @@
         activeUs = openedUs;
     }
 
-    /** Stands before the decoder: a request's time runs from its first byte, and half of one is no quiet. */
+    /** Stands before the decoder: a request's time runs from its last byte, and half of one is no quiet. */
     ChannelInboundHandler arrivals() {
         return new ChannelInboundHandlerAdapter() {
             @Override
@@ -119,9 +129,8 @@
             return;
         }
         asked = true;
-        // Where several came in one read, the first has used up its start: the others began with the read too.
-        ahead.add(new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs,
-                unreadUs));
+        // A client counts its time from its last byte, however long it took for the others.
+        ahead.add(new Arrival((FullHttpRequest) message, activeUs, unreadUs));
         readingSinceUs = 0;
         if (ahead.size() >= MOST_AHEAD) {
             channel.config().setAutoRead(false);
@@ -194,12 +203,13 @@
                 h.get(Headers.TENANT), lane.name(), Balancer.HTTP1, false,
                 lane.semantics() == Semantics.KEYED ? h.get(Headers.IDEMPOTENCY_KEY) : null, lane);
         boolean keepAlive = HttpUtil.isKeepAlive(m);
+        chunks = m.protocolVersion().minorVersion() > 0;
         Outgoing out = new Outgoing(m.method(), m.uri(), id, h.get(Headers.IDEMPOTENCY_KEY),
                 ByteBufUtil.getBytes(m.content()));
         Trace trace = trace(request, lane, out.idempotencyKey(), h, arrival.sentUs, arrival.unreadUs);
         current = new Exchange(request, deadline, (upstream, until, result) -> {
             SpanContext span = trace == null ? null : trace.newest();
-            return upstreams.call(upstream, until, left -> out.message(left, span), result);
+            return upstreams.call(upstream, until, left -> out.message(left, span), result, new Through(keepAlive));
         }, new Exchange.Answer() {
             @Override
             public void served(ByteBuf body) {
@@ -220,6 +230,73 @@
         requests.take(current);
     }
 
+    /** A large answer on its way through: the client is written to as the upstream is read, and the upstream read as the client reads. */
+    private final class Through implements Onward {
+        private final boolean keepAlive;
+
+        Through(boolean keepAlive) {
+            this.keepAlive = keepAlive;
+        }
+
+        @Override
+        public void begin(UpstreamConnection upstream, long length) {
+            from = upstream;
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Headers.CHECKED);
+            if (length >= 0) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            } else if (chunks) {
+                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            if (!stays(length)) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                closing = true;
+            }
+            channel.write(response);
+        }
+
+        private boolean stays(long length) {
+            return keepAlive && !server.partsWithClients() && (length >= 0 || chunks);
+        }
+
+        @Override
+        public void piece(ByteBuf piece) {
+            channel.write(new DefaultHttpContent(piece));
+        }
+
+        @Override
+        public void flush() {
+            channel.flush();
+        }
+
+        @Override
+        public boolean room() {
+            return channel.isWritable();
+        }
+
+        @Override
+        public void end() {
+            from = null;
+            done(!closing, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+        }
+
+        /** A reset, so that even who was given neither length nor chunks can tell. */
+        @Override
+        public void cut() {
+            from = null;
+            current = null;
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (from != null && channel.isWritable()) {
+            from.goOn();
+        }
+        ctx.fireChannelWritabilityChanged();
+    }
+
     private Trace trace(Request request, RequestClass lane, String key, HttpHeaders h, long sentUs,
                         long unreadUs) {
         Tracer tracer = requests.tracer();
@@ -296,10 +373,13 @@
         if (retryAfterUs > 0) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
         }
+        done(stays, channel.writeAndFlush(response));
+    }
+
+    private void done(boolean stays, ChannelFuture written) {
         current = null;
         busy = false;
         activeUs = clock.now();
-        var written = channel.writeAndFlush(response);
         if (stays) {
             // Not from within: an answer may come while the one before is still being handled.
             if (!ahead.isEmpty() || last != null) {
@@ -365,6 +445,9 @@
             Exchange gone = current;
             current = null;
             requests.left(gone);
+            if (from != null) {
+                from.leave();
+            }
         }
     }
 
--- a/src/main/java/rushproxy/http1/Headers.java
+++ b/src/main/java/rushproxy/http1/Headers.java
@@ -24,8 +24,8 @@
     public static final String KEY_COOKIE = "k";
     /** The most that a request's body may hold. */
     public static final int MAX_BODY = 64 * 1024;
-    /** Upstreams do answer with more than the protocol's 64 KiB: up to 400 KB were seen. Beyond this it is noise. */
-    public static final int MAX_ANSWER = 1024 * 1024;
+    /** Answers and bodies reach 32 MB. Beyond this it is noise. */
+    public static final int MAX_ANSWER = 64 * 1024 * 1024;
 
     /** For messages of this program's own, whose every value was looked at when it came, or is a number. */
     static final HttpHeadersFactory CHECKED = DefaultHttpHeadersFactory.headersFactory().withValidation(false);
--- /dev/null
+++ b/src/main/java/rushproxy/http1/Onward.java
@@ -0,0 +1,23 @@
+package rushproxy.http1;
+
+import io.netty.buffer.ByteBuf;
+
+/** Where a large answer goes on to as it comes; called on the loop, in this order, once {@link #begin} has been called. */
+interface Onward {
+    /** {@code length} is that of the body in bytes; -1 where only its end will tell. */
+    void begin(UpstreamConnection from, long length);
+
+    /** Takes the piece over. */
+    void piece(ByteBuf piece);
+
+    void flush();
+
+    /** Whether more can be taken now; who is told no is told when it is so, by {@link UpstreamConnection#goOn}. */
+    boolean room();
+
+    /** All of it has come. */
+    void end();
+
+    /** The rest will never come: whoever reads it must be able to tell. */
+    void cut();
+}
--- a/src/main/java/rushproxy/http1/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -51,6 +51,8 @@
         private final LongFunction<FullHttpRequest> message;
         private final Result result;
         private final boolean reportInBody;
+        /** Where a large answer goes on to; null for none. */
+        private final Onward onward;
         private long sentUs;
         private Target target;
         private Channel channel;
@@ -62,7 +64,8 @@
         private boolean ended;
 
         Call(Upstreams pool, String upstream, long untilUs, boolean reportInBody,
-             LongFunction<FullHttpRequest> message, Result result) {
+             LongFunction<FullHttpRequest> message, Result result, Onward onward) {
+            this.onward = onward;
             this.pool = pool;
             this.upstream = upstream;
             this.untilUs = untilUs;
@@ -71,6 +74,20 @@
             this.result = result;
         }
 
+        Onward onward() {
+            return onward;
+        }
+
+        /** The answer goes on as it comes, if it is not too late for that: else the attempt is given up. */
+        boolean streams() {
+            if (ended || !result.streaming(this)) {
+                abandon(Outcome.CANCELLED);
+                return false;
+            }
+            timeout.cancel(false);
+            return true;
+        }
+
         /** True for a probe, whose answer's body is the load report. */
         boolean reportInBody() {
             return reportInBody;
@@ -239,13 +256,18 @@
 
     /** An attempt at a request, made by {@code message} when it is written, told how long an answer is waited for. */
     public Call call(String upstream, long untilUs, LongFunction<FullHttpRequest> message, Attempt.Result result) {
-        return new Call(this, upstream, untilUs, false, message, result);
+        return call(upstream, untilUs, message, result, null);
+    }
+
+    /** {@code onward}: where a large answer goes on to as it comes; null: what is large is no answer. */
+    Call call(String upstream, long untilUs, LongFunction<FullHttpRequest> message, Attempt.Result result, Onward onward) {
+        return new Call(this, upstream, untilUs, false, message, result, onward);
     }
 
     /** A probe, whose answer's body is the load report. */
     public Call probe(String upstream, long untilUs, Attempt.Result result) {
         return new Call(this, upstream, untilUs, true, left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                HttpMethod.GET, Headers.STATS, Unpooled.EMPTY_BUFFER, Headers.CHECKED, Headers.CHECKED), result);
+                HttpMethod.GET, Headers.STATS, Unpooled.EMPTY_BUFFER, Headers.CHECKED, Headers.CHECKED), result, null);
     }
 
     /** How many upstreams are kept. */
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/LargeTest.java
@@ -0,0 +1,257 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Answers and bodies that are too large to be held. */
+@Timeout(90)
+class LargeTest {
+    private static final int MB = 1024 * 1024;
+    private static final byte[] BLOCK = block();
+
+    private static byte[] block() {
+        byte[] b = new byte[64 * 1024];
+        for (int i = 0; i < b.length; i++) {
+            b[i] = (byte) (i * 31 + i / 251);
+        }
+        return b;
+    }
+
+    /** Writes so many blocks, of stated length or as chunks. */
+    private static void answer(Peer.Line line, boolean chunked, int blocks) throws IOException {
+        line.raw("HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + blocks * BLOCK.length) + "\r\n\r\n");
+        OutputStream out = line.socket().getOutputStream();
+        for (int i = 0; i < blocks; i++) {
+            if (chunked) {
+                line.raw(Integer.toHexString(BLOCK.length) + ";name=value\r\n");
+            }
+            out.write(BLOCK);
+            if (chunked) {
+                line.raw("\r\n");
+            }
+        }
+        if (chunked) {
+            line.raw("0\r\nTrailer: x\r\n\r\n");
+        }
+        out.flush();
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        for (int c; head.indexOf("\r\n\r\n") < 0 && (c = in.read()) >= 0; ) {
+            head.append((char) c);
+        }
+        return head.toString();
+    }
+
+    /** Reads a body of so many blocks, in chunks where the head says so, and finds every byte in its place. */
+    private static void read(InputStream in, String head, int blocks) throws IOException {
+        long total = (long) blocks * BLOCK.length;
+        long at = 0;
+        while (at < total) {
+            int size = head.contains("chunked") ? Integer.parseInt(line(in).trim(), 16) : (int) Math.min(BLOCK.length, total - at);
+            byte[] piece = in.readNBytes(size);
+            assertEquals(size, piece.length, "cut at " + at);
+            for (int i = 0; i < size; i++, at++) {
+                if (piece[i] != BLOCK[(int) (at % BLOCK.length)]) {
+                    throw new AssertionError("another byte at " + at);
+                }
+            }
+            if (head.contains("chunked")) {
+                line(in);
+            }
+        }
+        if (head.contains("chunked")) {
+            assertEquals("0", line(in));
+            assertEquals("", line(in));
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c; (c = in.read()) >= 0 && c != '\n'; ) {
+            line.append((char) c);
+        }
+        return line.toString().trim();
+    }
+
+    @Test
+    void anAnswerOf32MbPassesUnchangedInEitherFramingAndTheConnectionGoesOn() throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            try (Rig rig = new Rig()) {
+                rig.upstream((m, line) -> answer(line, chunked, m.header("X-Txn").equals("big") ? 512 : 1));
+                rig.start();
+                try (Peer.Client client = rig.client()) {
+                    InputStream in = client.socket.getInputStream();
+                    client.send(Rig.get("big", 20_000));
+                    read(in, head(in), 512);
+                    assertEquals("outcome big 0 OK true -", rig.await("outcome"));
+                    client.send(Rig.get("small", 20_000));
+                    String small = head(in);
+                    assertTrue(small.contains("content-length: " + BLOCK.length), small);
+                    read(in, small, 1);
+                }
+            }
+        }
+    }
+
+    /** What its client does not read is not read from the upstream either: the memory that it takes has a bound. */
+    @Test
+    void anUpstreamIsReadNoFasterThanItsClientReads() throws Exception {
+        try (Rig rig = new Rig()) {
+            AtomicLong written = new AtomicLong();
+            CountDownLatch blocked = new CountDownLatch(1);
+            rig.upstream((m, line) -> {
+                line.socket().setSendBufferSize(64 * 1024);
+                line.raw("HTTP/1.1 200 OK\r\nContent-Length: " + 32 * MB + "\r\n\r\n");
+                for (int i = 0; i < 512; i++) {
+                    line.socket().getOutputStream().write(BLOCK);
+                    if (written.addAndGet(BLOCK.length) == 2 * MB) {
+                        blocked.countDown();
+                    }
+                }
+            });
+            rig.start();
+            long before = io.netty.buffer.PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory();
+            try (Peer.Client client = rig.client()) {
+                InputStream in = client.socket.getInputStream();
+                client.send(Rig.get("slow", 20_000));
+                String head = head(in);
+                blocked.await(2, TimeUnit.SECONDS);
+                long held = io.netty.buffer.PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() - before;
+                assertTrue(held < 8 * MB, held + " bytes are held");
+                read(in, head, 512);
+                assertEquals(32 * MB, written.get());
+            }
+        }
+    }
+
+    /** Nobody may take a part for the whole, and nothing follows on what has begun. */
+    @Test
+    void anAnswerThatBreaksOffBreaksOffForItsClient() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer node = rig.upstream((m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\nContent-Length: " + 4 * MB + "\r\n\r\n");
+                line.socket().getOutputStream().write(BLOCK);
+                line.socket().getOutputStream().write(BLOCK);
+                line.socket().close();
+            });
+            rig.onOutcome = (id, outcome, done, out) -> {
+                assertTrue(done);
+                out.send(id, "u0", 0);
+                out.fail(id);
+            };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                InputStream in = client.socket.getInputStream();
+                client.send(Rig.get("cut", 20_000));
+                head(in);
+                long got = 0;
+                try {
+                    for (byte[] b = new byte[4096]; ; ) {
+                        int n = in.read(b);
+                        if (n < 0) {
+                            break;
+                        }
+                        got += n;
+                    }
+                } catch (java.net.SocketException e) {
+                    // reset: an end as well
+                }
+                assertTrue(got <= 2 * BLOCK.length, got + " bytes");
+                assertEquals("outcome cut 0 RESET true -", rig.await("outcome"));
+                assertEquals(1, node.messages.size());
+                assertEquals(1, rig.sidecar.engine().figures().count("c", rushproxy.figures.Figures.End.ERRORED));
+                assertEquals(0, rig.sidecar.engine().figures().current());
+            }
+        }
+    }
+
+    @Test
+    void whoLeavesHalfWayEndsWhatItsUpstreamSends() throws Exception {
+        try (Rig rig = new Rig()) {
+            CountDownLatch ended = new CountDownLatch(1);
+            rig.upstream((m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\nContent-Length: " + 32 * MB + "\r\n\r\n");
+                try {
+                    for (int i = 0; i < 512; i++) {
+                        line.socket().getOutputStream().write(BLOCK);
+                    }
+                } catch (IOException e) {
+                    ended.countDown();
+                }
+            });
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("leaves", 20_000));
+                head(client.socket.getInputStream());
+            }
+            assertTrue(ended.await(20, TimeUnit.SECONDS), "the upstream sends on for nobody");
+            assertEquals("outcome leaves 0 CANCELLED true -", rig.await("outcome"));
+        }
+    }
+
+    /** RFC 9112, 6.3: an answer that says so ends with its connection; one that ends in a reset is none. */
+    @Test
+    void anAnswerMayEndWithItsConnectionWhereItSaysSo() throws Exception {
+        for (int blocks : new int[] {0, 1, 3}) {
+            try (Rig rig = new Rig()) {
+                rig.upstream((m, line) -> {
+                    line.raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+                    for (int i = 0; i < blocks; i++) {
+                        line.socket().getOutputStream().write(BLOCK);
+                    }
+                    line.socket().close();
+                });
+                rig.start();
+                try (Peer.Client client = rig.client()) {
+                    InputStream in = client.socket.getInputStream();
+                    client.send(Rig.get("a" + blocks, 20_000));
+                    read(in, head(in), blocks);
+                    assertEquals("outcome a" + blocks + " 0 OK true -", rig.await("outcome"));
+                }
+            }
+        }
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf");
+                line.reset();
+            });
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                assertEquals(502, client.send(Rig.get("a", 20_000)).status());
+                assertTrue(rig.await("outcome").startsWith("outcome a 0 RESET"));
+            }
+        }
+    }
+
+    /** Who speaks HTTP/1.0 knows no chunks: the end of the connection ends the answer. */
+    @Test
+    void anOldClientIsGivenNoChunks() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> answer(line, true, 3));
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                InputStream in = client.socket.getInputStream();
+                client.send(Rig.get("old", 20_000).replace("HTTP/1.1", "HTTP/1.0"));
+                String head = head(in);
+                assertTrue(!head.contains("chunked"), head);
+                byte[] body = in.readAllBytes();
+                assertEquals(3 * BLOCK.length, body.length);
+                assertTrue(Arrays.equals(BLOCK, Arrays.copyOf(body, BLOCK.length)));
+                assertTrue(new String(head.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+}
