Bodies over 64 KiB go on to an upstream while they come

Change: Upload holds the beginning (64 KiB) and passes the rest on as it comes; what is gone can't be sent again and is refused, since none of it ran; the request's time runs from its last byte (Requests.whole). Heads may take 3 s, bodies 16 kB/s; 5 s of standstill end them. An answer said before a body's end waits for that end. Bodies and answers have a bound of 64 MiB.

--- a/src/main/java/rushproxy/core/Exchange.java
+++ b/src/main/java/rushproxy/core/Exchange.java
@@ -19,7 +19,7 @@
 
     public final Request request;
     /** Module time by which the final answer must be on its way. */
-    final long deadlineUs;
+    long deadlineUs;
     final Attempt.Maker maker;
     final Answer answer;
     /** Null where requests are not traced. */
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -101,6 +101,15 @@
         decisions.call(m -> m.onRequest(clock.now(), x.request), () -> fail(x));
     }
 
+    /** Its last byte has come, later than it was taken: its time runs from there. */
+    public void whole(Exchange x, long deadlineUs) {
+        if (!x.over) {
+            x.deadlineUs = deadlineUs;
+            x.overdue.cancel();
+            x.overdue = timers.in(deadlineUs + OVERDUE_US - clock.now(), () -> overdue(x));
+        }
+    }
+
     /** The client has left: nothing is owed any more, and what is out ends by itself. */
     public void left(Exchange x) {
         over(x, How.LEFT);
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,15 +13,20 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -38,6 +44,7 @@
 import rushproxy.Balancer.RequestClass;
 import rushproxy.Balancer.Semantics;
 import rushproxy.Balancer;
+import rushproxy.core.Attempt;
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.Exchange;
@@ -55,8 +62,16 @@
     /** Requests sent ahead of their turn before no more is read. */
     private static final int MOST_AHEAD = 8;
     private static final int KEY_BITS = 53;
-    /** Applications send at once what they send: a request not whole after this long is none. */
-    private static final long WHOLE_US = 2_000_000;
+    /** Who has never asked, or half way through a body says nothing for this long, is given up. */
+    private static final long SILENT_US = 2_000_000;
+    /** A head may take its client 2 s; one not whole after this long is none. */
+    private static final long HEAD_US = 3_000_000;
+    /** Bodies come at 64 kB/s at the slowest: at less than a quarter of that, after some time, one never ends. */
+    private static final long BODY_US = 4_000_000, LEAST_BYTES_PER_S = 16_000;
+    /** A large body that moves neither in nor out for this long does not move any more. */
+    private static final long STILL_US = 5_000_000;
+    /** A large body may be on its way for this long; its own time runs from its last byte. */
+    private static final long UPLOAD_US = 600_000_000;
     /** A connection may be closed once it was idle for 2 s; its client opens another where it needs one. */
     private static final long IDLE_US = 4_000_000;
     private static final int MOST_WORD = 128, MOST_DIGITS = 9, MOST_TARGET = 4096;
@@ -69,6 +84,15 @@
     private final Classes classes;
     private final ClientServer server;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
+    /** The request being read, and what has come of its body; null between requests. */
+    private HttpRequest head;
+    private CompositeByteBuf body;
+    /** The large body being read; null while none is. */
+    private Upload upload;
+    /** The large body of the request at hand, whether or not it has all come; null where it has none. */
+    private Upload carried;
+    private Attempt carrying;
+    private long patienceUs;
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
     private long unreadUs;
@@ -87,7 +111,7 @@
     private boolean closing;
 
     /** {@code unreadUs}: its first byte may have lain there so long before it was read. */
-    private record Arrival(FullHttpRequest message, long sentUs, long unreadUs) {}
+    private record Arrival(FullHttpRequest message, Upload upload, long sentUs, long unreadUs) {}
 
     ClientConnection(Channel channel, Clock clock, Requests requests, Upstreams upstreams,
                      Classes classes, ClientServer server) {
@@ -119,23 +143,136 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (last != null || closing) {
+        try {
+            read((HttpObject) message);
+        } finally {
             ReferenceCountUtil.release(message);
-            return;
         }
-        if (!((FullHttpRequest) message).decoderResult().isSuccess()) {
-            ReferenceCountUtil.release(message);
+    }
+
+    private void read(HttpObject part) {
+        if (upload != null) {
+            uploading(part);
+        } else if (last == null && !closing) {
+            if (!part.decoderResult().isSuccess()) {
+                end(HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            if (part instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (last == null && part instanceof HttpContent content) {
+                add(content);
+            }
+        }
+    }
+
+    /** Another encoding than chunks has an end that is not known here: what follows may be body or the next request. */
+    private void begin(HttpRequest request) {
+        List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean plain = encodings.isEmpty()
+                || encodings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0));
+        if (!plain) {
             end(HttpResponseStatus.BAD_REQUEST);
+        } else if (HttpUtil.getContentLength(request, 0L) > Headers.MAX_ANSWER) {
+            end(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        } else {
+            // Its word would overtake an answer that is owed; who waits for it then sends all the same, after a while.
+            if (HttpUtil.is100ContinueExpected(request) && nothingOwed()) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER,
+                        Headers.CHECKED, Headers.CHECKED));
+            }
+            head = request;
+        }
+    }
+
+    private void add(HttpContent content) {
+        boolean whole = content instanceof LastHttpContent;
+        if (content.content().isReadable()) {
+            if (body == null) {
+                body = channel.alloc().compositeBuffer(1024);
+            }
+            body.addComponent(true, content.content().retain());
+        }
+        boolean large = !whole && body != null && body.readableBytes() > Headers.MAX_BODY;
+        if (!whole && !large) {
             return;
         }
+        ByteBuf held = body == null ? Unpooled.EMPTY_BUFFER : body;
+        HttpRequest of = head;
+        head = null;
+        body = null;
+        if (large) {
+            boolean chunked = HttpUtil.isTransferEncodingChunked(of);
+            upload = new Upload(clock, chunked ? -1 : HttpUtil.getContentLength(of, -1L), held, this::steer);
+        } else {
+            readingSinceUs = 0;
+        }
         asked = true;
+        FullHttpRequest message = new DefaultFullHttpRequest(of.protocolVersion(), of.method(), of.uri(), large ? Unpooled.EMPTY_BUFFER : held,
+                of.headers(), EmptyHttpHeaders.INSTANCE);
+        message.setDecoderResult(of.decoderResult());
         // A client counts its time from its last byte, however long it took for the others.
-        ahead.add(new Arrival((FullHttpRequest) message, activeUs, unreadUs));
+        ahead.add(new Arrival(message, upload, activeUs, unreadUs));
+        steer();
+        next();
+    }
+
+    private void uploading(HttpObject part) {
+        if (!part.decoderResult().isSuccess() || !(part instanceof HttpContent content)) {
+            giveUpUpload(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        boolean whole = content instanceof LastHttpContent;
+        upload.add(content.content().retain(), whole);
+        if (!whole) {
+            steer();
+            return;
+        }
+        Upload done = upload;
+        upload = null;
         readingSinceUs = 0;
-        if (ahead.size() >= MOST_AHEAD) {
-            channel.config().setAutoRead(false);
+        if (closing) {
+            // Its answer was said before its end, and is read now.
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        } else if (done == carried && current != null) {
+            long deadline = done.wholeAtUs() + patienceUs;
+            requests.whole(current, deadline);
+            if (carrying instanceof Upstreams.Call call) {
+                call.whole(deadline);
+            }
+        }
+        steer();
+    }
+
+    /** What has come of it can't become a request any more. */
+    private void giveUpUpload(HttpResponseStatus status) {
+        Upload broken = upload;
+        upload = null;
+        if (closing) {
+            close();
+        } else {
+            if (broken == carried && current != null) {
+                Exchange x = current;
+                current = null;
+                busy = false;
+                requests.givenUp(x);
+            } else {
+                ahead.removeIf(a -> {
+                    if (a.upload == broken) {
+                        a.message.release();
+                    }
+                    return a.upload == broken;
+                });
+            }
+            broken.abort();
+            end(status);
         }
-        next();
+    }
+
+    /** Reads on only while there is a use for what would be read. */
+    private void steer() {
+        channel.config().setAutoRead(last == null && (upload != null ? upload.wants() : ahead.size() < MOST_AHEAD));
     }
 
     /** Answers what is owed, says {@code status} and closes: what else comes can't be told from noise. */
@@ -150,8 +287,9 @@
     private void next() {
         while (!busy && !closing && !ahead.isEmpty() && channel.isActive()) {
             Arrival arrival = ahead.poll();
-            channel.config().setAutoRead(last == null);
+            steer();
             busy = true;
+            carried = arrival.upload;
             try {
                 handle(arrival);
             } catch (RuntimeException e) {
@@ -187,7 +325,7 @@
         HttpHeaders h = m.headers();
         String id = word(h, Headers.TXN);
         String named = word(h, Headers.CLASS);
-        RequestClass lane = classes.bind(clock.now(), named, c -> fits(m, c));
+        RequestClass lane = classes.bind(clock.now(), named, c -> fits(m, c) && !(arrival.upload != null && c.semantics() == Semantics.SAFE));
         long remainingMs = whole(word(h, Headers.REMAINING));
         if (id.isEmpty() || requests.knows(id) || lane == null || remainingMs <= 0) {
             // What no upstream could use is said here: there it would look like the upstream's own failure.
@@ -197,7 +335,10 @@
         }
         // Nobody waits longer than the class allows; believed, a longer time would hold its request for days.
         long remainingUs = Math.min(remainingMs * 1000, lane.deadlineUs());
-        long deadline = arrival.sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4);
+        patienceUs = remainingUs - Math.min(MARGIN_US, remainingUs / 4);
+        boolean coming = arrival.upload != null && !arrival.upload.whole();
+        long sentUs = arrival.upload == null ? arrival.sentUs : coming ? clock.now() : arrival.upload.wholeAtUs();
+        long deadline = sentUs + patienceUs;
         Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
                 false, Math.max(0, whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
                 h.get(Headers.TENANT), lane.name(), Balancer.HTTP1, false,
@@ -206,10 +347,13 @@
         chunks = m.protocolVersion().minorVersion() > 0;
         Outgoing out = new Outgoing(m.method(), m.uri(), id, h.get(Headers.IDEMPOTENCY_KEY),
                 ByteBufUtil.getBytes(m.content()));
-        Trace trace = trace(request, lane, out.idempotencyKey(), h, arrival.sentUs, arrival.unreadUs);
-        current = new Exchange(request, deadline, (upstream, until, result) -> {
+        Trace trace = trace(request, lane, out.idempotencyKey(), h, sentUs, arrival.unreadUs);
+        Upload large = arrival.upload;
+        current = new Exchange(request, coming ? sentUs + UPLOAD_US : deadline, (upstream, until, result) -> {
             SpanContext span = trace == null ? null : trace.newest();
-            return upstreams.call(upstream, until, left -> out.message(left, span), result, new Through(keepAlive));
+            Upstreams.Call call = upstreams.call(upstream, until, left -> out.message(left, span), result, new Through(keepAlive), large);
+            carrying = large == null ? null : call;
+            return call;
         }, new Exchange.Answer() {
             @Override
             public void served(ByteBuf body) {
@@ -363,7 +507,7 @@
     }
 
     private void write(boolean keepAlive, HttpResponseStatus status, ByteBuf body, long retryAfterUs) {
-        boolean stays = keepAlive && !server.partsWithClients();
+        boolean stays = keepAlive && !server.partsWithClients() && upload == null;
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, Headers.CHECKED,
                 Headers.CHECKED);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
@@ -380,6 +524,11 @@
         current = null;
         busy = false;
         activeUs = clock.now();
+        if (carried != null) {
+            carried.discard();
+            carried = null;
+            carrying = null;
+        }
         if (stays) {
             // Not from within: an answer may come while the one before is still being handled.
             if (!ahead.isEmpty() || last != null) {
@@ -387,7 +536,13 @@
             }
         } else {
             closing = true;
-            written.addListener(ChannelFutureListener.CLOSE);
+            if (upload == null) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            } else {
+                // Closed with some of its body unread, its client would be reset and never see its answer.
+                upload.discard();
+                steer();
+            }
         }
     }
 
@@ -411,16 +566,27 @@
 
     /** What has not come whole in good time is given up with a word, and who has nothing to say without one. */
     void expire(long now) {
+        if (upload != null && now - Math.max(activeUs, upload.movedUs()) > STILL_US) {
+            giveUpUpload(HttpResponseStatus.REQUEST_TIMEOUT);
+        }
         if (!nothingOwed()) {
             return;
         }
-        if (readingSinceUs > 0 && now - (asked ? readingSinceUs : openedUs) > WHOLE_US) {
+        if (readingSinceUs > 0 && tooSlow(now)) {
             end(HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (idleFor(now) > (asked ? IDLE_US : WHOLE_US)) {
+        } else if (idleFor(now) > (asked ? IDLE_US : SILENT_US)) {
             close();
         }
     }
 
+    private boolean tooSlow(long now) {
+        if (head == null) {
+            return now - (asked ? readingSinceUs : openedUs) > HEAD_US;
+        }
+        long come = body == null ? 0 : body.readableBytes();
+        return now - activeUs > SILENT_US || now - readingSinceUs > BODY_US + come * 1_000_000 / LEAST_BYTES_PER_S;
+    }
+
     long activeUs() {
         return activeUs;
     }
@@ -441,6 +607,10 @@
         for (Arrival a; (a = ahead.poll()) != null; ) {
             a.message.release();
         }
+        if (body != null) {
+            body.release();
+            body = null;
+        }
         if (current != null) {
             Exchange gone = current;
             current = null;
@@ -449,6 +619,13 @@
                 from.leave();
             }
         }
+        for (Upload left : new Upload[] {upload, carried}) {
+            if (left != null) {
+                left.abort();
+            }
+        }
+        upload = null;
+        carried = null;
     }
 
     /** Noise, a body without end, half a request and a close: for each a word where it can still be said. */
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -113,7 +113,7 @@
             accepting.setAutoRead(connections.size() < maxConnections);
         });
         channel.pipeline().addLast(connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(),
-                new RequestBodies(connection::nothingOwed), connection);
+                connection);
     }
 
     /** One between requests goes: first who has never asked, then who asked longest ago. Neither right after coming. */
--- a/src/main/java/rushproxy/http1/UpstreamConnection.java
+++ b/src/main/java/rushproxy/http1/UpstreamConnection.java
@@ -127,7 +127,8 @@
             HttpHeaders headers = response.headers();
             boolean framed = HttpUtil.isTransferEncodingChunked(response) || headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() == 1;
             unframed = !framed && !HttpUtil.isKeepAlive(response) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-            spoilt = status == 101 || !framed && !unframed || framed && length(response) > Headers.MAX_ANSWER;
+            // Nothing runs before its last byte has come: what is served before that was made for something else.
+            spoilt = status == 101 || status == 200 && call.uploading() || !framed && !unframed || framed && length(response) > Headers.MAX_ANSWER;
             head = response;
         }
     }
@@ -190,6 +191,14 @@
         ctx.channel().config().setAutoRead(true);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (call != null && ctx.channel().isWritable()) {
+            call.goOn();
+        }
+        ctx.fireChannelWritabilityChanged();
+    }
+
     /** Its client has left: the rest is of no use. */
     void leave() {
         if (call != null) {
--- a/src/main/java/rushproxy/http1/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -46,13 +46,15 @@
     public static final class Call implements Attempt {
         private final Upstreams pool;
         private final String upstream;
-        private final long untilUs;
+        private long untilUs;
         /** Makes the message, told how long an answer is waited for. */
         private final LongFunction<FullHttpRequest> message;
         private final Result result;
         private final boolean reportInBody;
         /** Where a large answer goes on to; null for none. */
         private final Onward onward;
+        /** A body that goes out while it comes; null where it is in the message. */
+        private final Upload upload;
         private long sentUs;
         private Target target;
         private Channel channel;
@@ -64,8 +66,9 @@
         private boolean ended;
 
         Call(Upstreams pool, String upstream, long untilUs, boolean reportInBody,
-             LongFunction<FullHttpRequest> message, Result result, Onward onward) {
+             LongFunction<FullHttpRequest> message, Result result, Onward onward, Upload upload) {
             this.onward = onward;
+            this.upload = upload;
             this.pool = pool;
             this.upstream = upstream;
             this.untilUs = untilUs;
@@ -84,7 +87,7 @@
                 abandon(Outcome.CANCELLED);
                 return false;
             }
-            timeout.cancel(false);
+            stopTimeout();
             return true;
         }
 
@@ -100,7 +103,8 @@
 
         @Override
         public long sentUs() {
-            return sentUs;
+            // How long a body took to come is no word on its upstream.
+            return upload != null && written() ? writtenUs : sentUs;
         }
 
         @Override
@@ -137,13 +141,46 @@
             end(Outcome.NOT_SENT, null, null);
         }
 
+        private void stopTimeout() {
+            if (timeout != null) {
+                timeout.cancel(false);
+            }
+        }
+
+        /** Its last byte is written: from now on it may run. */
+        void wrote() {
+            writtenUs = pool.clock.now();
+            result.written(this);
+        }
+
+        /** The last byte of its body has come: from now on it is waited for, until then. */
+        void whole(long until) {
+            untilUs = until;
+            if (!ended && timeout == null) {
+                timeout = pool.loop.schedule(this::timedOut, until - pool.clock.now(), TimeUnit.MICROSECONDS);
+            }
+        }
+
+        /** Whether its body is still on its way. */
+        boolean uploading() {
+            return upload != null && !written();
+        }
+
+        /** Its upstream has room again. */
+        void goOn() {
+            if (upload != null) {
+                upload.goOn();
+            }
+        }
+
         void end(Outcome outcome, LoadReport report, ByteBuf body) {
             if (ended) {
                 return;
             }
             ended = true;
-            if (timeout != null) {
-                timeout.cancel(false);
+            stopTimeout();
+            if (upload != null) {
+                upload.left(this);
             }
             result.ended(this, outcome, report, body);
         }
@@ -256,18 +293,21 @@
 
     /** An attempt at a request, made by {@code message} when it is written, told how long an answer is waited for. */
     public Call call(String upstream, long untilUs, LongFunction<FullHttpRequest> message, Attempt.Result result) {
-        return call(upstream, untilUs, message, result, null);
+        return call(upstream, untilUs, message, result, null, null);
     }
 
-    /** {@code onward}: where a large answer goes on to as it comes; null: what is large is no answer. */
-    Call call(String upstream, long untilUs, LongFunction<FullHttpRequest> message, Attempt.Result result, Onward onward) {
-        return new Call(this, upstream, untilUs, false, message, result, onward);
+    /**
+     * {@code onward}: where a large answer goes on to as it comes; null: what is large is no answer. {@code upload}: a body that is not
+     * in the message; null: there is none.
+     */
+    Call call(String upstream, long untilUs, LongFunction<FullHttpRequest> message, Attempt.Result result, Onward onward, Upload upload) {
+        return new Call(this, upstream, untilUs, false, message, result, onward, upload);
     }
 
     /** A probe, whose answer's body is the load report. */
     public Call probe(String upstream, long untilUs, Attempt.Result result) {
         return new Call(this, upstream, untilUs, true, left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                HttpMethod.GET, Headers.STATS, Unpooled.EMPTY_BUFFER, Headers.CHECKED, Headers.CHECKED), result, null);
+                HttpMethod.GET, Headers.STATS, Unpooled.EMPTY_BUFFER, Headers.CHECKED, Headers.CHECKED), result, null, null);
     }
 
     /** How many upstreams are kept. */
@@ -308,11 +348,12 @@
         long now = clock.now();
         call.sentUs = now;
         call.target = targets.get(call.upstream);
-        if (call.target == null || call.target.state != UpstreamState.READY) {
+        if (call.target == null || call.target.state != UpstreamState.READY || call.upload != null && !call.upload.canStart()) {
             call.end(Outcome.NOT_SENT, null, null);
             return;
         }
-        call.timeout = loop.schedule(call::timedOut, call.untilUs - now, TimeUnit.MICROSECONDS);
+        // While a body comes its client's time does not run yet; who stands still is given up by its connection.
+        call.timeout = call.upload != null && !call.upload.whole() ? null : loop.schedule(call::timedOut, call.untilUs - now, TimeUnit.MICROSECONDS);
         Channel channel = takeIdle(call.target, now);
         if (channel != null) {
             call.channel = channel;
@@ -363,7 +404,7 @@
             } else if (!f.isSuccess()) {
                 call.refused = f.cause() instanceof ConnectException && !(f.cause() instanceof ConnectTimeoutException);
                 call.broke();
-            } else if (call.target.state != UpstreamState.READY || !call.reportInBody && clock.now() >= call.untilUs) {
+            } else if (call.target.state != UpstreamState.READY || !call.reportInBody && !call.uploading() && clock.now() >= call.untilUs) {
                 // The list changed, or time ran out, while the connection came up: nothing may be sent any more. It did
                 // come up, perhaps long ago on a loop that stood still: no word against the upstream. A probe still goes.
                 call.abandon(Outcome.NOT_SENT);
@@ -392,10 +433,17 @@
         message.headers().set(HttpHeaderNames.HOST, HOST)
                 .set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
         connection(call.channel).begin(call, this::release);
+        if (call.upload != null) {
+            if (call.upload.canStart()) {
+                call.upload.start(call, call.channel, message);
+            } else {
+                call.abandon(Outcome.NOT_SENT);
+            }
+            return;
+        }
         call.channel.writeAndFlush(message).addListener(f -> {
             if (f.isSuccess()) {
-                call.writtenUs = clock.now();
-                call.result.written(call);
+                call.wrote();
             } else {
                 call.channel.close();
                 // What can't be put into words is its client's fault: no upstream has seen it.
--- a/src/test/java/rushproxy/sidecar/LargeTest.java
+++ b/src/test/java/rushproxy/sidecar/LargeTest.java
@@ -236,6 +236,160 @@
         }
     }
 
+    private static String post(String id, String framing) {
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: k\r\nIdempotency-Key: " + id + "\r\nX-Remaining-Ms: 20000\r\n"
+                + framing + "\r\n\r\n";
+    }
+
+    private static void write(OutputStream out, boolean chunked, int blocks) throws IOException {
+        for (int i = 0; i < blocks; i++) {
+            if (chunked) {
+                out.write((Integer.toHexString(BLOCK.length) + ";x\r\n").getBytes(StandardCharsets.US_ASCII));
+            }
+            out.write(BLOCK);
+            if (chunked) {
+                out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+            }
+        }
+        if (chunked) {
+            out.write("0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        }
+        out.flush();
+    }
+
+    private static void assertBody(Peer.Message m, int blocks) {
+        byte[] body = m.body().getBytes(StandardCharsets.ISO_8859_1);
+        assertEquals(blocks * BLOCK.length, body.length);
+        for (int i = 0; i < blocks; i++) {
+            assertTrue(Arrays.equals(BLOCK, Arrays.copyOfRange(body, i * BLOCK.length, (i + 1) * BLOCK.length)), "block " + i);
+        }
+    }
+
+    @Test
+    void aBodyOf32MbPassesUnchangedInEitherFramingAndTheConnectionGoesOn() throws Exception {
+        for (boolean chunked : new boolean[] {false, true}) {
+            try (Rig rig = new Rig()) {
+                Peer node = rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
+                rig.start();
+                try (Peer.Client client = rig.client()) {
+                    client.send(post("big", chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + 512 * BLOCK.length));
+                    write(client.socket.getOutputStream(), chunked, 512);
+                    assertEquals("done", client.answer().body());
+                    assertBody(node.next(), 512);
+                    assertEquals("outcome big 0 OK true -", rig.await("outcome"));
+                    assertEquals(1, rig.sidecar.engine().figures().sends());
+                    assertEquals(200, client.send(Rig.get("small", 20_000)).status());
+                }
+            }
+        }
+    }
+
+    /** Its beginning is held: an upstream that is not there has taken nothing of it, so another can have all. */
+    @Test
+    void aBodyOfWhichNothingIsGoneGoesToAnotherUpstream() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer dead = rig.upstream((m, line) -> { });
+            Peer node = rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
+            dead.close();
+            rig.onOutcome = (id, outcome, done, out) -> {
+                if (!done) {
+                    out.send(id, "u1", 0);
+                }
+            };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(post("big", "Content-Length: " + 64 * BLOCK.length));
+                write(client.socket.getOutputStream(), false, 64);
+                assertEquals("done", client.answer().body());
+                assertBody(node.next(), 64);
+            }
+        }
+    }
+
+    /** An upstream that breaks off half way has run nothing; what is gone can't be sent again, and that can be said. */
+    @Test
+    void aBodyThatIsGoneIsSentToNobodyElse() throws Exception {
+        try (Rig rig = new Rig(); java.net.ServerSocket breaks = new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
+            Thread reads = new Thread(() -> {
+                try (java.net.Socket s = breaks.accept()) {
+                    s.getInputStream().readNBytes(4 * MB);
+                    s.setSoLinger(true, 0);
+                } catch (IOException e) {
+                    // ended
+                }
+            });
+            reads.start();
+            Peer other = rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
+            rig.upstreamAt("127.0.0.1:" + breaks.getLocalPort());
+            rig.onRequest = (now, r, out) -> out.send(r.id(), "u1", 0);
+            rig.onOutcome = (id, outcome, done, out) -> {
+                if (outcome == rushproxy.Balancer.Outcome.CONNECT_FAILED) {
+                    out.send(id, "u0", 0);
+                } else if (!done) {
+                    out.refuse(id, 0);
+                }
+            };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(post("big", "Content-Length: " + 512 * BLOCK.length));
+                write(client.socket.getOutputStream(), false, 512);
+                Peer.Message answer = client.answer();
+                assertTrue(answer.head().startsWith("HTTP/1.1 503 "), answer.head());
+                assertTrue(client.ended());
+            }
+            assertEquals("outcome big 0 CONNECT_FAILED false -", rig.await("outcome"));
+            assertEquals("outcome big 1 NOT_SENT false -", rig.await("outcome"));
+            assertEquals(0, other.messages.size());
+            assertEquals(0, rig.sidecar.engine().figures().sends());
+            reads.join();
+        }
+    }
+
+    /** Who leaves half way through leaves nothing that could run. */
+    @Test
+    void aClientThatLeavesHalfWayLeavesNothingBehind() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer node = rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(post("big", "Content-Length: " + 512 * BLOCK.length));
+                write(client.socket.getOutputStream(), false, 100);
+                rig.await("request big");
+            }
+            rig.await("expired big");
+            rig.await("outcome big 0 CANCELLED");
+            assertEquals(0, node.messages.size());
+            assertEquals(0, rig.sidecar.engine().figures().current());
+        }
+    }
+
+    /** Its answer comes at once, and is not lost because its client is still sending. */
+    @Test
+    void whatIsNoRequestIsAnsweredHoweverLongItsBody() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
+            rig.start();
+            for (String wrong : new String[] {post("a", "Content-Length: 33554432").replace("X-Lane: k", "X-Lane: nobody"),
+                    post("b", "Content-Length: 33554432").replace("/api", "/other")}) {
+                try (Peer.Client client = rig.client()) {
+                    client.send(wrong);
+                    write(client.socket.getOutputStream(), false, 512);
+                    int status = client.status();
+                    assertTrue(status == 400 || status == 404, "status " + status);
+                    assertTrue(client.ended());
+                }
+            }
+            try (Peer.Client client = rig.client()) {
+                client.send(post("c", "Expect: 100-continue\r\nContent-Length: " + 2 * BLOCK.length));
+                assertTrue(client.answer().head().startsWith("HTTP/1.1 100 "));
+                write(client.socket.getOutputStream(), false, 2);
+                assertEquals("done", client.answer().body());
+                client.send(post("d", "Content-Length: 67108865"));
+                assertEquals(413, client.status());
+            }
+        }
+    }
+
     /** Who speaks HTTP/1.0 knows no chunks: the end of the connection ends the answer. */
     @Test
     void anOldClientIsGivenNoChunks() throws Exception {
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -115,11 +115,37 @@
             head.append((char) c);
         }
         Message m = new Message(head.toString(), "");
+        if ("chunked".equals(m.header("Transfer-Encoding"))) {
+            return new Message(m.head, chunks(in));
+        }
         String length = m.header("Content-Length");
         byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
         return new Message(m.head, new String(body, StandardCharsets.ISO_8859_1));
     }
 
+    private static String chunks(InputStream in) throws IOException {
+        StringBuilder body = new StringBuilder();
+        while (true) {
+            int size = Integer.parseInt(line(in), 16);
+            body.append(new String(in.readNBytes(size), StandardCharsets.ISO_8859_1));
+            line(in);
+            if (size == 0) {
+                return body.toString();
+            }
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c; (c = in.read()) >= 0 && c != '\n'; ) {
+            line.append((char) c);
+        }
+        if (line.length() == 0) {
+            throw new IOException("it ended");
+        }
+        return line.toString().trim();
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -74,6 +74,13 @@
         return p;
     }
 
+    private final List<String> others = new ArrayList<>();
+
+    /** One more, after all peers, that the test plays itself. */
+    void upstreamAt(String address) {
+        others.add(address);
+    }
+
     static String entry(String id, String address, String lifecycle, long startedAtMs) {
         return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + address + "\",\"zone\":\"za\",\"machineType\":\"k\","
                 + "\"cell\":1,\"lifecycle\":\"" + lifecycle + "\",\"weight\":1.0,\"startedAtMs\":" + startedAtMs + "}";
@@ -89,6 +96,9 @@
         for (int i = 0; i < peers.size(); i++) {
             entries.add(entry("u" + i, peers.get(i).address(), "Ready", 0));
         }
+        for (int i = 0; i < others.size(); i++) {
+            entries.add(entry("u" + (peers.size() + i), others.get(i), "Ready", 0));
+        }
         return list(41, true, entries.toArray(String[]::new));
     }
 
