Wait for answers in slow pieces, and begin those of unknown length early

Ruled out: memory, descriptors, the module (it sent once or twice, as it may). Change: standstill is three quarters of the wanted time, from its settings; 1 KiB shows a large answer; one of unknown length goes on after a quarter.

--- a/src/main/java/rushproxy/http1/UpstreamConnection.java
+++ b/src/main/java/rushproxy/http1/UpstreamConnection.java
@@ -35,7 +35,7 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
     static final AttributeKey<UpstreamConnection> KEY = AttributeKey.valueOf(UpstreamConnection.class, "connection");
     /** Of a large answer so much is seen before it goes on: a head alone may be noise that names a length. */
-    private static final int SEEN = 4 * 1024;
+    private static final int SEEN = 1024;
     /** An upstream that gives nothing for this long gives no more; what it still gave after 2 s must not be cut off. */
     private static final long STILL_US = 5_000_000;
     /** A client that takes nothing for this long holds an upstream's connection for nothing. */
@@ -60,6 +60,7 @@
     private Future<?> stall;
     /** When a part of an answer came last, or its client last had room. */
     private long readNanos;
+    private long headNanos;
     private boolean spoilt;
     /** An answer that has begun and then stops for this long does not end any more. */
     private final long stallUs;
@@ -130,6 +131,7 @@
             // Nothing runs before its last byte has come: what is served before that was made for something else.
             spoilt = status == 101 || status == 200 && call.uploading() || !framed && !unframed || framed && length(response) > Headers.MAX_ANSWER;
             head = response;
+            headNanos = System.nanoTime();
         }
     }
 
@@ -154,7 +156,7 @@
         }
         whole = last;
         long held = body == null ? 0 : body.readableBytes();
-        boolean large = held > Headers.MAX_BODY || !whole && held >= SEEN && length(head) > Headers.MAX_BODY;
+        boolean large = held > Headers.MAX_BODY || !whole && held >= SEEN && (length(head) > Headers.MAX_BODY || late());
         if (!onward && large && (outcome(head) != Outcome.OK || call.onward() == null)) {
             // An error so long is none, and nobody waits for it.
             spoilt = true;
@@ -163,6 +165,11 @@
         }
     }
 
+    /** Of unknown length and slow: held until it is whole, or known to be large, its first bytes would come too late. */
+    private boolean late() {
+        return length(head) < 0 && System.nanoTime() - headNanos > stallUs * 1_000 / 3;
+    }
+
     private void keep(ByteBuf piece) {
         if (onward) {
             call.onward().piece(piece);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -121,10 +121,10 @@
         return settings.reports() == Balancer.Reports.NONE ? Trial.How.LIVE : Trial.How.STATS;
     }
 
-    /** A quarter of the time within which an answer is wanted leaves enough of it for another attempt. */
+    /** Upstreams may write in small pieces, with pauses; what stands still for three quarters of the wanted time is not in time any more. */
     private static long stallUs(Balancer.Settings settings) {
         long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElse(0);
-        return Math.max(STALL_LEAST_US, aim / 4);
+        return Math.max(STALL_LEAST_US, aim * 3 / 4);
     }
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
--- a/src/test/java/rushproxy/sidecar/LargeTest.java
+++ b/src/test/java/rushproxy/sidecar/LargeTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -137,6 +138,33 @@
         }
     }
 
+    /** Of unknown length and in slow pieces: its first bytes are not held back until it is known to be large. */
+    @Test
+    void aSlowAnswerOfUnknownLengthBeginsBeforeItIsKnownToBeLarge() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> {
+                line.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + "x".repeat(0x800) + "\r\n");
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+                line.raw("800\r\n" + "x".repeat(0x800) + "\r\n");
+                try {
+                    assertTrue(begun.await(20, TimeUnit.SECONDS));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                line.raw("4\r\nlast\r\n0\r\n\r\n");
+            });
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                InputStream in = client.socket.getInputStream();
+                client.send(Rig.get("slow", 20_000));
+                assertTrue(head(in).contains("chunked"));
+                begun.countDown();
+                assertEquals("outcome slow 0 OK true -", rig.await("outcome"));
+            }
+        }
+    }
+
     /** Nobody may take a part for the whole, and nothing follows on what has begun. */
     @Test
     void anAnswerThatBreaksOffBreaksOffForItsClient() throws Exception {
