--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -21,6 +21,11 @@
     "POST /control/out-of-service" "POST /control/in-service"; do
     { exec 3<>/dev/tcp/127.83.41.7/18083 && printf '%s HTTP/1.1\r\nHost: a\r\n\r\n' "$call" >&3 && cat <&3; exec 3>&-; } >/dev/null 2>&1
 done
+kill -HUP "$sidecar" 2>/dev/null
+for _ in $(seq 20); do
+    grep -q ' settings are \| goes on as before' target/rehearsal.log && break
+    sleep 0.1
+done
 kill -TERM "$sidecar" 2>/dev/null
 wait "$sidecar"
 rm -rf "$notes"
