A new process uses cold upstreams from the next slot on, half a window after its yes

Need: 1.5 s without cold upstreams was longer than the rule asks: room is given by slots of half a window, so half a window and the time in which the old process hears its end keep every slot to one process.

--- a/src/main/java/rushproxy/handover/Overlap.java
+++ b/src/main/java/rushproxy/handover/Overlap.java
@@ -6,16 +6,24 @@
 
 /**
  * Two processes of an upgrade are one sidecar to a cold upstream, whose room each would spend as its own. So only one of them sends
- * there at a time: the old one until it is told to end, the new one once the old one has ended, or {@link #AFTER_US} after it said
- * that it is ready, when the old one has been told. Pure; time is a parameter.
+ * there at a time: the old one until it is told to end, the new one once the old one has ended, or half the rule's window and
+ * {@link #TOLD_US} after it said that it is ready. Room is given by slots of half a window (see the module), so no slot is used by both,
+ * and what a window meets is what one process may send. Pure; time is a parameter.
  */
 public final class Overlap {
-    /** The old process is told at the new one's yes; by then it has been, and no window of the rule is shared. */
-    static final long AFTER_US = 1_500_000;
+    /** The old process is told at the new one's yes, and has heard it after so long. */
+    static final long TOLD_US = 100_000;
+
+    private final long afterUs;
 
     /** Cold upstreams are the other process's until then; 0: they are this one's. */
     private long othersUntilUs;
 
+    /** {@code windowUs}: the time over which the rule on cold upstreams counts. */
+    public Overlap(long windowUs) {
+        afterUs = windowUs / 2 + TOLD_US;
+    }
+
     /** Another process of this sidecar sends to cold upstreams, for as long as nothing else is said. */
     public void other() {
         othersUntilUs = Long.MAX_VALUE;
@@ -24,7 +32,7 @@
     /** This process has said that it is ready. */
     public void ready(long now) {
         if (othersUntilUs == Long.MAX_VALUE) {
-            othersUntilUs = now + AFTER_US;
+            othersUntilUs = now + afterUs;
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/Handover.java
+++ b/src/main/java/rushproxy/sidecar/Handover.java
@@ -17,14 +17,15 @@
 /** An upgrade, as one of its two processes carries it out: what crosses, and who does what meanwhile. */
 final class Handover {
     private final Notebook notebook;
-    private final Overlap overlap = new Overlap();
+    private final Overlap overlap;
     private final boolean alone;
     private EventLoop loop;
     private Clock clock;
     private Members members;
 
-    Handover(Notebook notebook) {
+    Handover(Notebook notebook, Settings settings) {
         this.notebook = notebook;
+        overlap = new Overlap(settings.rules().fallWindowUs());
         alone = notebook.open();
         if (!alone) {
             overlap.other();
@@ -40,7 +41,7 @@
         try {
             Path path = Path.of(folder);
             if (Files.isDirectory(path) && Files.isWritable(path)) {
-                return new Handover(new Notebook(path, config.name()));
+                return new Handover(new Notebook(path, config.name()), config.settings());
             }
         } catch (InvalidPathException e) {
             // As one that is not there.
