--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -225,6 +225,7 @@
         }).sync();
         if (config.admin() != null) {
             adminAt = new AdminServer(loop, new Operations(this, handover)).listen(config.admin());
+            Log.event("admin.listens", "operators call at " + adminAt, "address", adminAt);
         }
         loop.execute(engine::watch);
         if (config.peerListen() != null) {
--- a/src/main/java/rushproxy/standin/Node.java
+++ b/src/main/java/rushproxy/standin/Node.java
@@ -1,6 +1,7 @@
 package rushproxy.standin;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -21,6 +22,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -37,6 +39,7 @@
  * methods may be called from any thread and take effect in the order of the calls.
  */
 public final class Node implements AutoCloseable {
+    private static final byte[] MB = new byte[1024 * 1024];
     private static final int MAX_BODY = 64 * 1024;
     private static final int RELISTEN_MS = 20;
 
@@ -280,9 +283,21 @@
                 waiting.size(), (double) working / shape.cores());
     }
 
+    /** Who asks for {@code ?mb=N} is answered with so much. */
+    private static ByteBuf content(String uri, String body) {
+        int at = uri.indexOf("?mb=");
+        ByteBuf[] parts = new ByteBuf[at < 0 ? 0 : Math.min(32, Integer.parseInt(uri.substring(at + 4)))];
+        Arrays.setAll(parts, i -> Unpooled.wrappedBuffer(MB));
+        return at < 0 ? Unpooled.copiedBuffer(body, StandardCharsets.UTF_8) : Unpooled.wrappedBuffer(parts.length, parts);
+    }
+
     private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body, boolean turnedAway) {
+        answer(ctx, status, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8), turnedAway);
+    }
+
+    private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, ByteBuf body, boolean turnedAway) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+                body);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes()).set("X-Pressure", load());
         if (turnedAway) {
             response.headers().set("X-Turned-Away", "1");
@@ -303,12 +318,13 @@
                 answer(ctx, draining ? HttpResponseStatus.SERVICE_UNAVAILABLE : HttpResponseStatus.OK, "", false);
                 return;
             }
+            String uri = request.uri();
             String txn = request.headers().get("X-Txn");
             if (txn == null) {
                 answer(ctx, HttpResponseStatus.NOT_FOUND, "", false);
                 return;
             }
-            take(txn, request.headers().get("traceparent"), body -> answer(ctx, HttpResponseStatus.OK, body, false),
+            take(txn, request.headers().get("traceparent"), body -> answer(ctx, HttpResponseStatus.OK, content(uri, body), false),
                     () -> answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true), () -> {
                         ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
                         ctx.close();
--- a/src/main/java/rushproxy/standin/SidecarProcess.java
+++ b/src/main/java/rushproxy/standin/SidecarProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 /** A real sidecar as a process of its own, started as {@code run} starts it, from the same jar or classes as this stage. */
 public final class SidecarProcess implements AutoCloseable {
     private static final Pattern SERVES = Pattern.compile(".* serves on [^/]*/([0-9.]+):([0-9]+),.*");
+    private static final Pattern ADMIN = Pattern.compile(".* operators call at [^/]*/([0-9.]+):([0-9]+)");
     private static final Pattern GRPC = Pattern.compile(".* takes gRPC on [^/]*/([0-9.]+):([0-9]+)");
     /** Like those of the line {@code run}; a class archive beside the jar is used where there is one. */
     private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
@@ -44,6 +46,11 @@
      * @param wrapper  put before the command; empty for none
      */
     public SidecarProcess(String name, Path config, Path operator, List<String> wrapper) throws IOException {
+        this(name, config, operator, wrapper, Map.of());
+    }
+
+    /** {@code environment}: more variables that it is started with. */
+    SidecarProcess(String name, Path config, Path operator, List<String> wrapper, Map<String, String> environment) throws IOException {
         this.name = name;
         List<String> command = new ArrayList<>(wrapper);
         command.addAll(java());
@@ -54,6 +61,7 @@
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(k -> k.startsWith("BALANCER_") || k.equals("JAVA_TOOL_OPTIONS"));
         builder.environment().put("BALANCER_CONFIG", config.toString());
+        builder.environment().putAll(environment);
         builder.redirectErrorStream(true);
         process = builder.start();
         Thread reader = new Thread(this::read, "log of " + name);
@@ -111,6 +119,20 @@
         return listening.get(60, TimeUnit.SECONDS);
     }
 
+    /** Where operators call it. */
+    public InetSocketAddress adminAddress() throws Exception {
+        Matcher m = ADMIN.matcher(awaitLog("operators call at "));
+        if (!m.matches()) {
+            throw new IOException("no address in its log: " + log());
+        }
+        return new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2)));
+    }
+
+    /** Tells it that its configuration has changed. */
+    public void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid())).start().waitFor();
+    }
+
     /** Where its gRPC clients connect. */
     public InetSocketAddress grpcAddress() throws Exception {
         Matcher m = GRPC.matcher(awaitLog("takes gRPC on "));
--- a/src/main/java/rushproxy/standin/World.java
+++ b/src/main/java/rushproxy/standin/World.java
@@ -207,6 +207,51 @@
         return process;
     }
 
+    /** As {@link #sidecar}, with an address for operators and a folder that both processes of an upgrade share. */
+    public SidecarProcess operated(Map<String, Object> known) throws IOException, InterruptedException {
+        String name = "s" + sidecars.size();
+        Map<String, Object> config = new LinkedHashMap<>();
+        config.put("name", name);
+        config.put("listen", "127.0.0.1:0");
+        config.put("admin", "127.0.0.1:0");
+        config.put("discovery", registry.addressFor(name));
+        config.put("seed", "5eed");
+        config.put("limits", Map.of("cores", 1.0, "memory_mb", 192, "sockets", 512));
+        config.put("known", known);
+        config.put("settings", settings(0, 1));
+        return operated(name, config);
+    }
+
+    /** The file of an operated sidecar, which a test may change before it tells the process. */
+    public Path config(String sidecar) {
+        return folder.resolve(sidecar + ".json");
+    }
+
+    public List<SidecarProcess> processes() {
+        return List.copyOf(sidecars);
+    }
+
+    /** A second process of the same sidecar, beside the one that serves. */
+    public SidecarProcess beside(SidecarProcess old) throws Exception {
+        String text = Files.readString(config(old.name()));
+        InetSocketAddress at = old.address();
+        Files.writeString(config(old.name()), text.replaceFirst("\"listen\":\"[^\"]*\"",
+                "\"listen\":\"" + at.getAddress().getHostAddress() + ":" + at.getPort() + "\""));
+        return started(old.name());
+    }
+
+    private SidecarProcess operated(String name, Map<String, Object> config) throws IOException {
+        Files.write(config(name), Json.write(config));
+        Files.createDirectories(folder.resolve(name + "-tmp"));
+        return started(name);
+    }
+
+    private SidecarProcess started(String name) throws IOException {
+        SidecarProcess process = new SidecarProcess(name, config(name), null, List.of(), Map.of("TMPDIR", folder.resolve(name + "-tmp").toString()));
+        sidecars.add(process);
+        return process;
+    }
+
     private Map<String, Object> settings(int me, int of) {
         List<Object> profiles = new ArrayList<>();
         for (Clients.Kind k : Clients.Kind.values()) {
