--- a/src/main/java/rushproxy/handover/Notebook.java
+++ b/src/main/java/rushproxy/handover/Notebook.java
@@ -193,6 +193,11 @@
         }
     }
 
+    /** After {@link #close}: until its thread touches no file any more; for whoever removes the folder. */
+    public boolean awaitEnd() throws InterruptedException {
+        return thread.awaitTermination(5, TimeUnit.SECONDS);
+    }
+
     @Override
     public void close() {
         thread.shutdownNow();
--- a/src/test/java/rushproxy/sidecar/UpgradeTest.java
+++ b/src/test/java/rushproxy/sidecar/UpgradeTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -20,11 +21,21 @@
 class UpgradeTest {
     @TempDir
     Path folder;
+    private final List<Notebook> notebooks = new ArrayList<>();
+
+    @AfterEach
+    void nobodyWritesAnyMore() throws Exception {
+        for (Notebook n : notebooks) {
+            assertTrue(n.awaitEnd());
+        }
+    }
 
     private Rig rig() throws Exception {
         Rig rig = new Rig();
         rig.peerFields = "\"admin\":\"127.0.0.1:0\",";
-        rig.handover = new Handover(new Notebook(folder, "n0"), Rig.config(rig.json("127.0.0.1:1")).settings());
+        Notebook notebook = new Notebook(folder, "n0");
+        notebooks.add(notebook);
+        rig.handover = new Handover(notebook, Rig.config(rig.json("127.0.0.1:1")).settings());
         rig.rehearsal = () -> { };
         return rig;
     }
