Close idle connections the sooner the less they are used again and the fuller the table is

Ruled out: reading stopped (it was on), answers not flushed (nothing pending), the accept pace (900 a second where there is room), the module. Lines: ClientConnection.expire, IDLE_US for all alike. Change: the time is scaled by the share of requests that came on used connections and by the room left, 250 ms at the least. Whole URIs as targets (RFC 9112, 3.2.2) are taken too.

--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -210,6 +210,7 @@
         } else {
             readingSinceUs = 0;
         }
+        server.asked(asked);
         asked = true;
         FullHttpRequest message = new DefaultFullHttpRequest(of.protocolVersion(), of.method(), of.uri(), large ? Unpooled.EMPTY_BUFFER : held,
                 of.headers(), EmptyHttpHeaders.INSTANCE);
@@ -311,6 +312,7 @@
 
     private void handle(Arrival arrival) {
         FullHttpRequest m = arrival.message;
+        m.setUri(originForm(m.uri()));
         int query = m.uri().indexOf('?');
         String path = query < 0 ? m.uri() : m.uri().substring(0, query);
         if (path.equals("/health/ready") && m.method().equals(HttpMethod.GET)) {
@@ -322,6 +324,15 @@
         }
     }
 
+    /** A client may name the whole URI (RFC 9112, 3.2.2): what counts here, and goes on, is path and query. */
+    private static String originForm(String target) {
+        if (!target.regionMatches(true, 0, "http://", 0, 7)) {
+            return target;
+        }
+        int path = target.indexOf('/', 7);
+        return path < 0 ? "/" : target.substring(path);
+    }
+
     private void take(Arrival arrival) {
         FullHttpRequest m = arrival.message;
         HttpHeaders h = m.headers();
@@ -576,7 +587,7 @@
         }
         if (readingSinceUs > 0 && tooSlow(now)) {
             end(HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (idleFor(now) > (asked ? IDLE_US : SILENT_US)) {
+        } else if (idleFor(now) > server.patienceUs(asked ? IDLE_US : SILENT_US)) {
             close();
         }
     }
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -29,6 +29,10 @@
     private static final long QUIET_MS = 150;
     private static final long LOOK_MS = 20;
     private static final long SWEEP_MS = 100;
+    /** Step of the mean: some fifty requests show how an application uses its connections. */
+    private static final double REUSE_GAIN = 0.02;
+    /** However full the table is: the next request of one that has just been served may be on its way. */
+    private static final long LEAST_IDLE_US = 250_000;
     /** Its first request may still be on its way. */
     private static final long FRESH_US = 50_000;
     /** Past so much of bodies that are not whole, what more comes is passed on from a small beginning on, and read only as it goes. */
@@ -52,6 +56,8 @@
     /** When clients were asked away; 0 while they are welcome. */
     private long awaySinceUs;
     private long acceptedUs;
+    /** Share of the requests that came on connections which had carried some before. */
+    private double reuse = 1;
     /** Bytes of bodies that are not whole yet, over all connections. */
     private long heldBytes;
 
@@ -95,6 +101,19 @@
         rehearsal = null;
     }
 
+    /**
+     * Of the time for which a connection may idle, so much as there is room and as connections are used again at all: an application that
+     * leaves them lying has a bound on them too, and once it has reached that it sends nothing more until some are closed.
+     */
+    long patienceUs(long us) {
+        return Math.max(LEAST_IDLE_US, (long) (us * reuse * (maxConnections - connections.size()) / maxConnections));
+    }
+
+    /** A request has come; {@code again}: not the first on its connection. */
+    void asked(boolean again) {
+        reuse += REUSE_GAIN * ((again ? 1 : 0) - reuse);
+    }
+
     void holds(long more) {
         heldBytes += more;
     }
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -37,6 +37,8 @@
         cases.put(good.replace("HTTP/1.1", "HTTP/7.3"), 400);
         cases.put(good.replace("X-Txn: a1", "a line without a colon"), 400);
         cases.put("GET /api HTTP/1.1\r\nX-Endless: " + "x".repeat(20_000), 400);
+        cases.put(good.replace("/api/slots", "http://api.internal/api/slots").replace("a1", "abs"), 200);
+        cases.put(good.replace("/api/slots", "http://api.internal").replace("a1", "abs"), 404);
         cases.put("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /apiary HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", 200);
