One way to listen for all fronts; the serving lock is seen by the thread that ends

Read again: the operators' address wrote the TCP listener of the two other fronts a third time, and SO_REUSEPORT stood in three places. core.Listening serves all; no behaviour changed. Notebook.servingLock is written on its own thread and read at SIGTERM on another: volatile now.

--- a/src/main/java/rushproxy/admin/AdminServer.java
+++ b/src/main/java/rushproxy/admin/AdminServer.java
@@ -1,12 +1,9 @@
 package rushproxy.admin;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -25,6 +22,7 @@
 import java.util.ArrayDeque;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import rushproxy.core.Listening;
 import rushproxy.core.Log;
 import rushproxy.json.Json;
 
@@ -50,16 +48,7 @@
     }
 
     public InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        Channel listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
-                .option(ChannelOption.SO_BACKLOG, 64)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        accepted(channel);
-                    }
-                }).bind(address).sync().channel();
+        Channel listener = Listening.tcp(loop, NioServerSocketChannel::new, 64, false, address, this::accepted);
         return (InetSocketAddress) listener.localAddress();
     }
 
--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -1,15 +1,12 @@
 package rushproxy.grpc;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2Error;
@@ -21,7 +18,6 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -32,6 +28,7 @@
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.EventLoops;
+import rushproxy.core.Listening;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
 import rushproxy.membership.Member;
@@ -90,20 +87,7 @@
 
     /** {@code shared}: another process of this sidecar may listen there too. */
     public InetSocketAddress listen(boolean shared) throws InterruptedException {
-        ServerBootstrap bootstrap = new ServerBootstrap();
-        if (shared) {
-            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
-        }
-        listener = bootstrap.group(loop).channelFactory(NioServerSocketChannel::new)
-                .option(ChannelOption.SO_BACKLOG, 256)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        accepted(channel);
-                    }
-                }).bind(options.listen()).sync().channel();
+        listener = Listening.tcp(loop, NioServerSocketChannel::new, 256, shared, options.listen(), this::accepted);
         return (InetSocketAddress) listener.localAddress();
     }
 
--- a/src/main/java/rushproxy/handover/Notebook.java
+++ b/src/main/java/rushproxy/handover/Notebook.java
@@ -37,7 +37,8 @@
     private final Path serving;
     private final Path next;
     private final ScheduledThreadPoolExecutor thread;
-    private FileChannel servingLock;
+    /** Taken on this notebook's thread, asked for by the one that ends the program. */
+    private volatile FileChannel servingLock;
     private FileChannel nextLock;
     private FileTime seen;
     private long seenSize = -1;
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -1,15 +1,10 @@
 package rushproxy.http1;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -19,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
+import rushproxy.core.Listening;
 import rushproxy.core.Requests;
 
 /** The application's side: listens, and says goodbye without losing what clients have sent. */
@@ -74,20 +70,7 @@
 
     /** {@code shared}: another process of this sidecar may listen there too. */
     public InetSocketAddress listen(InetSocketAddress address, boolean shared) throws InterruptedException {
-        ServerBootstrap bootstrap = new ServerBootstrap();
-        if (shared) {
-            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
-        }
-        listener = (Door) bootstrap.group(loop).channelFactory(Door::new)
-                .option(ChannelOption.SO_BACKLOG, 256)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        accepted(channel);
-                    }
-                }).bind(address).sync().channel();
+        listener = (Door) Listening.tcp(loop, Door::new, 256, shared, address, this::accepted);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) listener.localAddress();
     }
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -8,14 +8,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import rushproxy.core.Listening;
 
 /** Short messages between sidecars. A peer's number is its place in the configuration. */
 final class Peers {
@@ -39,11 +38,7 @@
 
     /** {@code shared}: another process of this sidecar may listen there too; each peer's words reach one of them. */
     void listen(EventLoop loop, InetSocketAddress address, boolean shared) throws InterruptedException {
-        Bootstrap bootstrap = new Bootstrap();
-        if (shared) {
-            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
-        }
-        channel = bootstrap.group(loop).channelFactory(NioDatagramChannel::new).handler(new Handler())
+        channel = Listening.share(new Bootstrap(), shared).group(loop).channelFactory(NioDatagramChannel::new).handler(new Handler())
                 .bind(address).sync().channel();
     }
 
