--- a/src/main/java/rushproxy/cli/Lab.java
+++ b/src/main/java/rushproxy/cli/Lab.java
@@ -21,6 +21,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
+import rushproxy.fleet.account.Account;
 import rushproxy.json.Json;
 import rushproxy.lab.Day;
 import rushproxy.lab.Runner;
@@ -39,7 +40,7 @@
 
 /** The laboratory: a fleet in one process on virtual time. Exit code 0: it holds; 1: it falls short; 2: wrong input. */
 @Command(name = "lab", description = "A fleet in one process on virtual time: plays scenarios, sweeps over settings, searches for faults.",
-        subcommands = {Lab.Run.class, Lab.Sweeps.class, Lab.Find.class, Lab.Replay.class, Lab.Fuzzing.class, Lab.Shipped.class, Lab.Pages.class,
+        subcommands = {Lab.Run.class, Lab.Sweeps.class, Lab.Find.class, Lab.Replay.class, Lab.Accounts.class, Lab.Fuzzing.class, Lab.Shipped.class, Lab.Pages.class,
         CommandLine.HelpCommand.class})
 final class Lab {
     private Lab() {}
@@ -106,8 +107,12 @@
         }
 
         void add(Day d) {
+            add(d.asMap());
+        }
+
+        void add(Map<String, Object> line) {
             if (to != null) {
-                to.println(new String(Json.write(d.asMap()), StandardCharsets.UTF_8));
+                to.println(new String(Json.write(line), StandardCharsets.UTF_8));
             }
         }
 
@@ -250,6 +255,43 @@
         }
     }
 
+    @Command(name = "account", description = "Plays one day and says what the whole fleet spent, second by second, and on whom.",
+            mixinStandardHelpOptions = true)
+    static final class Accounts implements Callable<Integer> {
+        @Parameters(paramLabel = "SCENARIO")
+        private String name;
+        @Mixin
+        private Play play;
+        @Option(names = "--seed", paramLabel = "N", description = "of a day of this scenario")
+        private Integer seed;
+        @Option(names = "--every", paramLabel = "S", defaultValue = "1", description = "a line for so many seconds (default: ${DEFAULT-VALUE})")
+        private int every;
+
+        @Override
+        public Integer call() throws Exception {
+            if (every < 1 || every > 86_400) {
+                throw play.wrong("--every: expected 1 to 86400, found " + every);
+            }
+            Scenario s = ScenarioFile.read(name, play.instead());
+            s = play.operator() == null ? s : s.with(play.operator());
+            s = seed == null ? s : s.with(s.faults(), seed);
+            Account account = new Account((int) Math.max(1, (s.fleet().lengthUs() + 999_999) / 1_000_000));
+            Day day = new World(s, Engine.module(s.operator()), null, account).play();
+            try (JsonLines lines = play.lines()) {
+                Map<String, Object> line = new LinkedHashMap<>();
+                line.put("scenario", s.name());
+                line.put("seed", s.seed());
+                line.putAll(account.asMap());
+                lines.add(line);
+            }
+            if (!play.toStandardOutput()) {
+                account.lines(every, s.sidecar().rules().fallMultiple()).forEach(System.out::println);
+                System.out.println(day.line());
+            }
+            return day.holds() ? 0 : 1;
+        }
+    }
+
     @Command(name = "sweep", description = "Plays a scenario over values of one or two keys and over seeds, or two ways on the same seeds.",
             mixinStandardHelpOptions = true)
     static final class Sweeps implements Callable<Integer> {
--- a/src/main/java/rushproxy/lab/Instance.java
+++ b/src/main/java/rushproxy/lab/Instance.java
@@ -38,6 +38,8 @@
     private Engine engine;
     private Lines lines;
     private Clock clock;
+    /** When discovery, or its own process's start, last told it of all there is. */
+    long listedUs;
     long probes;
     long words;
     long dialsBefore;
@@ -68,6 +70,7 @@
     void boot(Listing known, Engine.Module module, long clockAheadUs) {
         int of = ++life;
         alive = true;
+        listedUs = known == null ? world.time().now() : known.asOfUs();
         Timers timers = (us, what) -> world.time().in(Math.max(0, us), () -> {
             if (alive && life == of) {
                 world.speaks(this);
@@ -158,11 +161,18 @@
         }
     }
 
-    void word(int from, byte[] message) {
+    /** False where nobody is there to hear it. */
+    boolean word(int from, byte[] message) {
         if (alive) {
             world.speaks(this);
             engine.word(from, message);
         }
+        return alive;
+    }
+
+    /** Whether its module keeps requests from that node now. */
+    boolean avoids(String node) {
+        return engine.module().avoids(clock.now(), node);
     }
 
     int open() {
@@ -221,6 +231,7 @@
     @Override
     public void probe(String upstream, long untilUs, Attempt.Result result) {
         probes++;
+        world.probes();
         lines.probe(upstream, untilUs, result);
     }
 
--- a/src/main/java/rushproxy/lab/LabNode.java
+++ b/src/main/java/rushproxy/lab/LabNode.java
@@ -156,6 +156,15 @@
         return time.now() < stallUntilUs;
     }
 
+    /** It stands still, errs or has lost some of its speed. */
+    boolean ails() {
+        return stalled() || errors > 0 || neighbour < 1;
+    }
+
+    boolean warm() {
+        return model.warmth(time.now()) >= 1;
+    }
+
     /** When it next does anything. */
     long awakeAtUs() {
         return Math.max(time.now(), stallUntilUs);
--- a/src/main/java/rushproxy/lab/LabRegistry.java
+++ b/src/main/java/rushproxy/lab/LabRegistry.java
@@ -172,6 +172,7 @@
                 Call c = new Call(who, result, index(uri));
                 out = c;
                 calls++;
+                world.calls();
                 bytes += uri.length() + HEADER_BYTES.length();
                 if (world.cutFromRegistry(who)) {
                     return;
@@ -239,6 +240,7 @@
         time.in(world.oneWayUs(), () -> {
             if (!c.over && c.of.alive() && !world.cutFromRegistry(c.of)) {
                 c.over = true;
+                c.of.listedUs = time.now();
                 // The referee hears what the sidecar is told, in the same instant.
                 body.ready.forEach((id, ready) -> world.told(c.of, id, ready));
                 c.result.answered(200, body.bytes, true);
--- a/src/main/java/rushproxy/lab/Lines.java
+++ b/src/main/java/rushproxy/lab/Lines.java
@@ -275,24 +275,29 @@
             }
             dialled = true;
             dials++;
+            world.dials();
             LabNode node = target.node;
             long one = world.oneWayUs(owner, node);
             if (node == null || node.link() == Link.DEAD) {
                 // Its machine answers that nobody listens there.
                 timers.in(2 * one, () -> {
                     refused = true;
+                    world.dialRefused();
+                    broke();
+                });
+            } else if (node.link() == Link.CUT || node.link() == Link.ANSWERS_LOST) {
+                timers.in(dialUs, () -> {
+                    world.dialRefused();
                     broke();
                 });
-            } else if (node.link() == Link.CUT) {
-                timers.in(dialUs, this::broke);
-            } else if (node.link() == Link.ANSWERS_LOST) {
-                timers.in(dialUs, this::broke);
             } else {
                 // The machine's kernel accepts, also for a process that stands still.
                 timers.in(3 * one, () -> {
                     if (ended || node.link() == Link.DEAD) {
+                        world.dialRefused();
                         broke();
                     } else if (node.connections >= world.connectionsOf(node)) {
+                        world.dialRefused();
                         end(Outcome.REJECTED, null);
                     } else if (!world.sendsTo(target.state) || request != null && clock.now() >= untilUs) {
                         end(Outcome.NOT_SENT, null);
--- a/src/main/java/rushproxy/lab/World.java
+++ b/src/main/java/rushproxy/lab/World.java
@@ -20,6 +20,8 @@
 import rushproxy.Balancer.UpstreamState;
 import rushproxy.core.Exchange;
 import rushproxy.core.Log;
+import rushproxy.fleet.account.Account;
+import rushproxy.fleet.account.Condition;
 import rushproxy.lab.LabNode.Link;
 import rushproxy.lab.scenario.Fault;
 import rushproxy.lab.scenario.Scenario;
@@ -109,6 +111,8 @@
     private final Figures figures;
     private final List<String> troubles = new ArrayList<>();
     private final Consumer<String> log;
+    /** Null where nobody asks for it. */
+    private final Account account;
     private final long endUs;
     private final double totalShare;
     private Instance speaking;
@@ -130,6 +134,12 @@
      * @param log    told each event as a line; null where nobody listens, which is much faster
      */
     public World(Scenario scenario, Engine.Module module, Consumer<String> log) {
+        this(scenario, module, log, null);
+    }
+
+    /** @param account told what the fleet spends, from the day's begin on; null: nobody asks, which changes nothing of the day */
+    public World(Scenario scenario, Engine.Module module, Consumer<String> log, Account account) {
+        this.account = account;
         this.scenario = scenario;
         this.module = module;
         this.log = log;
@@ -312,6 +322,7 @@
                 + (1 - scenario.traffic().patience()) * retries.nextDouble()));
         referee.sent(now, id, intent, k.spec().semantics(), now + waits);
         figures.tries++;
+        count(Account::asked);
         event("ask", w.number, id);
         Try t = new Try(id, w.workMs, k.workUs() / 1000);
         String tenant = scenario.tenants().get(w.tenant).name();
@@ -345,6 +356,7 @@
         i.holding(id, () -> {
             referee.released(id);
             figures.cell(w.second, w.kind).failed++;
+            count((a, us) -> a.ended(us, Account.End.FAILED));
         });
         i.take(x);
         if (w.leaves) {
@@ -353,6 +365,7 @@
                     gone[0] = true;
                     referee.left(id);
                     figures.cell(w.second, w.kind).asked--;
+                    count((a, us) -> a.ended(us, Account.End.LEFT));
                     i.left(x);
                 }
             });
@@ -365,12 +378,15 @@
         referee.answered(time.now(), id, how, true);
         event(how.name(), w.number, id);
         Figures.Cell cell = figures.cell(w.second, w.kind);
+        boolean late = time.now() - w.firstUs > k.spec().aimUs();
+        count((a, us) -> a.ended(us, how == Referee.Ending.REFUSED ? Account.End.REFUSED : how == Referee.Ending.FAILED ? Account.End.FAILED
+                : late ? Account.End.LATE : Account.End.SERVED));
         if (how == Referee.Ending.SERVED) {
             figures.latency(w.kind, time.now() - w.firstUs);
-            if (time.now() - w.firstUs <= k.spec().aimUs()) {
-                cell.served++;
-            } else {
+            if (late) {
                 cell.late++;
+            } else {
+                cell.served++;
             }
             return;
         }
@@ -461,6 +477,57 @@
     /** How an attempt, or a probe, ended for its sidecar. */
     void ended(Instance at, String upstream, Try t, Outcome outcome) {
         event("ended", outcome.ordinal(), upstream);
+        if (t != null) {
+            count((a, us) -> a.attempt(us, condition(posts.get(upstream)), outcome));
+        }
+    }
+
+    void dials() {
+        count(Account::dial);
+    }
+
+    void dialRefused() {
+        count(Account::dialRefused);
+    }
+
+    void probes() {
+        count(Account::probe);
+    }
+
+    void calls() {
+        count(Account::call);
+    }
+
+    /** A thing for the account, and when it was. */
+    private void count(java.util.function.ObjLongConsumer<Account> what) {
+        if (account != null) {
+            what.accept(account, time.now() - START_US);
+        }
+    }
+
+    private Condition condition(Post p) {
+        if (p == null || p.retired) {
+            return Condition.GONE;
+        }
+        if (p.node.link() != Link.UP) {
+            boolean alone = posts.values().stream().anyMatch(o -> !o.retired && o.node.zone.equals(p.node.zone) && o.node.link() == Link.UP);
+            return alone ? Condition.LOST : Condition.DEAD_ZONE;
+        }
+        return p.node.ails() ? Condition.BAD : p.node.warm() ? Condition.WARM : Condition.COLD;
+    }
+
+    /** One sidecar's picture beside the truth. */
+    private void look(Instance i) {
+        int avoided = 0;
+        int healthy = 0;
+        for (Post p : posts.values()) {
+            if (i.avoids(p.node.id)) {
+                avoided++;
+                Condition c = condition(p);
+                healthy += c == Condition.WARM || c == Condition.COLD ? 1 : 0;
+            }
+        }
+        account.looked(time.now() - START_US, avoided, healthy, time.now() - i.listedUs);
     }
 
     void told(Instance who, String node, boolean ready) {
@@ -472,6 +539,7 @@
     }
 
     void tell(Instance from, int peer, byte[] message) {
+        count(Account::said);
         if (peer >= 0) {
             tellOne(from, peer, message);
             return;
@@ -491,8 +559,11 @@
             bytes[network.nextInt(bytes.length)] ^= (byte) (1 + network.nextInt(255));
         }
         byte[] arrives = bytes;
-        time.in((long) (scenario.net().peerUs() * (0.3 + 1.4 * network.nextDouble())),
-                () -> instances.get(peer).word(from.number, arrives));
+        time.in((long) (scenario.net().peerUs() * (0.3 + 1.4 * network.nextDouble())), () -> {
+            if (instances.get(peer).word(from.number, arrives)) {
+                count(Account::heard);
+            }
+        });
     }
 
     // ---- what goes wrong ------------------------------------------------------------------------
@@ -696,6 +767,9 @@
         int open = 0;
         for (Instance i : instances) {
             open += i.open();
+            if (account != null && i.alive()) {
+                look(i);
+            }
         }
         figures.connections[Math.min(second, figures.connections.length - 1)] = open;
         List<Post> all = new ArrayList<>(posts.values());
@@ -761,6 +835,9 @@
         figures.sidecarConnections = instances.stream().mapToInt(Instance::mostOpen).max().orElse(0);
         figures.ownLoad = ownWorkMs / (scenario.capacity() * scenario.fleet().lengthUs() / 1000);
         List<Double> cold = posts.values().stream().flatMap(p -> p.node.coldPushes().stream()).sorted(Comparator.naturalOrder()).toList();
+        if (account != null) {
+            cold.forEach(account::cold);
+        }
         figures.coldMost = cold.isEmpty() ? 0 : cold.get(cold.size() - 1);
         figures.coldMean99 = cold.isEmpty() ? 0 : cold.get((int) Math.min(cold.size() - 1, 0.99 * cold.size()));
         List<Post> listed = posts.values().stream().filter(p -> !p.retired && p.node.link() == Link.UP).toList();
--- a/src/test/java/rushproxy/ArchitectureTest.java
+++ b/src/test/java/rushproxy/ArchitectureTest.java
@@ -25,7 +25,7 @@
 
     /** Packages that decide: no I/O, no threads, time as a parameter. */
     private static final String[] PURE = {"rushproxy", "rushproxy.membership", "rushproxy.grpc.mapping", "rushproxy.trace", "rushproxy.zones",
-        "rushproxy.subset", "rushproxy.fleet", "rushproxy.figures"};
+        "rushproxy.subset", "rushproxy.fleet", "rushproxy.fleet.account", "rushproxy.figures"};
 
     @Test
     void whatDecidesDoesNoInputOrOutput() {
--- /dev/null
+++ b/src/test/java/rushproxy/lab/AccountedTest.java
@@ -0,0 +1,53 @@
+package rushproxy.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import rushproxy.fleet.account.Account;
+import rushproxy.lab.scenario.Scenario;
+import rushproxy.lab.scenario.ScenarioFile;
+import rushproxy.sidecar.Engine;
+
+/** The account of a day beside what the day says of itself; to be looked at changes nothing. */
+class AccountedTest {
+    private static long wasted(Map<String, Object> account, String met) {
+        return (Long) ((List<?>) ((Map<?, ?>) account.get("attemptsAndWasted")).get(met)).get(1);
+    }
+
+    private static long number(Map<String, Object> account, String name) {
+        return (Long) account.get(name);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"vast-join", "zone-dark", "storm-of-faults", "cold-storm"})
+    void whatIsAskedEndsOnceAndTheDayIsTheSame(String name) throws Exception {
+        Scenario s = ScenarioFile.read(name, Map.of());
+        Account account = new Account((int) ((s.fleet().lengthUs() + 999_999) / 1_000_000));
+        Day seen = new World(s, Engine.module(s.operator()), null, account).play();
+        Map<String, Object> a = account.asMap();
+        assertEquals(number(a, "asked"), number(a, "served") + number(a, "late") + number(a, "refused") + number(a, "failed") + number(a, "left"));
+        assertEquals(seen.figures().tries, number(a, "asked"));
+        assertEquals(seen.figures().coldMost(), a.get("coldWorst"));
+        assertTrue(number(a, "dials") >= seen.figures().dials, "the day counts until its end, the account until all is over");
+        Day unseen = new World(s, Engine.module(s.operator()), null).play();
+        assertEquals(unseen.asMap(), seen.asMap());
+    }
+
+    @Test
+    void aDeadZoneAndReplacedNodesShowWhereAttemptsWent() throws Exception {
+        Scenario dark = ScenarioFile.read("zone-dark", Map.of());
+        Account a = new Account((int) (dark.fleet().lengthUs() / 1_000_000));
+        new World(dark, Engine.module(dark.operator()), null, a).play();
+        assertTrue(wasted(a.asMap(), "dead zone") > 0, a.lines(10, 3).toString());
+        assertEquals(0, wasted(a.asMap(), "gone"));
+        Scenario join = ScenarioFile.read("vast-join", Map.of());
+        Account b = new Account((int) (join.fleet().lengthUs() / 1_000_000));
+        new World(join, Engine.module(join.operator()), null, b).play();
+        assertTrue(wasted(b.asMap(), "gone") > 0 && wasted(b.asMap(), "dead zone") == 0, b.lines(10, 3).toString());
+    }
+}
