Sidecars of any fleet tell each other where no connection came up

Change: fleet.Lessons (pure): two witnesses of one process of a node within 2 s leave it a fiftieth of its share in the draw, no more; own answers win; bounded words of 4 bytes a node. The module asks Others.trust where it scales shares. A dial cut short by its client's time teaches nothing.

--- a/src/main/java/rushproxy/Others.java
+++ b/src/main/java/rushproxy/Others.java
@@ -1,5 +1,7 @@
 package rushproxy;
 
+import rushproxy.Balancer.Upstream;
+
 /**
  * What the other sidecars say they hold at an upstream now. The module compares upstreams by it and judges by it whether one
  * has room; it ejects and repeats nothing for it. It is hearsay: who answers sees to it that no single sidecar moves much.
@@ -10,4 +12,9 @@
 
     /** Requests of others in flight there at {@code now} (microseconds), from 0; no call changes anything that counts. */
     int held(long now, String upstream);
+
+    /** What part of its share in the draw an upstream keeps by what others met there: over 0, and 1 where nothing is said of it. */
+    default double trust(long now, Upstream upstream) {
+        return 1;
+    }
 }
--- a/src/main/java/rushproxy/membership/Membership.java
+++ b/src/main/java/rushproxy/membership/Membership.java
@@ -325,6 +325,12 @@
                 u.speaks()));
     }
 
+    /** As it is listed; null where it is not. */
+    public Upstream upstream(String id) {
+        Entry e = entries.get(id);
+        return e == null ? null : e.member.upstream();
+    }
+
     /** Whether an operator may speak of it: it is listed, or out by hand and expected back. */
     public boolean has(String id) {
         return entries.containsKey(id) || bans.out(id);
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -21,6 +21,7 @@
 import rushproxy.core.Timers;
 import rushproxy.figures.Figures;
 import rushproxy.fleet.Holdings;
+import rushproxy.fleet.Lessons;
 import rushproxy.membership.Listing;
 import rushproxy.membership.Member;
 import rushproxy.membership.Membership;
@@ -84,6 +85,9 @@
     /** A word is to be said, at the latest when this is due. */
     private Timers.Timer wordDue;
     private boolean changed;
+    /** Null where sidecars do not tell each other what they met. */
+    private Lessons lessons;
+    private boolean lessonDue;
 
     public Engine(Timers timers, Clock clock, Settings settings, Operator operator, long seed, Network network) {
         this.timers = timers;
@@ -129,11 +133,12 @@
             members.keepTo(new Subset(operator.subset(), settings.me(), settings.balancers(), clock.now()));
         }
         holdings = told == settings ? Holdings.of(settings) : null;
+        lessons = told == settings ? Lessons.of(settings) : null;
         List<Balancer.Upstream> first = members.start(lists);
         discovery = new RegistryWatch(timers, clock, members, calls, members.generation(), settings.rules().askEveryUs(),
                 !settings.discoveryOnRequest(), judged, seed);
         decisions.start(actions -> {
-            module = made.create(told, holdings == null ? Others.SILENT : holdings, seed, clock.now(), actions);
+            module = made.create(told, lessons != null ? new Hearsay() : holdings == null ? Others.SILENT : holdings, seed, clock.now(), actions);
             module.onList(clock.now(), ListKind.CACHED, first);
             return module;
         }, new Hands());
@@ -153,6 +158,12 @@
             }
             return;
         }
+        if (Lessons.isWord(message)) {
+            if (lessons != null) {
+                lessons.heard(clock.now(), peer, message);
+            }
+            return;
+        }
         // Those that the module knows of with subsets are so many, whoever they are; itself it would not believe.
         int known = told == settings ? peer : (told.me() + 1 + peer % Math.max(1, told.balancers() - 1)) % told.balancers();
         decisions.call(m -> m.onPeer(clock.now(), known, message), () -> { });
@@ -176,6 +187,31 @@
         wordDue = again == 0 ? null : timers.in(again, this::sayHoldings);
     }
 
+    /** Others are told soon; what several learn in the same moment is told by few. */
+    private void learn(Attempt attempt, Balancer.Outcome outcome) {
+        Balancer.Upstream at = members.upstream(attempt.upstream());
+        if (at == null) {
+            return;
+        }
+        if (outcome == Balancer.Outcome.OK) {
+            lessons.answered(at);
+            return;
+        }
+        long now = clock.now();
+        boolean news = outcome == Balancer.Outcome.CONNECT_FAILED
+                && lessons.failed(now, at, attempt.refused(), attempt.dialled() ? now - attempt.sentUs() : 0);
+        if (news && !lessonDue) {
+            lessonDue = true;
+            timers.in(lessons.waitUs(now), () -> {
+                lessonDue = false;
+                byte[] word = lessons.word(clock.now());
+                if (word != null) {
+                    network.tell(-1, word);
+                }
+            });
+        }
+    }
+
     public Decisions decisions() {
         return decisions;
     }
@@ -247,10 +283,26 @@
                 holdings.ended(attempt.upstream());
                 tellHoldings();
             }
+            if (lessons != null) {
+                learn(attempt, outcome);
+            }
             members.ended(attempt, outcome);
         }
     }
 
+    /** All that others say, as the module asks for it. */
+    private final class Hearsay implements Others {
+        @Override
+        public int held(long now, String upstream) {
+            return holdings == null ? 0 : holdings.held(now, upstream);
+        }
+
+        @Override
+        public double trust(long now, Balancer.Upstream upstream) {
+            return lessons.trust(now, upstream, members.size());
+        }
+    }
+
     /** Carries out what the module decides. */
     private final class Hands implements Balancer.Actions {
         private int spread;
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -171,6 +171,11 @@
         return membership.bans();
     }
 
+    /** As the list has it; null where it does not. */
+    Upstream upstream(String id) {
+        return membership.upstream(id);
+    }
+
     /** How many upstreams the list has. */
     int size() {
         return membership.size();
--- a/src/test/java/rushproxy/lab/AccountedTest.java
+++ b/src/test/java/rushproxy/lab/AccountedTest.java
@@ -50,4 +50,20 @@
         new World(join, Engine.module(join.operator()), null, b).play();
         assertTrue(wasted(b.asMap(), "gone") > 0 && wasted(b.asMap(), "dead zone") == 0, b.lines(10, 3).toString());
     }
+
+    /** What a few sidecars met steers all others: without their words each finds each dead node by itself. */
+    @ParameterizedTest
+    @ValueSource(strings = {"vast-join", "vast-dark"})
+    void lessonsSpareAttemptsAtDeadNodes(String name) throws Exception {
+        Scenario s = ScenarioFile.read(name, Map.of("fleet.length", "20s"));
+        Account with = new Account(20);
+        Account without = new Account(20);
+        Engine.Module real = Engine.module(s.operator());
+        Day day = new World(s, real, null, with).play();
+        new World(s, (settings, others, seed, now, actions) -> real.create(settings, (at, upstream) -> others.held(at, upstream), seed, now, actions), null,
+                without).play();
+        String met = name.equals("vast-join") ? "gone" : "dead zone";
+        assertTrue(day.sound(), day.fouls() + " " + day.troubles());
+        assertTrue(2 * wasted(with.asMap(), met) < wasted(without.asMap(), met), wasted(with.asMap(), met) + " of " + wasted(without.asMap(), met));
+    }
 }
