--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -438,7 +438,8 @@
         for (int i = 0; i < k.length; i++) {
             for (Server s : groups.get(i)) {
                 // The floor only matters when all servers with a share are full.
-                s.share = Math.max(p[i] / k[i], 1e-6 * mu[i]) * guide.weight(s.entry) * others.trust(now, s.entry);
+                s.share = Math.max(p[i] / k[i], 1e-6 * mu[i]) * guide.weight(s.entry);
+                s.share *= others.trust(now, s.entry);
                 bestSlow = Math.min(bestSlow, s.slow() / warmth(s, now));
                 all.add(s);
                 if (priced()) (s.zone == home ? near : far).add(s);
