--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -25,8 +25,6 @@
     private static final long QUIET_MS = 150;
     private static final long LOOK_MS = 20;
     private static final long SWEEP_MS = 100;
-    /** Sweeps further apart than this show that the loop stood still. */
-    private static final long STOOD_US = 150_000;
     /** Step of the mean: some fifty requests show how an application uses its connections. */
     private static final double REUSE_GAIN = 0.02;
     /** However full the table is: the next request of one that has just been served may be on its way. */
@@ -54,7 +52,6 @@
     /** When clients were asked away; 0 while they are welcome. */
     private long awaySinceUs;
     private long acceptedUs;
-    private long sweptUs;
     /** Share of the requests that came on connections which had carried some before. */
     private double reuse = 1;
     /** Bytes of bodies that are not whole yet, over all connections. */
@@ -145,12 +142,6 @@
     /** Who says nothing, or only half of something, or nothing more, holds a descriptor that others need. */
     private void sweep() {
         long now = clock.now();
-        boolean stood = sweptUs > 0 && now - sweptUs > STOOD_US;
-        sweptUs = now;
-        if (stood) {
-            // What came meanwhile lies unread: silence here is this loop's own, and a close would lose it.
-            return;
-        }
         List.copyOf(connections).forEach(c -> c.expire(now));
         if (connections.size() >= maxConnections) {
             makeRoom(now);
