Read a scenario with its operator's file and seed in one place for all lab commands

Read again: lab run, replay and account each read the scenario, the operator's file (twice) and the seed; account was the third copy. Play.scenario serves all and reads the operator's file once. No behaviour changed. Checked: command line, lessons, account, architecture and width tests; the commands by hand.

--- a/src/main/java/rushproxy/cli/Lab.java
+++ b/src/main/java/rushproxy/cli/Lab.java
@@ -82,6 +82,14 @@
             return operator == null ? null : OperatorFile.read(operator);
         }
 
+        /** As it is to be played; {@code seed}: null for its own. */
+        Scenario scenario(String name, Integer seed) throws IOException, Broken {
+            Operator of = operator();
+            Scenario s = ScenarioFile.read(name, instead());
+            s = of == null ? s : s.with(of);
+            return seed == null ? s : s.with(s.faults(), seed);
+        }
+
         ParameterException wrong(String what) {
             return new ParameterException(spec.commandLine(), what);
         }
@@ -224,8 +232,7 @@
             }
             List<Scenario> all = new ArrayList<>();
             for (String name : names.isEmpty() ? ScenarioFile.SHIPPED : names) {
-                Scenario s = ScenarioFile.read(name, play.instead());
-                s = play.operator() == null ? s : s.with(play.operator());
+                Scenario s = play.scenario(name, null);
                 for (int k = 0; k < seeds; k++) {
                     all.add(s.with(s.faults(), s.seed() + k));
                 }
@@ -249,9 +256,7 @@
 
         @Override
         public Integer call() throws Exception {
-            Scenario s = ScenarioFile.read(name, play.instead());
-            s = play.operator() == null ? s : s.with(play.operator());
-            return days(List.of(seed == null ? s : s.with(s.faults(), seed)), play, report, log);
+            return days(List.of(play.scenario(name, seed)), play, report, log);
         }
     }
 
@@ -272,9 +277,7 @@
             if (every < 1 || every > 86_400) {
                 throw play.wrong("--every: expected 1 to 86400, found " + every);
             }
-            Scenario s = ScenarioFile.read(name, play.instead());
-            s = play.operator() == null ? s : s.with(play.operator());
-            s = seed == null ? s : s.with(s.faults(), seed);
+            Scenario s = play.scenario(name, seed);
             Account account = new Account((int) Math.max(1, (s.fleet().lengthUs() + 999_999) / 1_000_000));
             Day day = new World(s, Engine.module(s.operator()), null, account).play();
             try (JsonLines lines = play.lines()) {
--- a/src/main/java/rushproxy/fleet/Lessons.java
+++ b/src/main/java/rushproxy/fleet/Lessons.java
@@ -1,6 +1,7 @@
 package rushproxy.fleet;
 
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -149,7 +150,7 @@
             return null;
         }
         saidAtUs = now;
-        return java.util.Arrays.copyOf(out.array(), out.position());
+        return Arrays.copyOf(out.array(), out.position());
     }
 
     /** Whether it is a word of this kind. */
