A watch that fell silent is made anew at once, before what it misses counts as told

Logs: all sidecars say 'no answer' at 11.7 s (call at 0.2 s, wait 10 s, patience 1.5 s); told at 12.2 s; the module asks again 0.25 to 0.75 s after a failure, and discovery answers such a call up to 0.54 s later. At fault: RegistryWatch.begin (SILENT_MS), .failed, and Policy.listAnswered's pause behind it. Ruled out: sends to a drained upstream by the pool (its state is checked).

Change: Rhythm (pure) says how long calls wait and are waited for; a silent call is made anew at once on another connection and waits for no change; only a second silence is a failure that the module hears of. Agents are asked every second, and again and again while silent. After a move one loss is made up for at once. Waits differ by up to a quarter, so that a fleet does not call in step.

The two new tests in DiscoveryTest fail on the parent.

--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -1,5 +1,6 @@
 package rushproxy.membership.registry;
 
+import java.util.SplittableRandom;
 import rushproxy.core.Clock;
 import rushproxy.core.Log;
 import rushproxy.core.Pauses;
@@ -24,11 +25,8 @@
     }
 
     private static final String PATH = "/registry/instances";
-    /** Discovery keeps a call for the whole list in its queue for seconds. */
-    private static final long WHOLE_MS = 4_000;
-    /** Changes count as told 2 s after a watch's wait is over: one that is silent then is asked again before. */
-    private static final long SILENT_MS = 1_500;
-    private static final long MOST_WAIT_MS = 20_000;
+    /** Between calls to an agent that fail at once: what it has when it is back counts as told at once, and it costs nobody anything. */
+    private static final long AGENT_US = 150_000;
     /** Between calls of a watch that goes on by itself: where discovery is down, a fleet must not rush it. */
     private static final long AGAIN_US = 1_000_000, AGAIN_MOST_US = 8_000_000;
     /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
@@ -41,7 +39,8 @@
     private final Clock clock;
     private final Listener listener;
     private final Pauses pauses;
-    private final long waitMs;
+    private final Rhythm rhythm;
+    private final SplittableRandom random;
     private boolean unconfirmed;
     private final RegistryCalls calls;
     private long generation;
@@ -50,6 +49,10 @@
     /** The module has asked and waits for an answer, be it one without changes. */
     private boolean asked;
     private Timers.Timer timeout;
+    /** Calls in a row that got no answer at all. */
+    private int silences;
+    /** Discovery has moved, and has not been heard at its new place. */
+    private boolean moved;
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
     private long call;
     private long made;
@@ -69,10 +72,11 @@
         this.timers = timers;
         this.clock = clock;
         this.listener = listener;
-        pauses = new Pauses(AGAIN_US, AGAIN_MOST_US, seed);
+        pauses = pushed ? new Pauses(AGENT_US, AGENT_US, seed) : new Pauses(AGAIN_US, AGAIN_MOST_US, seed);
+        random = new SplittableRandom(seed);
         this.calls = calls;
         this.generation = generation;
-        waitMs = askEveryUs <= 0 ? MOST_WAIT_MS : Math.min(MOST_WAIT_MS, askEveryUs / 1000);
+        rhythm = Rhythm.of(pushed, askEveryUs);
     }
 
     public void start() {
@@ -92,6 +96,8 @@
      */
     public void moved() {
         doubt = true;
+        moved = true;
+        silences = 0;
         leave();
         begin();
     }
@@ -114,8 +120,9 @@
         long number = ++made;
         call = number;
         begunUs = clock.now();
-        timeout = timers.in((doubt ? WHOLE_MS : waitMs + SILENT_MS) * 1_000, () -> failed(number, "no answer"));
-        calls.call(doubt ? PATH : PATH + "?index=" + generation + "&wait=" + (unconfirmed ? 0 : waitMs), new RegistryCalls.Result() {
+        long waitMs = unconfirmed || silences > 0 ? 0 : rhythm.waitMs(random);
+        timeout = timers.in(patienceMs(waitMs) * 1_000, () -> silent(number));
+        calls.call(doubt ? PATH : PATH + "?index=" + generation + "&wait=" + waitMs, new RegistryCalls.Result() {
             @Override
             public void answered(int status, byte[] body, boolean again) {
                 if (call == number) {
@@ -130,10 +137,42 @@
         });
     }
 
+    private long patienceMs(long waitMs) {
+        if (doubt || unconfirmed) {
+            return moved && silences == 0 ? rhythm.movedMs() : rhythm.wholeMs();
+        }
+        return silences > 0 ? rhythm.againMs() : waitMs + rhythm.lateMs();
+    }
+
+    /** A call that has fallen silent is broken: it is made anew at once, on another connection. Only who is silent again has failed. */
+    private void silent(long number) {
+        if (call != number) {
+            return;
+        }
+        if (rhythm.tireless() || silences == 0) {
+            anew();
+        } else {
+            failed(number, "no answer");
+        }
+    }
+
+    private void anew() {
+        if (silences++ == 0) {
+            Log.event("discovery.silent", "a call to discovery got no answer: it is made anew");
+        }
+        leave();
+        begin();
+    }
+
     private void failed(long number, String why) {
         if (call != number || number == 0) {
             return;
         }
+        if (moved && silences == 0) {
+            // All that have moved may have asked at once; a pause would outlast the time in which what is new there counts as told.
+            anew();
+            return;
+        }
         end();
         // What may still come on it answers a call that is over.
         calls.hangUp();
@@ -176,6 +215,8 @@
         end();
         doubt = false;
         unconfirmed = false;
+        moved = false;
+        silences = 0;
         generation = list.generation();
         if (!again) {
             calls.hangUp();
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -131,4 +131,55 @@
             assertEquals(-1, rig.discovery.accepted.take().getInputStream().read(), "the old connection was left open");
         }
     }
+
+    /**
+     * A watch falls silent, then an upstream drains: what was missed is asked for on a new connection before it counts as told, and the
+     * module need not ask for it, which it would do after a pause.
+     */
+    @Test
+    void aWatchThatFallsSilentBeforeADrainIsMadeAnewAtOnce() throws Exception {
+        for (String discovery : new String[] {"on_request", "pushed"}) {
+            AtomicInteger calls = new AtomicInteger();
+            try (Rig rig = new Rig((m, line) -> {
+                int number = calls.incrementAndGet();
+                if (number == 1) {
+                    line.answer("200 OK", "", Rig.list(41, false));
+                } else if (number > 2 && m.path().endsWith("&wait=0")) {
+                    line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
+                }
+            })) {
+                rig.settings = rig.settings.replace("\"ask_every_us\":10000000", "\"ask_every_us\":400000").replace("on_request", discovery);
+                rig.asks = discovery.equals("on_request");
+                rig.upstream((m, line) -> { });
+                rig.start();
+                assertEquals("list CACHED u0=READY", rig.await("list"));
+                if (rig.asks) {
+                    assertEquals("list DELTA ", rig.await("list"));
+                }
+                assertEquals("list DELTA u0=DRAINING", rig.await("list"), discovery);
+                assertEquals(2, rig.discovery.accepted.size(), "the call after the silence went on the silent connection");
+            }
+        }
+    }
+
+    /** The first call at the new place is lost: its whole list still comes before it counts as told, 4 s after the new configuration. */
+    @Test
+    void aDrainAtANewPlaceIsSeenThoughTheFirstCallThereIsLost() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Peer next = new Peer((m, line) -> {
+            if (calls.incrementAndGet() == 2) {
+                line.answer("200 OK", "", Rig.list(3, true, UP.replace("Ready", "Terminating")));
+            }
+        });
+             Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            rig.await("list CACHED");
+            rig.discovery.next();
+            rig.reload(next.address());
+            assertEquals("list FULL u0=DRAINING", rig.told.poll(20, TimeUnit.SECONDS));
+            assertEquals("/registry/instances", next.next().path());
+            assertEquals("/registry/instances", next.next().path());
+        }
+    }
 }
