What waits for a client that has left is not sent on, and a stop loses nothing sent ahead

By reading, then by tests on real connections: - Upstreams.connect's listener asked for the upstream's state and the time, not whether anybody still waits, and Requests.left, .fail, .refuse and the end by a first copy touched nothing that is out: an attempt whose connection came up later was written. Ruled out, by tests that hold on the parent too: a request the module holds or is to repeat (it is no longer known), the backlog when the listener closes, upstreams that hang at the stop.

Change: Attempt.withdraw ends what has no byte out as never sent, called by Requests for every end of a request on all fronts. Up to 32 requests are read ahead (bytes bounded as before), and up to 1 MiB behind noise is thrown away. A connection with something ahead goes on until that is answered; one to be closed between requests is read once more first.

--- a/src/main/java/rushproxy/core/Attempt.java
+++ b/src/main/java/rushproxy/core/Attempt.java
@@ -54,6 +54,12 @@
     /** Ends it as never sent. */
     void drop();
 
+    /**
+     * Nobody needs it any more. Ends it as never sent where nothing of it has gone out yet: its connection is still coming up, or its turn has
+     * not come. What is out is not touched.
+     */
+    void withdraw();
+
     /** Gives it up; what it may have begun goes on. No effect once it has ended. */
     void cancel();
 }
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -111,7 +111,7 @@
         }
     }
 
-    /** The client has left: nothing is owed any more, and what is out ends by itself. */
+    /** The client has left: nothing is owed any more, nothing new is sent for it, and what is out ends by itself. */
     public void left(Exchange x) {
         over(x, How.LEFT);
     }
@@ -125,6 +125,16 @@
         if (!x.over) {
             finish(x, how, 0);
             expired(x);
+            withdraw(x);
+        }
+    }
+
+    /** An attempt that waits for its connection must not be written once its request is over, whoever has ended it. */
+    private void withdraw(Exchange x) {
+        for (Attempt a : List.copyOf(x.attempts)) {
+            if (!a.ended()) {
+                a.withdraw();
+            }
         }
     }
 
@@ -195,6 +205,7 @@
         } else if (outcome == Outcome.OK && !x.over) {
             finish(x, How.SERVED, 0);
             x.answer.served(body.retain());
+            withdraw(x);
         }
         ends.ended(x.request, attempt, outcome, report);
         forgetIfSettled(x);
@@ -234,6 +245,7 @@
         if (x != null && !x.over) {
             finish(x, How.REFUSED, retryAfterUs);
             x.answer.refused(retryAfterUs);
+            withdraw(x);
         }
     }
 
@@ -247,6 +259,7 @@
         if (!x.over) {
             finish(x, How.FAILED, 0);
             x.answer.failed();
+            withdraw(x);
         }
     }
 
--- a/src/main/java/rushproxy/grpc/GrpcAttempt.java
+++ b/src/main/java/rushproxy/grpc/GrpcAttempt.java
@@ -126,6 +126,13 @@
         end(new Ending(Outcome.NOT_SENT, Code.UNAVAILABLE, "it was never sent"));
     }
 
+    @Override
+    public void withdraw() {
+        if (!begun && !ended) {
+            drop();
+        }
+    }
+
     @Override
     public void cancel() {
         abandon(new Ending(Outcome.CANCELLED, Code.CANCELLED, "cancelled"));
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -59,8 +60,13 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** An answer leaves this long before its client gives up, so that it is there in time on a busy core. */
     private static final long MARGIN_US = 15_000;
-    /** Requests sent ahead of their turn before no more is read. */
-    private static final int MOST_AHEAD = 8;
+    /**
+     * Requests sent ahead of their turn, and bytes of their bodies, before no more is read. Whoever is not read can't be seen to leave, and
+     * what waits here would still be sent on for him.
+     */
+    private static final int MOST_AHEAD = 32, MOST_AHEAD_BYTES = 8 * Headers.MAX_BODY;
+    /** So much of what is no request any more is read and thrown away, to see the end behind it. */
+    private static final int MOST_THROWN = 1024 * 1024;
     private static final int KEY_BITS = 53;
     /** Who has never asked, or half way through a body says nothing for this long, is given up. */
     private static final long SILENT_US = 2_000_000;
@@ -86,6 +92,8 @@
     private final Classes classes;
     private final ClientServer server;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
+    private int aheadBytes;
+    private int thrown;
     /** The request being read, and what has come of its body; null between requests. */
     private HttpRequest head;
     private CompositeByteBuf body;
@@ -136,6 +144,12 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
+                if (last != null) {
+                    thrown += ((ByteBuf) message).readableBytes();
+                    ReferenceCountUtil.release(message);
+                    steer();
+                    return;
+                }
                 activeUs = clock.now();
                 requests.saw();
                 if (readingSinceUs == 0) {
@@ -223,6 +237,7 @@
         message.setDecoderResult(of.decoderResult());
         // A client counts its time from its last byte, however long it took for the others.
         ahead.add(new Arrival(message, upload, activeUs, unreadUs));
+        aheadBytes += message.content().readableBytes();
         steer();
         next();
     }
@@ -281,14 +296,15 @@
 
     /** Reads on only while there is a use for what would be read. */
     private void steer() {
-        channel.config().setAutoRead(last == null && (upload != null ? upload.wants() : ahead.size() < MOST_AHEAD));
+        channel.config().setAutoRead(last != null ? thrown < MOST_THROWN
+                : upload != null ? upload.wants() : ahead.size() < MOST_AHEAD && aheadBytes < MOST_AHEAD_BYTES);
     }
 
     /** Answers what is owed, says {@code status} and closes: what else comes can't be told from noise. */
     private void end(HttpResponseStatus status) {
         if (last == null) {
             last = status;
-            channel.config().setAutoRead(false);
+            steer();
             next();
         }
     }
@@ -296,6 +312,7 @@
     private void next() {
         while (!busy && !closing && !ahead.isEmpty() && channel.isActive()) {
             Arrival arrival = ahead.poll();
+            aheadBytes -= arrival.message.content().readableBytes();
             steer();
             busy = true;
             carried = arrival.upload;
@@ -418,7 +435,7 @@
         }
 
         private boolean stays(long length) {
-            return keepAlive && !server.partsWithClients() && (length >= 0 || chunks);
+            return keepAlive && !parts() && (length >= 0 || chunks);
         }
 
         @Override
@@ -521,12 +538,17 @@
         return HEX.matcher(text).matches() ? Long.parseUnsignedLong(text, 16) : text.hashCode();
     }
 
+    /** What was sent ahead is taken, and is owed its answer before its client is asked away. */
+    private boolean parts() {
+        return server.partsWithClients() && ahead.isEmpty() && readingSinceUs == 0;
+    }
+
     private void answer(FullHttpRequest to, HttpResponseStatus status) {
         write(HttpUtil.isKeepAlive(to), status, Unpooled.EMPTY_BUFFER, 0);
     }
 
     private void write(boolean keepAlive, HttpResponseStatus status, ByteBuf body, long retryAfterUs) {
-        boolean stays = keepAlive && !server.partsWithClients() && upload == null;
+        boolean stays = keepAlive && !parts() && upload == null;
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body, Headers.CHECKED,
                 Headers.CHECKED);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
@@ -614,7 +636,7 @@
             // A loop that stood still may have left its request unread: it is looked at once more, after a turn of reading.
             silentAtUs = now;
         } else {
-            close();
+            part();
         }
     }
 
@@ -632,12 +654,25 @@
 
     /** Half a request is waited for as long as its client may still wait for the answer, not for ever. */
     void closeIfQuiet(long sinceUs, long halfSinceUs) {
-        if (activeUs < (quiet() ? sinceUs : halfSinceUs) && nothingOwed()) {
+        if (quiet() && activeUs < sinceUs) {
+            part();
+        } else if (nothingOwed() && activeUs < halfSinceUs) {
+            close();
+        }
+    }
+
+    /**
+     * Closes it between requests. What has come since the last selection is read first: closed with that unread, its client would be reset,
+     * and a request lost that this machine has taken.
+     */
+    void part() {
+        ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+        if (quiet()) {
             close();
         }
     }
 
-    void close() {
+    private void close() {
         channel.close();
     }
 
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -136,7 +136,7 @@
     private void makeRoom(long now) {
         Optional<ClientConnection> idle = connections.stream().filter(c -> c.idleFor(now) > FRESH_US)
                 .min(Comparator.comparing(ClientConnection::hasAsked).thenComparing(ClientConnection::activeUs));
-        idle.ifPresent(ClientConnection::close);
+        idle.ifPresent(ClientConnection::part);
     }
 
     /** Who says nothing, or only half of something, or nothing more, holds a descriptor that others need. */
--- a/src/main/java/rushproxy/http1/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -63,6 +63,8 @@
         private boolean dialled;
         private boolean refused;
         private boolean forgiven;
+        /** Something of it may be with the kernel. */
+        private boolean begun;
         private boolean ended;
 
         Call(Upstreams pool, String upstream, long untilUs, boolean reportInBody,
@@ -188,10 +190,18 @@
         /** Ends a call that gets no answer any more: a late one must find nobody, so its connection goes. */
         private void abandon(Outcome outcome) {
             if (!ended) {
+                // First: closing one that is coming up fails it at once, which would be told as the upstream's failure.
+                end(outcome, null, null);
                 if (channel != null) {
                     channel.close();
                 }
-                end(outcome, null, null);
+            }
+        }
+
+        @Override
+        public void withdraw() {
+            if (!begun) {
+                abandon(Outcome.NOT_SENT);
             }
         }
 
@@ -429,6 +439,7 @@
     }
 
     private void write(Call call) {
+        call.begun = true;
         FullHttpRequest message = call.message.apply(call.untilUs - clock.now());
         message.headers().set(HttpHeaderNames.HOST, HOST)
                 .set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
--- a/src/main/java/rushproxy/lab/Lines.java
+++ b/src/main/java/rushproxy/lab/Lines.java
@@ -393,6 +393,13 @@
             end(Outcome.NOT_SENT, null);
         }
 
+        @Override
+        public void withdraw() {
+            if (line == null) {
+                end(Outcome.NOT_SENT, null);
+            }
+        }
+
         @Override
         public void cancel() {
             if (!ended) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -365,6 +365,10 @@
         }
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     Engine engine() {
         return engine;
     }
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/ClientGoneTest.java
@@ -0,0 +1,174 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A request whose client has left while it waited, whatever it waited for, is sent to nobody any more. */
+@Timeout(60)
+class ClientGoneTest {
+    private interface Leaves {
+        void leave(Peer.Client client) throws IOException;
+    }
+
+    private static final Map<String, Leaves> WAYS = Map.of("FIN", c -> c.socket.close(), "FIN alone", c -> c.socket.shutdownOutput(), "RST", c -> {
+        c.socket.setSoLinger(true, 0);
+        c.socket.close();
+    });
+
+    private static Rig rig() throws IOException {
+        Rig rig = new Rig();
+        rig.settings = rig.settings.replace("\"dial_timeout_us\":2000000", "\"dial_timeout_us\":20000000");
+        return rig;
+    }
+
+    @Test
+    void whileItsConnectionComesUp() throws Exception {
+        for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
+            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+                rig.upstreamAt(late.address());
+                rig.start();
+                try (Peer.Client client = rig.client()) {
+                    client.send(Rig.get("a1", 20_000));
+                    rig.await("request a1");
+                    way.getValue().leave(client);
+                    assertEquals("outcome a1 0 NOT_SENT true -", rig.await("outcome"), way.getKey());
+                }
+                assertTrue(late.openedToNobodyElse(), way.getKey() + ": it was sent on");
+            }
+        }
+    }
+
+    /** Where noise follows, nothing behind it is read as a request; the end of the connection is seen all the same. */
+    @Test
+    void whileItsConnectionComesUpAndWhatFollowsIsNoise() throws Exception {
+        for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
+            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+                rig.upstreamAt(late.address());
+                rig.start();
+                try (Peer.Client client = rig.client()) {
+                    client.send(Rig.get("a1", 20_000) + "NOISE\u0001 WITHOUT END\r\n\r\n" + "x".repeat(200_000));
+                    rig.await("request a1");
+                    way.getValue().leave(client);
+                    assertEquals("outcome a1 0 NOT_SENT true -", rig.await("outcome"), way.getKey());
+                }
+                assertTrue(late.openedToNobodyElse(), way.getKey() + ": it was sent on");
+            }
+        }
+    }
+
+    /** Who sends much at once and goes has left for all of it. */
+    @Test
+    void whileOthersOfItsConnectionAreAheadOfIt() throws Exception {
+        for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
+            BlockingQueue<Peer.Line> held = new LinkedBlockingQueue<>();
+            try (Rig rig = rig()) {
+                Peer up = rig.upstream((m, line) -> held.add(line));
+                rig.start();
+                try (Peer.Client client = rig.client()) {
+                    StringBuilder much = new StringBuilder();
+                    for (int i = 0; i < 25; i++) {
+                        much.append(Rig.get("a" + i, 20_000));
+                    }
+                    client.send(much.toString());
+                    up.next();
+                    way.getValue().leave(client);
+                    assertEquals("expired a0", rig.await("expired"), way.getKey());
+                    held.take().answer("200 OK", "", "late");
+                    assertEquals("outcome a0 0 OK true -", rig.await("outcome"));
+                }
+                try (Peer.Client next = rig.client()) {
+                    next.send(Rig.get("b", 20_000));
+                    assertTrue(up.next().head().contains("X-Txn: b"), way.getKey() + ": what waited behind was sent on");
+                }
+            }
+        }
+    }
+
+    /** The module holds it, or will try it again: whatever the module says of it later goes nowhere. */
+    @Test
+    void whileTheModuleHoldsItOrIsToTryItAgain() throws Exception {
+        for (boolean tried : new boolean[] {false, true}) {
+            for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
+                try (Rig rig = rig()) {
+                    Peer up = rig.upstream((m, line) -> line.answer("503 Full", "X-Turned-Away: 1\r\n", ""));
+                    rig.onRequest = (now, r, out) -> {
+                        if (tried) {
+                            out.send(r.id(), "u0", 0);
+                        }
+                    };
+                    rig.onOutcome = (id, outcome, done, out) -> { };
+                    rig.start();
+                    try (Peer.Client client = rig.client()) {
+                        client.send(Rig.get("a1", 20_000));
+                        rig.await(tried ? "outcome a1 0 REJECTED" : "request a1");
+                        way.getValue().leave(client);
+                        assertEquals("expired a1", rig.await("expired"), way.getKey());
+                    }
+                    rig.onRequest = (now, r, out) -> {
+                        out.send("a1", "u0", 0);
+                        out.send(r.id(), "u0", 0);
+                    };
+                    rig.onOutcome = (id, outcome, done, out) -> out.fail(id);
+                    try (Peer.Client next = rig.client()) {
+                        next.send(Rig.get("b", 20_000));
+                        assertEquals(502, next.status());
+                    }
+                    assertEquals(tried ? 2 : 1, up.messages.size(), way.getKey() + ": it was sent on");
+                }
+            }
+        }
+    }
+
+    /** The same at the end of a request of any kind: a copy that waits for its connection goes out to nobody. */
+    @Test
+    void aSecondCopyIsNotSentOnceTheFirstIsAnswered() throws Exception {
+        try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "first"));
+            rig.upstreamAt(late.address());
+            rig.onRequest = (now, r, out) -> {
+                out.send(r.id(), "u1", 0);
+                out.send(r.id(), "u0", 0);
+            };
+            rig.onOutcome = (id, outcome, done, out) -> { };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                assertEquals("first", client.send(Rig.get("a1", 20_000)).answer().body());
+                assertEquals("outcome a1 0 NOT_SENT true -", rig.await("outcome"));
+                assertEquals("outcome a1 1 OK true -", rig.await("outcome"));
+            }
+            assertTrue(late.openedToNobodyElse(), "the copy was sent on");
+        }
+    }
+
+    /** And where the module has given it up, or refused it. */
+    @Test
+    void whatTheModuleHasEndedIsNotSentWhenItsConnectionComesUp() throws Exception {
+        for (int status : new int[] {502, 503}) {
+            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+                rig.upstreamAt(late.address());
+                rig.onRequest = (now, r, out) -> {
+                    out.send(r.id(), "u0", 0);
+                    if (status == 502) {
+                        out.fail(r.id());
+                    } else {
+                        out.refuse(r.id(), 0);
+                    }
+                };
+                rig.onOutcome = (id, outcome, done, out) -> { };
+                rig.start();
+                try (Peer.Client client = rig.client()) {
+                    assertEquals(status, client.send(Rig.get("a1", 20_000)).status());
+                    assertEquals("outcome a1 0 NOT_SENT true -", rig.await("outcome"));
+                }
+                assertTrue(late.openedToNobodyElse(), "it was sent on");
+            }
+        }
+    }
+}
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -57,6 +57,8 @@
     boolean asks = true;
     int sockets = 1024;
     Operator operator = Operator.NONE;
+    /** The program's own module decides, and the test is told nothing. */
+    boolean decides;
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -128,7 +130,7 @@
 
     Rig start() throws Exception {
         Config config = config(json(discovery.address()));
-        sidecar = new Sidecar(config, operator, (settings, others, seed, now, out) -> {
+        sidecar = new Sidecar(config, operator, decides ? Engine.module(operator) : (settings, others, seed, now, out) -> {
             actions = out;
             return new Recorder();
         }, handover);
@@ -158,6 +160,12 @@
         }
     }
 
+    /** With a key where {@code key} is not null. */
+    static String post(String id, String lane, String key, long remainingMs) {
+        return get(id, remainingMs).replace("GET", "POST").replace("X-Lane: c", "X-Lane: " + lane).replace("\r\n\r\n",
+                (key == null ? "" : "\r\nIdempotency-Key: " + key) + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
     static String get(String id, long remainingMs) {
         return "GET /api/slots?day=1 HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: c\r\nX-Remaining-Ms: "
                 + remainingMs + "\r\n\r\n";
