A keyed repeat is not sent when its connection comes up after the window

A repeat decided inside the window whose connection came up after it was written: those who drop repeats have forgotten the first by then.

--- a/src/main/java/rushproxy/core/Attempt.java
+++ b/src/main/java/rushproxy/core/Attempt.java
@@ -31,6 +31,12 @@
         Attempt attempt(String upstream, long untilUs, Result result);
     }
 
+    /**
+     * Before the start: not to be sent at this module time or later, however long its connection takes to come up. By then it is no longer
+     * sure that a repeat is dropped.
+     */
+    void sendBefore(long us);
+
     String upstream();
 
     /** Module time of the start; 0 before it. */
--- a/src/main/java/rushproxy/core/Exchange.java
+++ b/src/main/java/rushproxy/core/Exchange.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import rushproxy.Balancer.Request;
+import rushproxy.Balancer.RequestClass;
+import rushproxy.Balancer.Semantics;
 import rushproxy.trace.Trace;
 
 /** One request, from its last byte read to its one final answer and the end of its last attempt. */
@@ -27,6 +29,8 @@
     final List<Attempt> attempts = new ArrayList<>(1);
     Timers.Timer overdue;
     boolean over;
+    /** When the first attempt that has ended and may have run was written; the end of time while there is none. */
+    long mayHaveRunUs = Long.MAX_VALUE;
     int maxAttempts;
     /** The attempt whose answer the client is being given as it comes; null until one has begun. */
     Attempt streaming;
@@ -39,6 +43,19 @@
         this.trace = trace;
     }
 
+    /** Who drops a keyed request's repeats does so for its class's window, from the first attempt on that may have run. */
+    long sendBeforeUs() {
+        RequestClass c = request.bound();
+        if (c == null || c.semantics() != Semantics.KEYED) {
+            return Long.MAX_VALUE;
+        }
+        long first = mayHaveRunUs;
+        for (Attempt a : attempts) {
+            first = a.ended() || a.writtenUs() == 0 ? first : Math.min(first, a.writtenUs());
+        }
+        return first == Long.MAX_VALUE ? first : first + c.windowUs();
+    }
+
     boolean settled() {
         return over && noneOut();
     }
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -185,6 +185,7 @@
                 return Requests.this.streaming(x, number, a);
             }
         });
+        attempt.sendBefore(x.sendBeforeUs());
         x.attempts.add(attempt);
         ends.began(x.request, attempt);
         if (moot) {
@@ -196,6 +197,9 @@
 
     private void ended(Exchange x, int number, Attempt attempt, Outcome outcome, LoadReport report, ByteBuf body) {
         saw();
+        if (outcome.mayHaveRun && attempt.writtenUs() > 0) {
+            x.mayHaveRunUs = Math.min(x.mayHaveRunUs, attempt.writtenUs());
+        }
         if (x.trace != null) {
             x.trace.ended(number, outcome, attempt.writtenUs(), attempt.dialled(), report);
         }
--- a/src/main/java/rushproxy/grpc/GrpcAttempt.java
+++ b/src/main/java/rushproxy/grpc/GrpcAttempt.java
@@ -67,6 +67,7 @@
     private Channel stream;
     private boolean timedOut;
     private boolean begun;
+    private long sendBeforeUs = Long.MAX_VALUE;
     /** The whole request is written, or, of a streaming one, its head: it may run. */
     private long writtenUs;
     private boolean dialled;
@@ -89,6 +90,16 @@
         this.result = result;
     }
 
+    @Override
+    public void sendBefore(long us) {
+        sendBeforeUs = us;
+    }
+
+    /** Its time ran out, or that of those who drop its repeats, before its turn came. */
+    boolean tooLate(long now) {
+        return now >= Math.min(untilUs, sendBeforeUs);
+    }
+
     @Override
     public String upstream() {
         return upstream;
--- a/src/main/java/rushproxy/grpc/GrpcUpstreams.java
+++ b/src/main/java/rushproxy/grpc/GrpcUpstreams.java
@@ -231,7 +231,7 @@
             if (attempt.ended()) {
                 return;
             }
-            if (target.state != UpstreamState.READY || clock.now() >= attempt.untilUs) {
+            if (target.state != UpstreamState.READY || attempt.tooLate(clock.now())) {
                 // The list changed or time ran out while the connection came up: nothing may be sent any more.
                 attempt.drop();
                 return;
--- a/src/main/java/rushproxy/http1/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -63,6 +63,7 @@
         private boolean dialled;
         private boolean refused;
         private boolean forgiven;
+        private long sendBeforeUs = Long.MAX_VALUE;
         /** Something of it may be with the kernel. */
         private boolean begun;
         private boolean ended;
@@ -98,6 +99,11 @@
             return reportInBody;
         }
 
+        @Override
+        public void sendBefore(long us) {
+            sendBeforeUs = us;
+        }
+
         @Override
         public String upstream() {
             return upstream;
@@ -414,7 +420,8 @@
             } else if (!f.isSuccess()) {
                 call.refused = f.cause() instanceof ConnectException && !(f.cause() instanceof ConnectTimeoutException);
                 call.broke();
-            } else if (call.target.state != UpstreamState.READY || !call.reportInBody && !call.uploading() && clock.now() >= call.untilUs) {
+            } else if (call.target.state != UpstreamState.READY || clock.now() >= call.sendBeforeUs
+                    || !call.reportInBody && !call.uploading() && clock.now() >= call.untilUs) {
                 // The list changed, or time ran out, while the connection came up: nothing may be sent any more. It did
                 // come up, perhaps long ago on a loop that stood still: no word against the upstream. A probe still goes.
                 call.abandon(Outcome.NOT_SENT);
--- a/src/main/java/rushproxy/lab/Lines.java
+++ b/src/main/java/rushproxy/lab/Lines.java
@@ -209,6 +209,7 @@
         private Target target;
         private Line line;
         private Timers.Timer timeout;
+        private long sendBeforeUs = Long.MAX_VALUE;
 
         Call(World.Try request, String upstream, long untilUs, Result result) {
             this.request = request;
@@ -217,6 +218,11 @@
             this.result = result;
         }
 
+        @Override
+        public void sendBefore(long us) {
+            sendBeforeUs = us;
+        }
+
         @Override
         public String upstream() {
             return upstream;
@@ -299,7 +305,7 @@
                     } else if (node.connections >= world.connectionsOf(node)) {
                         world.dialRefused();
                         end(Outcome.REJECTED, null);
-                    } else if (!world.sendsTo(target.state) || request != null && clock.now() >= untilUs) {
+                    } else if (!world.sendsTo(target.state) || request != null && clock.now() >= Math.min(untilUs, sendBeforeUs)) {
                         end(Outcome.NOT_SENT, null);
                     } else {
                         line = new Line(node);
--- a/src/test/java/rushproxy/sidecar/LateDoor.java
+++ b/src/test/java/rushproxy/sidecar/LateDoor.java
@@ -24,16 +24,26 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    /** Lets in who waits, and whoever comes until one does whom the test sends now; true where nobody has written a byte but he. */
-    boolean openedToNobodyElse() throws IOException {
+    /** Takes those out of its queue that filled it. */
+    void letsIn() throws IOException {
         for (Socket s : queued) {
             s.close();
         }
         for (int i = 0; i < queued.length; i++) {
             if (server.accept().getInputStream().read() >= 0) {
-                return false;
+                throw new IOException("who filled the queue has written something");
             }
         }
+    }
+
+    /** Whoever has come since has gone without a word. */
+    boolean heardNobody() throws IOException {
+        return server.accept().getInputStream().read() < 0;
+    }
+
+    /** Lets in whoever comes until one does whom the test sends now; true where nobody else has come. */
+    boolean openedToNobodyElse() throws IOException {
+        letsIn();
         try (Socket last = new Socket(server.getInetAddress(), server.getLocalPort())) {
             last.getOutputStream().write('.');
             try (Socket next = server.accept()) {
