--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -10,9 +10,9 @@
 import rushproxy.membership.Origin;
 
 /**
- * The watch on discovery: one call after the other without a gap, as soon as the module has asked for it. A call
- * that fails in any way is told to the module, which decides when to ask again; the list it has still holds. How calls
- * travel is {@link RegistryCalls}' matter.
+ * The watch on discovery: one call after the other without a gap, as soon as the module has asked for it. A call that falls silent, or the first at
+ * a new place, is made anew at once, in the time that {@link Rhythm} leaves for it; one that fails otherwise, or fails again, is told to the
+ * module, which decides when to ask again. The list it has still holds. How calls travel is {@link RegistryCalls}' matter.
  */
 public final class RegistryWatch {
     /** Who is told what the watch brings; called on the loop. */
@@ -49,8 +49,8 @@
     /** The module has asked and waits for an answer, be it one without changes. */
     private boolean asked;
     private Timers.Timer timeout;
-    /** Calls in a row that got no answer at all. */
-    private int silences;
+    /** Calls in a row that were made anew at once. */
+    private int lost;
     /** Discovery has moved, and has not been heard at its new place. */
     private boolean moved;
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
@@ -97,7 +97,7 @@
     public void moved() {
         doubt = true;
         moved = true;
-        silences = 0;
+        lost = 0;
         leave();
         begin();
     }
@@ -120,7 +120,7 @@
         long number = ++made;
         call = number;
         begunUs = clock.now();
-        long waitMs = unconfirmed || silences > 0 ? 0 : rhythm.waitMs(random);
+        long waitMs = unconfirmed || lost > 0 ? 0 : rhythm.waitMs(random);
         timeout = timers.in(patienceMs(waitMs) * 1_000, () -> silent(number));
         calls.call(doubt ? PATH : PATH + "?index=" + generation + "&wait=" + waitMs, new RegistryCalls.Result() {
             @Override
@@ -139,9 +139,9 @@
 
     private long patienceMs(long waitMs) {
         if (doubt || unconfirmed) {
-            return moved && silences == 0 ? rhythm.movedMs() : rhythm.wholeMs();
+            return moved && lost == 0 ? rhythm.movedMs() : rhythm.wholeMs();
         }
-        return silences > 0 ? rhythm.againMs() : waitMs + rhythm.lateMs();
+        return lost > 0 ? rhythm.againMs() : waitMs + rhythm.lateMs();
     }
 
     /** A call that has fallen silent is broken: it is made anew at once, on another connection. Only who is silent again has failed. */
@@ -149,16 +149,16 @@
         if (call != number) {
             return;
         }
-        if (rhythm.tireless() || silences == 0) {
-            anew();
+        if (rhythm.tireless() || lost == 0) {
+            anew("no answer");
         } else {
             failed(number, "no answer");
         }
     }
 
-    private void anew() {
-        if (silences++ == 0) {
-            Log.event("discovery.silent", "a call to discovery got no answer: it is made anew");
+    private void anew(String why) {
+        if (lost++ == 0) {
+            Log.event("discovery.anew", "a call to discovery was lost and is made anew: " + why, "why", why);
         }
         leave();
         begin();
@@ -168,9 +168,9 @@
         if (call != number || number == 0) {
             return;
         }
-        if (moved && silences == 0) {
+        if (moved && lost == 0) {
             // All that have moved may have asked at once; a pause would outlast the time in which what is new there counts as told.
-            anew();
+            anew(why);
             return;
         }
         end();
@@ -216,7 +216,7 @@
         doubt = false;
         unconfirmed = false;
         moved = false;
-        silences = 0;
+        lost = 0;
         generation = list.generation();
         if (!again) {
             calls.hangUp();
