An agent that goes on failing is told of once, not several times a second

Seen in a test's log: since agents are asked again within 0.23 s of a failure, each failure was a line. RegistryWatchTest, DiscoveryTest and MainTest green.

--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -51,6 +51,8 @@
     private Timers.Timer timeout;
     /** Calls in a row that were made anew at once. */
     private int lost;
+    /** Of an agent that is asked several times a second, one failure is told until it has answered. */
+    private boolean saidSo;
     /** Discovery has moved, and has not been heard at its new place. */
     private boolean moved;
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
@@ -177,7 +179,10 @@
         // What may still come on it answers a call that is over.
         calls.hangUp();
         asked = false;
-        Log.event("discovery.failed", "a call to discovery failed: " + why, "why", why);
+        if (!pushed || !saidSo) {
+            saidSo = true;
+            Log.event("discovery.failed", "a call to discovery failed: " + why, "why", why);
+        }
         if (pushed) {
             again();
         } else {
@@ -216,6 +221,7 @@
         doubt = false;
         unconfirmed = false;
         moved = false;
+        saidSo = false;
         lost = 0;
         generation = list.generation();
         if (!again) {
