A test reads a connection's end only once its stand-in has read the request

Seen: OutcomesTest.aTimeOutClosesTheConnectionAndTheNextCallOpensAnother read 71, the G of its own request, in one of three whole suites at a load of 30 on 12 cores: the sidecar's time-out of 100 ms came before the stand-in's thread had read. The test waits for the stand-in first; what it asserts is the same.

--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -169,6 +169,8 @@
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
                 assertEquals("outcome a1 0 TIMEOUT false -", rig.await("outcome"));
+                // Else the request itself might be what is read, where the stand-in is slower than the time-out.
+                up.next();
                 assertEquals(-1, up.accepted.take().getInputStream().read(), "the connection was left open");
                 assertEquals(502, client.status());
                 up.script = (m, line) -> line.answer("200 OK", "", "fresh");
