Settings that name no time for asking leave a pause between calls to discovery

Seen: a sidecar left over from a test at 79 % of a core for six minutes. jstack: the loop dials discovery, is refused, and dials again. Policy.listAnswered bounds the pause by half of ask_every_us, and that is 0 where the settings do not have it: the pause was 0 us. Ruled out: the watch's own pauses (nothing of it retries a refused call where lists are asked for). Change: without that time the pause stays at its first length, 0.25 to 0.75 s. Measured: the new test in PolicyTest fails on the parent with a pause of 0 us.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -1026,7 +1026,7 @@
 
     // ---- discovery ------------------------------------------------------------------------------
     private boolean subscribed, asking;
-    private long askDelay = ASK_FIRST_US;
+    private long askDelay = ASK_FIRST_US; // Jittered: who failed together asks apart.
 
     private void ask() {
         if (!asking && !subscribed) {
@@ -1039,9 +1039,9 @@
         if (!cfg.discoveryOnRequest() || kind == ListKind.CACHED) return;
         asking = false;
         subscribed = kind != ListKind.FAILED;
-        // Jittered, so that instances that failed together do not ask together again.
         if (!subscribed) out.timer("ask", askDelay / 2 + random.nextLong(askDelay));
-        askDelay = subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, cfg.rules().askEveryUs() / 2 + 1);
+        boolean plain = subscribed || cfg.rules().askEveryUs() <= 0;
+        askDelay = plain ? ASK_FIRST_US : Math.min(askDelay * 2, cfg.rules().askEveryUs() / 2 + 1);
     }
 
     // ---- peers ----------------------------------------------------------------------------------
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -767,6 +767,23 @@
         assertEquals(2, rig.take("subscribe").size());
     }
 
+    /** Discovery that goes on failing, and settings that do not say how often to ask: the pause does not shrink to nothing. */
+    @Test
+    void asksAgainAfterAPauseAlsoWhereTheSettingsNameNoTimeForAsking() {
+        Rig rig = new Rig();
+        rig.onRequest = true;
+        rig.askEveryUs = 0;
+        rig.start();
+        for (int i = 0; i < 20; i++) {
+            rig.policy.onList(rig.now, ListKind.FAILED, List.of());
+            List<String> asks = rig.take("timer ask");
+            assertEquals(i + 1, asks.size());
+            long pauseUs = Long.parseLong(asks.get(i).substring("timer ask ".length()));
+            assertTrue(pauseUs >= 250_000 && pauseUs < 750_000, "pause of " + pauseUs + " us");
+            rig.after(pauseUs).fire("ask");
+        }
+    }
+
     // ---- determinism and isolation --------------------------------------------------------------
 
     private static void play(Rig rig, int from, int to) {
