Endings that stood by reading have tests: drains in one turn, a body on its way, late answers

docs/endings.md had three lines without a test: an idle connection taken in the turn of a drain, a body on its way while its upstream drains, and discovery's answer in the instant of its call's time-out. All three hold as read; no code changed. Green on one core beside busy ones.

--- a/src/test/java/rushproxy/membership/registry/RegistryWatchTest.java
+++ b/src/test/java/rushproxy/membership/registry/RegistryWatchTest.java
@@ -130,6 +130,24 @@
         }
     }
 
+    /** An answer and its call's time-out in one instant, in either order: the list is taken, or asked for again from the same version. */
+    @Test
+    void anAnswerInTheInstantOfItsTimeOutLosesNothing() {
+        for (boolean answerFirst : new boolean[] {true, false}) {
+            Stage stage = new Stage(false, 10_000_000, 5);
+            stage.next(1).result().answered(200, NO_CHANGE, true);
+            Call late = stage.next(2);
+            long timeOutMs = late.atMs + late.waitMs() + 500;
+            stage.until(answerFirst ? timeOutMs - 1 : timeOutMs);
+            late.result().answered(200, new String(NO_CHANGE, StandardCharsets.UTF_8).replace("41", "42").getBytes(StandardCharsets.UTF_8), true);
+            Call next = stage.next(3);
+            assertTrue(next.uri.contains("?index=" + (answerFirst ? 42 : 41) + "&wait="), next.uri);
+            stage.until(timeOutMs + 1);
+            assertEquals(3, stage.calls.size(), "the time-out of a call that was answered ended another");
+            assertEquals(List.of(), stage.failedMs);
+        }
+    }
+
     /** What an agent has when it is back counts as told at once: then a call must be under way that it can answer. */
     @Test
     void anAgentThatIsSilentIsAskedAgainAndAgainAtOnce() {
--- a/src/test/java/rushproxy/sidecar/LargeTest.java
+++ b/src/test/java/rushproxy/sidecar/LargeTest.java
@@ -334,6 +334,30 @@
         }
     }
 
+    /** Its first byte was sent before its upstream drained: what has begun may end, and nothing new follows it. */
+    @Test
+    void aBodyOnItsWayWhileItsUpstreamDrainsArrivesWhole() throws Exception {
+        java.util.concurrent.BlockingQueue<Peer.Line> watch = new java.util.concurrent.LinkedBlockingQueue<>();
+        try (Rig rig = new Rig((m, line) -> watch.add(line))) {
+            Peer node = rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(post("big", "Content-Length: " + 64 * BLOCK.length));
+                write(client.socket.getOutputStream(), false, 32);
+                node.accepted.take();
+                watch.take().answer("200 OK", "", Rig.list(42, false, Rig.entry("u0", node.address(), "Terminating", 0)));
+                assertEquals("list DELTA u0=DRAINING", rig.await("list DELTA"));
+                write(client.socket.getOutputStream(), false, 32);
+                assertEquals("done", client.answer().body());
+                assertBody(node.next(), 64);
+                assertEquals("outcome big 0 OK true -", rig.await("outcome"));
+                rig.onOutcome = (id, outcome, done, out) -> out.fail(id);
+                assertEquals(502, client.send(Rig.get("small", 20_000)).status());
+            }
+            assertTrue(node.messages.isEmpty(), "something new was sent after the drain");
+        }
+    }
+
     /** An upstream that breaks off half way has run nothing; what is gone can't be sent again, and that can be said. */
     @Test
     void aBodyThatIsGoneIsSentToNobodyElse() throws Exception {
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -102,6 +102,35 @@
         }
     }
 
+    /** A drain and a call in one turn of the loop, in either order: a call after it gets no connection that rests, one before it is served. */
+    @Test
+    void aDrainAndACallInOneTurnNeedNoNewConnection() throws Exception {
+        for (boolean drainFirst : new boolean[] {true, false}) {
+            try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+                Upstreams upstreams = upstreams(15_000_000, 100);
+                loop.execute(() -> {
+                    update(upstreams, list(true, Rig.entry("u", up.address(), "Ready", 0)));
+                    call(upstreams, "u").start();
+                });
+                assertEquals("u OK", outcome());
+                loop.execute(() -> {
+                    Runnable drain = () -> update(upstreams, list(false, Rig.entry("u", up.address(), "Terminating", 0)));
+                    Runnable ask = () -> call(upstreams, "u").start();
+                    (drainFirst ? drain : ask).run();
+                    (drainFirst ? ask : drain).run();
+                });
+                assertEquals(drainFirst ? "u NOT_SENT" : "u OK", outcome());
+                // Nothing rests there any more.
+                up.next();
+                if (!drainFirst) {
+                    up.next();
+                }
+                assertEquals(-1, up.accepted.take().getInputStream().read());
+                assertTrue(up.messages.isEmpty(), "something was sent after the drain");
+            }
+        }
+    }
+
     /** An upstream drops idle connections unseen; a request written to one from then on would end as a reset. */
     @Test
     void connectionsIdleForLongAreDroppedBeforeTheUpstreamDoesSo() throws Exception {
