A test of a returning sidecar waits for the word that it is ready before it reads the log

Cause: the sidecar's readiness is heard over HTTP, its log read by another thread from a pipe; the test took the log in between, and an index of -1 came before all others. It waits for the line now and asserts the same order. Ruled out: the sidecar itself, whose log has the policy first in each play.

--- a/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
+++ b/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
@@ -101,6 +101,8 @@
             everywhere(fleet, second, 1, 5);
             for (int down : new int[] {1, 5}) {
                 fleet.restart(down);
+                // It answers that it is ready before what it has logged is read here.
+                fleet.sidecars().get(down).awaitLog("ready after a rehearsal");
                 List<String> log = fleet.sidecars().get(down).log();
                 int learnt = index(log, "policy " + second + " is in force");
                 assertTrue(learnt >= 0 && learnt < index(log, "ready after a rehearsal"), "it knows before it is ready: " + log);
