A gRPC call that lies unread when its client resets it or goes is not sent on

Cause: GrpcStream.take ran inside the decoder, before the rest of the connection was read. Calls are taken at the end of a reading now, which LastLook ends only once nothing more is there; a stream at a node that had to be waited for asks once more whether its client is there (GrpcAttempt.opened).

--- a/src/main/java/rushproxy/grpc/GrpcAttempt.java
+++ b/src/main/java/rushproxy/grpc/GrpcAttempt.java
@@ -232,7 +232,8 @@
     /** Its stream is there: the head goes out, and what has come of the request. */
     void opened(Channel channel) {
         stream = channel;
-        if (ended) {
+        if (ended || !result.wanted()) {
+            // Where nobody waits any more it has been withdrawn by now.
             channel.close();
             return;
         }
--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -109,7 +109,7 @@
         if (requests.turns() != null) {
             channel.pipeline().addLast(EventLoops.ears(requests.turns()));
         }
-        channel.pipeline().addLast(Http2FrameCodecBuilder.forServer().initialSettings(settings)
+        channel.pipeline().addLast(new LastLook(), Http2FrameCodecBuilder.forServer().initialSettings(settings)
                         .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_S)
                         .decoderEnforceMaxConsecutiveEmptyDataFrames(2)
                         .encoderEnforceMaxQueuedControlFrames(CONTROL_FRAMES)
@@ -143,6 +143,12 @@
         }
     }
 
+    /** Whether the client whose call this is has left, be it unseen so far. */
+    static boolean gone(Channel stream) {
+        ChannelHandlerContext ctx = stream.parent().pipeline().context(LastLook.class);
+        return !stream.isActive() || ctx == null || ((LastLook) ctx.handler()).gone(ctx);
+    }
+
     Clock clock() {
         return clock;
     }
--- a/src/main/java/rushproxy/grpc/GrpcStream.java
+++ b/src/main/java/rushproxy/grpc/GrpcStream.java
@@ -71,6 +71,8 @@
     private final ArrayDeque<ByteBuf> kept = new ArrayDeque<>();
     private int keptBytes;
     private boolean whole;
+    /** To be taken at the end of the reading. */
+    private boolean due;
     /** Too much has come to be sent again: the attempt that has it is the last. */
     private boolean overflowed;
     private int attempts;
@@ -160,9 +162,19 @@
             end = server.at(endUs, () -> endHere(Code.DEADLINE_EXCEEDED, "the client's time for the stream is over"));
         }
         whole = frame.isEndStream();
-        if (whole || route.streams()) {
-            take();
+        due = whole || route.streams();
+    }
+
+    /** Its client may have left behind what it sent: that has been looked for by now. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (due) {
+            due = false;
+            if (!over && client.parent().isActive()) {
+                take();
+            }
         }
+        ctx.fireChannelReadComplete();
     }
 
     private static long lessMargin(long us) {
@@ -186,9 +198,7 @@
                 return;
             }
             keep(content);
-            if (last && exchange == null) {
-                take();
-            }
+            due |= last && exchange == null;
             return;
         }
         if (headersSent || overflowed) {
@@ -402,6 +412,11 @@
             status(Code.UNAVAILABLE, "refused: nothing has run", retryAfterUs, null);
         }
 
+        @Override
+        public boolean gone() {
+            return over || GrpcServer.gone(client);
+        }
+
         @Override
         public void failed() {
             if (lastEnding == null || server.clock().now() >= deadlineUs - 1_000) {
--- a/src/test/java/rushproxy/standin/GrpcAbuseTest.java
+++ b/src/test/java/rushproxy/standin/GrpcAbuseTest.java
@@ -51,10 +51,14 @@
 
         /** POST /stage.Booking/Note with what gRPC needs, in literals without an index. */
         int[] head() {
+            return head("/stage.Booking/Note");
+        }
+
+        int[] head(String path) {
             ByteArrayOutputStream block = new ByteArrayOutputStream();
             block.write(0x83);
             block.write(0x86);
-            literal(block, ":path", "/stage.Booking/Note");
+            literal(block, ":path", path);
             literal(block, ":authority", "a");
             literal(block, "content-type", "application/grpc");
             literal(block, "te", "trailers");
@@ -123,6 +127,42 @@
         }
     }
 
+    /** Calls that lie unread, behind a sidecar that stands still, when their client resets them or goes: none is sent on. */
+    @Test
+    void whatLiesUnreadWhenItsClientLeavesIsNotSentOn() throws Exception {
+        Attack[] ways = {
+            a -> {
+                a.frame(RST_STREAM, 0, 1, 0, 0, 0, 8);
+                a.out.flush();
+            },
+            a -> a.socket.close(),
+            a -> {
+                a.socket.setSoLinger(true, 0);
+                a.socket.close();
+            },
+        };
+        for (Attack way : ways) {
+            try (World world = new World(Shape.SMALL).patient().grpc().nodes(1)) {
+                SidecarProcess sidecar = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()),
+                        World.grpcTable());
+                world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
+                ManagedChannel good = GrpcRig.channel(sidecar.grpcAddress());
+                assertEquals(Status.Code.OK, Call.unary(good, "stage.Booking/Lookup", null, "{}", 0).status().getCode());
+                try (Attacker known = new Attacker(sidecar.grpcAddress())) {
+                    sidecar.pause();
+                    known.frame(HEADERS, 4, 1, known.head("/stage.Booking/Lookup"));
+                    known.frame(DATA, 1, 1, 0, 0, 0, 0, 0);
+                    known.out.flush();
+                    way.on(known);
+                    sidecar.goOn();
+                    assertEquals(Status.Code.OK, Call.unary(good, "stage.Booking/Lookup", null, "{}", 0).status().getCode());
+                }
+                assertEquals(2, world.nodes().get(0).grpc().calls.get(), "what its client has left was sent on");
+                good.shutdownNow();
+            }
+        }
+    }
+
     @Test
     void eachFloodEndsItsOwnConnectionAndNobodyElses() throws Exception {
         try (World world = new World(Shape.SMALL).patient().grpc().nodes(2)) {
