SIGTERM is answered from the first line on, and by a successor that does not listen yet

Seen by reading, each confirmed by a test that fails on the parent: the hook that ends a sidecar in good order was registered after it listened, so a SIGTERM in between ended it with 143 and without answers, and one before that with 143 (MainTest: files that come slowly, 143 in place of 0). A process that takes over from another has no listener until it is ready: told to end before, ClientServer.look met null, never said that it had stopped, and rehearsed() opened the listener after the stop (UpgradeTest). Change: Ending registers its hook first, ends at once while there is no sidecar, and waits for the end of a start; a stop without a listener ends; who stops does not listen. Ruled out: SIGHUP, handled from the first line on before.

--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -45,6 +45,7 @@
     private final BooleanSupplier canServe;
     private final int maxConnections;
     private final Set<ClientConnection> connections = new HashSet<>();
+    /** Null while another process of this sidecar listens alone. */
     private Door listener;
     /** Null but while a rehearsal is on. */
     private Runnable rehearsal;
@@ -160,7 +161,7 @@
         return !stopping() && awaySinceUs == 0 && rehearsal == null && canServe.getAsBoolean();
     }
 
-    boolean stopping() {
+    public boolean stopping() {
         return stopAtUs > 0;
     }
 
@@ -198,7 +199,9 @@
      * that stay quiet are closed, since a close may cross a request.
      */
     public void leaveTo(Runnable stopped) {
-        listener.closeEmpty();
+        if (listener != null) {
+            listener.closeEmpty();
+        }
         stop(stopped);
     }
 
@@ -206,11 +209,12 @@
         long now = clock.now();
         if (now >= stopAtUs) {
             // Closing the listener would reset what waits in its backlog: only once none has come for a while.
-            if (listener.isOpen() && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
+            boolean open = listener != null && listener.isOpen();
+            if (open && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
                 listener.closeEmpty();
             }
             partWithQuiet(now);
-            if (connections.isEmpty() && !listener.isOpen()) {
+            if (connections.isEmpty() && (listener == null || !listener.isOpen())) {
                 stopped.run();
                 return;
             }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -135,6 +135,7 @@
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment, Operators operators) throws InterruptedException {
+        Ending ending = new Ending();
         Reload reload = new Reload(environment, operators);
         Config config;
         Operator operator;
@@ -143,14 +144,14 @@
             operator = operators.read();
         } catch (Config.Broken | Broken e) {
             Log.event("start.refused", e.getMessage());
-            return 2;
+            return ending.failed(2);
         }
         Log.json(operator.jsonLog());
         Handover handover = Handover.of(environment, config);
         String alone = operator.accord() == null ? null : alone(operator.accord(), config, handover);
         if (alone != null) {
             Log.event("start.refused", "operator's file: [accord] " + alone);
-            return 2;
+            return ending.failed(2);
         }
         Sidecar sidecar;
         try {
@@ -158,26 +159,17 @@
         } catch (IllegalArgumentException e) {
             // Each file is right by itself; together they are not.
             Log.event("start.refused", "operator's file: " + e.getMessage());
-            return 2;
+            return ending.failed(2);
         }
         Rehearsal rehearsal = new Rehearsal(config, Engine.module(operator));
         sidecar.notReadyBefore(rehearsal::cut);
+        ending.starts(sidecar);
         try {
             sidecar.start();
         } catch (Exception e) {
-            return cantStart(e);
+            return ending.failed(cantStart(e));
         }
-        CountDownLatch empty = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            sidecar.stop(empty::countDown);
-            try {
-                empty.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            // A stop that was asked for and went well is no failure, whatever signal asked.
-            Runtime.getRuntime().halt(0);
-        }));
+        ending.started();
         if (sidecar.listening() != null) {
             sidecar.saysWhere();
         } else {
@@ -190,7 +182,7 @@
         try {
             sidecar.rehearsed();
         } catch (Exception e) {
-            return cantStart(e);
+            return ending.failed(cantStart(e));
         }
         long inAllMs = CpuTime.ms();
         // Beside each other they tell whether a slow start had too much to do or too little of a core.
@@ -394,7 +386,7 @@
     /** Returns once it says so: a caller may believe it then. */
     void rehearsed() throws InterruptedException {
         learn();
-        if (listening == null) {
+        if (listening == null && !loop.submit(clients::stopping).sync().getNow()) {
             // Not before: what the kernel connects to this process, it has to serve at once.
             listening = clients.listen(config.listen(), shared());
             saysWhere();
--- a/src/test/java/rushproxy/cli/MainTest.java
+++ b/src/test/java/rushproxy/cli/MainTest.java
@@ -45,6 +45,28 @@
               "profiles":[{"name":"c","semantics":"safe","objective_us":1,"give_up_us":1}],
               "rules":{"drain_grace_us":1,"cold_share":0.2,"ramp_time_us":1,"fall_multiple":3,"fall_us":1}}}""";
 
+    /** Told to end while it still reads its files, which come as slowly as the test wants. */
+    @Test
+    void toldToEndBeforeItServesItEndsWithZero() throws Exception {
+        for (String name : new String[] {"config.json", "operator.toml"}) {
+            Path slow = folder.resolve(name);
+            Files.deleteIfExists(slow);
+            assertEquals(0, new ProcessBuilder("mkfifo", slow.toString()).start().waitFor());
+            Path config = folder.resolve("config.json");
+            if (!slow.equals(config)) {
+                Files.deleteIfExists(config);
+                Files.writeString(config, CONFIG);
+            }
+            try (SidecarProcess p = new SidecarProcess("sidecar", config, slow.equals(config) ? null : slow, List.of())) {
+                // Opens once it reads: it waits for the first byte then.
+                try (java.io.OutputStream writes = Files.newOutputStream(slow)) {
+                    assertEquals(0, p.terminate(), p.log().toString());
+                }
+            }
+            Files.delete(slow);
+        }
+    }
+
     private static void hangUp(SidecarProcess p) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + p.process().pid()).start().waitFor());
     }
--- a/src/test/java/rushproxy/sidecar/UpgradeTest.java
+++ b/src/test/java/rushproxy/sidecar/UpgradeTest.java
@@ -136,6 +136,27 @@
         }
     }
 
+    /** Told to end before it is ready it ends, and never listens: the old one serves on. */
+    @Test
+    void aNewOneThatIsToldToEndBeforeItListensEnds() throws Exception {
+        try (Rig old = rig()) {
+            old.upstream((m, line) -> line.answer("200 OK", "", "x"));
+            old.start().sidecar.rehearsed();
+            try (Rig next = beside(old)) {
+                CountDownLatch stopped = new CountDownLatch(1);
+                next.sidecar.stop(stopped::countDown);
+                next.sidecar.rehearsed();
+                assertNull(next.address());
+                assertTrue(stopped.await(20, TimeUnit.SECONDS), "it never ends");
+                // The node is the old one's too.
+                next.peers.clear();
+            }
+            try (Peer.Client c = old.client()) {
+                assertEquals(200, c.send(Rig.get("a1", 20_000)).status());
+            }
+        }
+    }
+
     /** What operators took out stays out in the process that comes, whichever of the two they tell, until they call it back. */
     @Test
     void bansHoldOverAnUpgradeAndForBoth() throws Exception {
