--- a/src/test/java/rushproxy/sidecar/ClientGoneTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientGoneTest.java
@@ -31,39 +31,32 @@
         return rig;
     }
 
-    @Test
-    void whileItsConnectionComesUp() throws Exception {
+    /** What is sent waits at a door that does not open, the first of it as a request; then its client goes, in each way. */
+    private static void isWithdrawn(String id, String sent) throws Exception {
         for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
             try (Rig rig = rig(); LateDoor late = new LateDoor()) {
                 rig.upstreamAt(late.address());
                 rig.start();
                 try (Peer.Client client = rig.client()) {
-                    client.send(Rig.get("a1", 20_000));
-                    rig.await("request a1");
+                    client.send(sent);
+                    rig.await("request " + id);
                     way.getValue().leave(client);
-                    assertEquals("outcome a1 0 NOT_SENT true -", rig.await("outcome"), way.getKey());
+                    assertEquals("outcome " + id + " 0 NOT_SENT true -", rig.await("outcome"), way.getKey());
                 }
                 assertTrue(late.openedToNobodyElse(), way.getKey() + ": it was sent on");
             }
         }
     }
 
+    @Test
+    void whileItsConnectionComesUp() throws Exception {
+        isWithdrawn("a1", Rig.get("a1", 20_000));
+    }
+
     /** Where noise follows, nothing behind it is read as a request; the end of the connection is seen all the same. */
     @Test
     void whileItsConnectionComesUpAndWhatFollowsIsNoise() throws Exception {
-        for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
-            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
-                rig.upstreamAt(late.address());
-                rig.start();
-                try (Peer.Client client = rig.client()) {
-                    client.send(Rig.get("a1", 20_000) + "NOISE\u0001 WITHOUT END\r\n\r\n" + "x".repeat(200_000));
-                    rig.await("request a1");
-                    way.getValue().leave(client);
-                    assertEquals("outcome a1 0 NOT_SENT true -", rig.await("outcome"), way.getKey());
-                }
-                assertTrue(late.openedToNobodyElse(), way.getKey() + ": it was sent on");
-            }
-        }
+        isWithdrawn("a1", Rig.get("a1", 20_000) + "NOISE\u0001 WITHOUT END\r\n\r\n" + "x".repeat(200_000));
     }
 
     /** Who sends much at once and goes has left for all of it. */
@@ -97,23 +90,11 @@
     /** Many more than are ever served at once: the end behind them is seen all the same. */
     @Test
     void whileHundredsOfItsConnectionAreAheadOfIt() throws Exception {
-        for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
-            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
-                rig.upstreamAt(late.address());
-                rig.start();
-                try (Peer.Client client = rig.client()) {
-                    StringBuilder much = new StringBuilder();
-                    for (int i = 0; i < 300; i++) {
-                        much.append(Rig.get("a" + i, 20_000));
-                    }
-                    client.send(much.toString());
-                    rig.await("request a0");
-                    way.getValue().leave(client);
-                    assertEquals("outcome a0 0 NOT_SENT true -", rig.await("outcome"), way.getKey());
-                }
-                assertTrue(late.openedToNobodyElse(), way.getKey() + ": it was sent on");
-            }
+        StringBuilder much = new StringBuilder();
+        for (int i = 0; i < 300; i++) {
+            much.append(Rig.get("a" + i, 20_000));
         }
+        isWithdrawn("a0", much.toString());
     }
 
     /** All of a large body is with the kernel, and its client is gone before an upstream has been reached. */
