Settings without a window for cold upstreams are served, in place of failing each request

Seen: 'the module failed: / by zero at Policy.coldSlot' in the log of MainTest, whose settings have fall_us 1. Cause: half a window is 0, with fall_us 0 or 1, and each send divides by it, cold upstream or not: each request of such a customer was answered 502. The window is 2 us at the least now: no rule, as the settings say. SettingsReaderTest fails on the parent (ArithmeticException).

--- a/src/main/java/rushproxy/settings/SettingsReader.java
+++ b/src/main/java/rushproxy/settings/SettingsReader.java
@@ -21,6 +21,9 @@
  * skipped.
  */
 public final class SettingsReader {
+    /** A platform without the rule on cold upstreams may name no window for it; the module counts in halves of one. */
+    private static final long LEAST_WINDOW_US = 2;
+
     private final Map<String, String> values;
 
     /** Settings already taken apart: lists of plain values joined with commas, lists of objects counted. */
@@ -51,7 +54,7 @@
                 flag("limits.retry_after", false), (long) real("limits.max_retry_after_us", 0),
                 (long) real("limits.conn_idle_us", 15_000_000), real("limits.cpu_us_per_request", 0));
         Rules rules = new Rules((long) need("rules.drain_grace_us"), need("rules.cold_share"),
-                (long) need("rules.ramp_time_us"), need("rules.fall_multiple"), (long) need("rules.fall_us"),
+                (long) need("rules.ramp_time_us"), need("rules.fall_multiple"), Math.max(LEAST_WINDOW_US, (long) need("rules.fall_us")),
                 (long) real("rules.ask_every_us", 0), (long) real("rules.answer_slack_us", 0),
                 (long) real("rules.close_on_drain_within_us", 0));
         Prices prices = new Prices(real("tariffs.cross_zone", 0), real("tariffs.peer", 0), real("tariffs.probe", 0),
--- a/src/test/java/rushproxy/settings/SettingsReaderTest.java
+++ b/src/test/java/rushproxy/settings/SettingsReaderTest.java
@@ -5,15 +5,21 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import rushproxy.Balancer;
 import rushproxy.Balancer.Group;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Reports;
 import rushproxy.Balancer.Semantics;
 import rushproxy.Balancer.Settings;
+import rushproxy.Guide;
+import rushproxy.Others;
+import rushproxy.Policy;
 
 /** The settings that both the wire and a sidecar's configuration bring, as path and value. */
 class SettingsReaderTest {
@@ -51,6 +57,25 @@
         assertEquals(List.of("busy_reqs", "cpu_share"), new SettingsReader(values).reportFields());
     }
 
+    /** A window of nothing is no rule: the module goes on sending. */
+    @Test
+    void aSettingWithoutAWindowForColdUpstreamsServesAllTheSame() {
+        for (String us : List.of("0", "1")) {
+            values.put("rules.fall_us", us);
+            List<String> sent = new ArrayList<>();
+            Balancer.Actions out = (Balancer.Actions) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class}, (p, m, args) -> {
+                if (m.getName().equals("send")) {
+                    sent.add(args[0] + " to " + args[1]);
+                }
+                return null;
+            });
+            Policy module = new Policy(read(), Guide.NONE, Others.SILENT, 1, 0, out);
+            module.onList(0, Balancer.ListKind.FULL, List.of(new Balancer.Upstream("u0", "za", "k", 0, 1, 1, Balancer.UpstreamState.READY)));
+            module.onRequest(30_000_000, new Balancer.Request("a", -1, false, false, 0, 800_000, "t", "c", Balancer.HTTP1, false, "key"));
+            assertEquals(List.of("a to u0"), sent, us);
+        }
+    }
+
     @Test
     void whatIsNotThereHasItsDefault() {
         Settings s = read();
