Tests that let a connection come up late wait until its dialling has begun

Seen: ClientGoneTest.whileALoopThatStoodStillFindsItsConnectionFirst red in one suite of thirteen beside benches: the loop was made to stand still before the task that dials had run, so nobody came, and after 20 s the request went out to a client that was still there. The tests pass ten turns of the loop first now, and assert the same.

--- a/src/test/java/rushproxy/sidecar/ClientGoneTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientGoneTest.java
@@ -109,9 +109,7 @@
                         client.send(Rig.post("a1", "k", "key-1", 20_000).replace("Content-Length: 0", "Content-Length: " + length)
                                 + "x".repeat(length));
                         rig.await("request a1");
-                        // The task that begins to dial, and one turn more.
-                        rig.sidecar.loop().submit(() -> { }).sync();
-                        rig.sidecar.loop().submit(() -> { }).sync();
+                        rig.dials();
                         way.getValue().leave(client);
                     }
                     late.letsIn();
@@ -169,11 +167,11 @@
                 try (Peer.Client client = rig.client()) {
                     client.send(Rig.get("a1", 20_000));
                     rig.await("request a1");
-                    // Behind the task that begins to dial.
-                    rig.sidecar.loop().execute(() -> rig.sidecar.loop().execute(() -> {
+                    rig.dials();
+                    rig.sidecar.loop().execute(() -> {
                         standing.countDown();
                         StoodStillTest.awaited(goOn);
-                    }));
+                    });
                     assertTrue(standing.await(20, TimeUnit.SECONDS));
                     late.letsIn();
                     try (Socket up = late.next()) {
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -171,6 +171,13 @@
                 + remainingMs + "\r\n\r\n";
     }
 
+    /** Once the module has sent: waits until the tasks are done that begin to dial, each of which may queue the next. */
+    void dials() throws InterruptedException {
+        for (int i = 0; i < 10; i++) {
+            sidecar.loop().submit(() -> { }).sync();
+        }
+    }
+
     /** Waits until the module was told something that starts so. */
     String await(String start) throws InterruptedException {
         for (String line; (line = told.poll(20, TimeUnit.SECONDS)) != null; ) {
