Both fronts look for clients that have left by one handler, core.LastLook

Need: ClientConnection and the gRPC front each had the loop that reads on until nothing more is there, with its two flags. LastLook stands first on either connection now and ends a reading once its front's due work may be done; ClientConnection keeps what it does at that end. It looks when something is due (HTTP) or always (gRPC), as before. The question whether the listener is open stands in one place. No behaviour is meant to change; tests untouched, whole suite green.

--- a/src/main/java/rushproxy/accord/Accord.java
+++ b/src/main/java/rushproxy/accord/Accord.java
@@ -124,7 +124,6 @@
         return null;
     }
 
-
     /** Wants what is open taken back. */
     public void abort(long now, Out out) {
         wish = Stage.NONE;
--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -28,6 +28,7 @@
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.EventLoops;
+import rushproxy.core.LastLook;
 import rushproxy.core.Listening;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
@@ -109,7 +110,7 @@
         if (requests.turns() != null) {
             channel.pipeline().addLast(EventLoops.ears(requests.turns()));
         }
-        channel.pipeline().addLast(new LastLook(), Http2FrameCodecBuilder.forServer().initialSettings(settings)
+        channel.pipeline().addLast(new LastLook(() -> true), Http2FrameCodecBuilder.forServer().initialSettings(settings)
                         .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_S)
                         .decoderEnforceMaxConsecutiveEmptyDataFrames(2)
                         .encoderEnforceMaxQueuedControlFrames(CONTROL_FRAMES)
@@ -145,8 +146,8 @@
 
     /** Whether the client whose call this is has left, be it unseen so far. */
     static boolean gone(Channel stream) {
-        ChannelHandlerContext ctx = stream.parent().pipeline().context(LastLook.class);
-        return !stream.isActive() || ctx == null || ((LastLook) ctx.handler()).gone(ctx);
+        LastLook look = stream.parent().pipeline().get(LastLook.class);
+        return !stream.isActive() || look == null || look.gone();
     }
 
     Clock clock() {
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -49,6 +49,7 @@
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
 import rushproxy.core.Exchange;
+import rushproxy.core.LastLook;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
 import rushproxy.figures.Figures.End;
@@ -67,8 +68,6 @@
     private static final int MOST_AHEAD = 512, FEWER_AHEAD = 32, MOST_AHEAD_BYTES = 1024 * 1024;
     /** What a request's own objects take beside its bytes, about. */
     private static final int ARRIVAL_BYTES = 1024;
-    /** Reads in a row, each of up to sixteen buffers, that look for the end of a client behind what it has sent. */
-    private static final int MOST_LOOKS = 16;
     /** So much of what is no request any more is read and thrown away, to see the end behind it. */
     private static final int MOST_THROWN = 1024 * 1024;
     private static final int KEY_BITS = 53;
@@ -99,11 +98,9 @@
     private int aheadBytes;
     /** Bytes read since the last request that came whole. */
     private int cameBytes;
-    /** Something is being read: what comes whole is taken at the end of that. */
-    private boolean reading;
     /** Something is to be done at the end of the reading. */
     private boolean due;
-    private boolean looking;
+    private final LastLook look = new LastLook(() -> due);
     /** A body whose last piece is passed on at the end of the reading; null for none. */
     private Upload ending;
     private int thrown;
@@ -152,12 +149,16 @@
         activeUs = openedUs;
     }
 
+    /** Stands before all else. */
+    LastLook look() {
+        return look;
+    }
+
     /** Stands before the decoder: a request's time runs from its last byte, and half of one is no quiet. */
     ChannelInboundHandler arrivals() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
-                reading = true;
                 cameBytes += ((ByteBuf) message).readableBytes();
                 if (last != null) {
                     thrown += ((ByteBuf) message).readableBytes();
@@ -291,39 +292,9 @@
         steer();
     }
 
-    /**
-     * All that this turn has read of it is read. A request that lay in the kernel for a while, unread or behind a connection that nobody had
-     * accepted, may have the end of its client behind it: that is looked for before it is taken, or its last piece passed on.
-     */
+    /** Its client has been looked for once more by now: what has come whole is taken, and the last piece of a body passed on. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (!looking) {
-            if (due) {
-                look();
-            }
-            reading = false;
-            settle();
-        }
-        ctx.fireChannelReadComplete();
-    }
-
-    /** Reads on as long as there is something; not where there is no room for it. */
-    private void look() {
-        looking = true;
-        try {
-            for (int i = 0; i < MOST_LOOKS && channel.isActive() && channel.config().isAutoRead(); i++) {
-                reading = false;
-                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
-                if (!reading) {
-                    return;
-                }
-            }
-        } finally {
-            looking = false;
-        }
-    }
-
-    private void settle() {
         if (ending != null) {
             Upload done = ending;
             ending = null;
@@ -335,16 +306,7 @@
             due = false;
             next();
         }
-    }
-
-    /** Whether its client has left, be it unseen so far; not to be asked while something of it is being decoded. */
-    private boolean gone() {
-        if (!looking && !reading && channel.isActive()) {
-            look();
-            reading = false;
-            settle();
-        }
-        return !channel.isActive();
+        ctx.fireChannelReadComplete();
     }
 
     /** What has come of it can't become a request any more. */
@@ -390,7 +352,7 @@
         if (last == null) {
             last = status;
             steer();
-            if (reading) {
+            if (look.reading()) {
                 due = true;
             } else {
                 next();
@@ -497,7 +459,7 @@
 
             @Override
             public boolean gone() {
-                return ClientConnection.this.gone();
+                return look.gone();
             }
         }, trace);
         server.taken();
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -134,7 +134,7 @@
             connections.remove(connection);
             accepting.setAutoRead(connections.size() < maxConnections);
         });
-        channel.pipeline().addLast(connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(),
+        channel.pipeline().addLast(connection.look(), connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(),
                 connection);
     }
 
@@ -205,16 +205,19 @@
         stop(stopped);
     }
 
+    private boolean listens() {
+        return listener != null && listener.isOpen();
+    }
+
     private void look(Runnable stopped) {
         long now = clock.now();
         if (now >= stopAtUs) {
             // Closing the listener would reset what waits in its backlog: only once none has come for a while.
-            boolean open = listener != null && listener.isOpen();
-            if (open && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
+            if (listens() && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
                 listener.closeEmpty();
             }
             partWithQuiet(now);
-            if (connections.isEmpty() && (listener == null || !listener.isOpen())) {
+            if (connections.isEmpty() && !listens()) {
                 stopped.run();
                 return;
             }
