Three commands of a policy are three lines, not three classes

Need: Status, Propose and Abort differed in a method and a path alone. They are command methods now, with the same names, options and exit codes.

--- a/src/main/java/rushproxy/cli/Policies.java
+++ b/src/main/java/rushproxy/cli/Policies.java
@@ -19,7 +19,7 @@
 
 /** Changes of policy in common, by any sidecar's address for operators. Exit code 0: yes; 1: no, with the sidecar's reason; 2: wrong input. */
 @Command(name = "policy", description = "A policy that all sidecars go by, or none: what is in force, and changes.", mixinStandardHelpOptions = true,
-        subcommands = {Policies.Status.class, Policies.Propose.class, Policies.Abort.class, Policies.Past.class, Policies.Audit.class})
+        subcommands = {Policies.Past.class, Policies.Audit.class})
 final class Policies {
     /** Which sidecar is called, and how. */
     static final class At {
@@ -51,36 +51,18 @@
     }
 
     @Command(name = "status", description = "By which policy that sidecar goes, since when, and whom a change led there waits for.", mixinStandardHelpOptions = true)
-    static final class Status implements Callable<Integer> {
-        @Mixin
-        private At at;
-
-        @Override
-        public Integer call() {
-            return at.call("GET", "/control/policy");
-        }
+    int status(@Mixin At at) {
+        return at.call("GET", "/control/policy");
     }
 
     @Command(name = "propose", description = "What that sidecar's policy file says is to be in force everywhere.", mixinStandardHelpOptions = true)
-    static final class Propose implements Callable<Integer> {
-        @Mixin
-        private At at;
-
-        @Override
-        public Integer call() {
-            return at.call("POST", "/control/policy/propose");
-        }
+    int propose(@Mixin At at) {
+        return at.call("POST", "/control/policy/propose");
     }
 
     @Command(name = "abort", description = "Takes back what is open.", mixinStandardHelpOptions = true)
-    static final class Abort implements Callable<Integer> {
-        @Mixin
-        private At at;
-
-        @Override
-        public Integer call() {
-            return at.call("POST", "/control/policy/abort");
-        }
+    int abort(@Mixin At at) {
+        return at.call("POST", "/control/policy/abort");
     }
 
     @Command(name = "history", description = "What a fleet went by, from a folder with its sidecars' logs ([log] format = \"json\"), a file each.",
--- a/src/test/java/rushproxy/cli/CommandsTest.java
+++ b/src/test/java/rushproxy/cli/CommandsTest.java
@@ -2,8 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -37,6 +41,31 @@
         assertEquals(0, Commands.run("check", "deploy/operator.toml"));
     }
 
+    @Test
+    void commandsOfAPolicyTellWhatCameOfThem() throws Exception {
+        HttpServer sidecar = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        List<String> calls = new CopyOnWriteArrayList<>();
+        sidecar.createContext("/", x -> {
+            calls.add(x.getRequestMethod() + " " + x.getRequestURI());
+            x.sendResponseHeaders(x.getRequestURI().getPath().endsWith("abort") ? 409 : 200, -1);
+            x.close();
+        });
+        sidecar.start();
+        String at = "127.0.0.1:" + sidecar.getAddress().getPort();
+        try {
+            assertEquals(0, Commands.run("policy", "status", "--at", at));
+            assertEquals(0, Commands.run("policy", "propose", "--at", at));
+            assertEquals(1, Commands.run("policy", "abort", "--at", at));
+        } finally {
+            sidecar.stop(0);
+        }
+        assertEquals(List.of("GET /control/policy", "POST /control/policy/propose", "POST /control/policy/abort"), calls);
+        assertEquals(1, Commands.run("policy", "status", "--at", at));
+        assertEquals(2, Commands.run("policy", "status", "--at", "here"));
+        assertEquals(2, Commands.run("policy", "status"));
+        assertEquals(0, Commands.run("policy", "audit", Files.createDirectory(folder.resolve("logs")).toString()));
+    }
+
     @Test
     void theLaboratorysCommandsEndAsTheOthers() throws Exception {
         String json = folder.resolve("days.json").toString();
