--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -4,13 +4,10 @@
 import rushproxy.State.*;
 
 /**
- * All decisions of the balancer; its interface (events, actions, settings) is {@link Balancer} in
- * Balancer.java.
- *
- * <p>HALO Power-of-D, D = 2: Eq. (4) splits the fleet's rate over the server kinds, each request draws two
- * servers by p_i/k_i and goes to the one with fewer in flight. Servers that leave their kind are groups of
- * their own; full ones leave the draw and requests wait here; one gate each for sends, refusals and failures
- * keeps the rules.
+ * All decisions of the balancer. HALO Power-of-D with D = 2: Eq. (4) splits the fleet's rate over the kinds
+ * of servers; each request draws two servers by p_i/k_i and goes to the one with fewer in flight. Servers
+ * that leave their kind are groups of their own; full ones leave the draw and requests wait here. One gate
+ * each for sends, refusals and failures keeps the rules.
  */
 public final class Policy implements Balancer {
     // ---- constants ------------------------------------------------------------------------------
@@ -34,8 +31,7 @@
     private static final double SLACK = 1.5;
     /** Waiting requests are looked through this often, to give up in time those that find no room. */
     private static final long SWEEP_US = 5_000;
-    /** A server is left alone for a while after failures in a row that weigh so much. A spoilt answer weighs
-     * half: it shows that the server lives; one that spoils all it answers is still left alone. */
+    /** Failures in a row of this weight eject a server; a spoilt answer, which shows life, weighs half. */
     private static final int EJECT_AFTER = 4, FAILURE = 2, SPOILT = 1;
     private static final long EJECT_US = 500_000, EJECT_MOST_US = 8_000_000;
     /** Time-outs of one class with no answer to it between, after which it is kept from the server. */
@@ -179,8 +175,7 @@
         return s.gone && s.own == 0;
     }
 
-    /** Fifth rule: idle connections to a server that leaves are closed at the notice and after each later
-     * outcome there. Also when it vanishes from the list, where a drain may have gone unseen. */
+    /** Fifth rule: closes idle connections to a server that drains or vanished, after each outcome too. */
     private void closeIfLeaving(Server s) {
         if (cfg.rules().closeOnDrainUs() > 0 && !s.ready && s.usedAt > 0) out.close(s.id);
     }
@@ -196,9 +191,8 @@
         return x ^ x >>> 16;
     }
 
-    /** Where connections cost, the servers to keep to: of each kind an arc of an order that all share,
-     * from a point of the own number's: even over servers, and a change of the list moves one place at most.
-     * Its length follows the own part of the fleet's rate: a server has as many streams at all sizes. */
+    /** Where connections cost, the servers to keep to: of each kind an arc of an order that all share, from
+     * a point of the own number's, as long as the own part of the fleet's rate asks for. */
     private List<Server> members(long now) {
         zonePart = zoneParts(now);
         if (!subset) return circled ? circle(now) : ready;
@@ -234,13 +228,12 @@
         return left < others.circle() ? circle : ready;
     }
 
-    /** The parts of the own requests for each zone: in proportion, or, where crossing has a price, all for
-     * the own but for what it is asked beyond its part of the fleet. Without word of peers all stay. */
+    /** Parts of the own requests by zone: in proportion, or own zone first where crossing has a price. */
     private double[] zoneParts(long now) {
         double[] part = new double[zoneRate.length];
         for (Server s : ready) part[s.zone] += 1.0 / ready.size();
         if (!priced() || !blind) return part;
-        double total = now - heardAt < HEARD_US ? sum(zoneRate) : 0;
+        double total = now - heardAt < HEARD_US ? Arrays.stream(zoneRate).sum() : 0;
         double stay = total <= 0 ? 1 : Math.min(1, part[home] * total / Math.max(1e-9, zoneRate[home]));
         double gaps = 0;
         for (int z = 0; z < part.length; z++) {
@@ -355,13 +348,9 @@
         rateAt = now;
     }
 
-    private static double sum(double[] a) {
-        return Arrays.stream(a).sum();
-    }
-
     /** The mean of the streams heard of, own one included, times their number. */
     private double fleetRate() {
-        double mean = sum(zoneRate);
+        double mean = Arrays.stream(zoneRate).sum();
         return cfg.balancers() * (mean > 0 ? mean : ownRate);
     }
 
@@ -375,8 +364,7 @@
     /** How many times longer than at their best answers take; alone, what servers report for each core. */
     private double crowding = 1;
 
-    /** Eq. (4) over groups of {@code k} servers of speed {@code mu}; those with a negative share are
-     * dropped and the rest solved again. The shares sum to 1, or all are 0. */
+    /** Eq. (4) over groups of {@code k} servers of speed {@code mu}: shares that sum to 1, or are all 0. */
     static double[] split(double[] k, double[] mu, double lambda) {
         int n = k.length;
         double[] p = new double[n];
@@ -398,10 +386,8 @@
             for (int i = 0; i < n; i++) {
                 double root = Math.sqrt(mu[i]);
                 p[i] = in[i] ? k[i] * (mu[i] * roots - root * sum + rate * root) / (rate * roots) : 0;
-                if (p[i] < 0) {
-                    in[i] = false;
-                    dropped = true;
-                }
+                in[i] &= p[i] >= 0;
+                dropped |= p[i] < 0;
             }
             if (!dropped) break;
         }
@@ -462,9 +448,8 @@
     /** Warming servers with a share, for the turns of many sidecars. */
     private final List<Server> cold = new ArrayList<>();
 
-    /** Two draws by p_i/k_i among the servers with room, the less busy one wins. Where crossing zones has
-     * a price, all with room in the own zone are drawn from first (or, for the part that a crowded zone gives
-     * away, the others); then any with a free core; then any below their bound. Null: wait here. */
+    /** The less busy of two drawn by p_i/k_i among those with room. Where crossing has a price, the own zone
+     * comes first (or what a crowded zone gives away), then any free core, then any. Null: wait. */
     private Server pick(long now, Req r) {
         refresh(now);
         if (r.request.streams()) return pair(now, r, all, false, null);
@@ -531,8 +516,7 @@
         return best;
     }
 
-    /** Whether the load is known well enough to compare: told since the request asked, or so lately that
-     * others have hardly sent anything since. One that carries most of the fleet's requests knows. */
+    /** Whether the load was told since the request asked, or lately enough that others hardly sent since. */
     private boolean known(long now, Req r, Server s) {
         if (s.reportedAt >= r.askedAt) return true;
         double strangers = Math.max(0, fleetRate() - ownRate) / Math.max(1, ready.size()) / 1e6;
@@ -716,14 +700,15 @@
         long from = s.entry.coldFromUs();
         if (warmth(from, now) >= 1) return true;
         long slot = coldSlot(s, now);
-        long slotStart = from + slot * (cfg.rules().fallWindowUs() / 2);
+        long window = cfg.rules().fallWindowUs();
+        long slotStart = from + slot * (window / 2);
         double slow = s.kind.slow * Math.max(1, s.apart);
         double capacity = warmth(from, slotStart) * Math.max(1, s.kind.cores) / slow;
-        double budget = COLD_PART * cfg.rules().fallMultiple() * capacity * cfg.rules().fallWindowUs();
+        double budget = COLD_PART * cfg.rules().fallMultiple() * capacity * window;
         long requests = (long) (budget / (sampling ? 1.5 : 3) / meanWork);
         long turn = Math.floorMod(cfg.me() - mix(s.id.hashCode(), (int) slot), cfg.balancers());
         long own = requests / cfg.balancers() + (turn < requests % cfg.balancers() ? 1 : 0);
-        long spacing = sampling ? cfg.rules().fallWindowUs() / 4 / Math.max(1, requests) : 0;
+        long spacing = sampling ? window / 4 / Math.max(1, requests) : 0;
         double sent = s.coldSlot == slot ? s.coldSent : 0;
         boolean due = own > 0 && now >= slotStart + turn * spacing;
         return due && work <= TAIL * meanWork && (sent == 0 || sent + work <= own * meanWork);
@@ -888,8 +873,7 @@
     /** Seen by own failures, which alone are told on: word of word would never end. */
     private long idleOwnAt = Long.MIN_VALUE / 2;
 
-    /** An attempt that fails on a connection long idle speaks of the connection, not of the server: others
-     * idle as long are closed before use, from then on until no such failure was seen for a while. */
+    /** A failure on a long idle connection blames it alone: others idle as long are closed for a while. */
     private boolean idleDropped(long now, Attempt a, Outcome outcome) {
         if (idleLimit < Long.MAX_VALUE && now - idleSeenAt > IDLE_FORGET_US) {
             idleSeenAt = now;
@@ -1051,8 +1035,7 @@
     private long heardAt = Long.MIN_VALUE / 2;
     private int tells;
 
-    /** To one peer at a time, so that the cost does not grow with the fleet. Each mixes the rates it hears in
-     * halves and leans to its own, so that all come near the mean of all streams. */
+    /** To one peer at a time. Each halves towards what it hears and leans to its own: near the mean. */
     private void tell(long now) {
         measure(now);
         tells++;
