--- a/src/main/java/rushproxy/http1/UpstreamConnection.java
+++ b/src/main/java/rushproxy/http1/UpstreamConnection.java
@@ -48,18 +48,22 @@
     private BiConsumer<Call, Channel> release;
     /** The answer being read; null before its head. */
     private HttpResponse head;
+
     private CompositeByteBuf body;
     /** Its end is that of the connection. */
     private boolean unframed;
+
     private boolean interim;
     /** It is whole; kept until all that came with it has been looked at. */
     private boolean whole;
     /** It goes on as it comes. */
     private boolean onward;
+
     private boolean reset;
     private Future<?> stall;
     /** When a part of an answer came last, or its client last had room. */
     private long readNanos;
+
     private long headNanos;
     private boolean spoilt;
     /** An answer that has begun and then stops for this long does not end any more. */
@@ -126,10 +130,15 @@
             interim = true;
         } else {
             HttpHeaders headers = response.headers();
-            boolean framed = HttpUtil.isTransferEncodingChunked(response) || headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() == 1;
-            unframed = !framed && !HttpUtil.isKeepAlive(response) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+            boolean framed = HttpUtil.isTransferEncodingChunked(response)
+                    || headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() == 1;
+            unframed =
+                    !framed && !HttpUtil.isKeepAlive(response) && !headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
             // Nothing runs before its last byte has come: what is served before that was made for something else.
-            spoilt = status == 101 || status == 200 && call.uploading() || !framed && !unframed || framed && length(response) > Headers.MAX_ANSWER;
+            spoilt = status == 101
+                    || status == 200 && call.uploading()
+                    || !framed && !unframed
+                    || framed && length(response) > Headers.MAX_ANSWER;
             head = response;
             headNanos = System.nanoTime();
         }
@@ -156,7 +165,8 @@
         }
         whole = last;
         long held = body == null ? 0 : body.readableBytes();
-        boolean large = held > Headers.MAX_BODY || !whole && held >= SEEN && (length(head) > Headers.MAX_BODY || late());
+        boolean large =
+                held > Headers.MAX_BODY || !whole && held >= SEEN && (length(head) > Headers.MAX_BODY || late());
         if (!onward && large && (outcome(head) != Outcome.OK || call.onward() == null)) {
             // An error so long is none, and nobody waits for it.
             spoilt = true;
@@ -303,8 +313,10 @@
 
     private static void tell(Call current, HttpResponse answered, ByteBuf body) {
         Outcome outcome = outcome(answered);
-        LoadReport report = LoadReports.read(current.reportInBody()
-                ? body.toString(StandardCharsets.UTF_8) : answered.headers().get(Headers.LOAD));
+        LoadReport report = LoadReports.read(
+                current.reportInBody()
+                        ? body.toString(StandardCharsets.UTF_8)
+                        : answered.headers().get(Headers.LOAD));
         if (current.reportInBody() && outcome == Outcome.OK && report == null) {
             // A probe whose report can't be read tells neither of load nor of a server without reports.
             outcome = Outcome.SPOILT;
@@ -318,7 +330,8 @@
         return switch (code) {
             case 200 -> Outcome.OK;
             case 503, 504 -> "1".equals(headers.get(Headers.TURNED_AWAY)) ? Outcome.REJECTED : Outcome.ERROR;
-            // What the client sent was no good: that is not the upstream's fault, and no other would like it better.
+                // What the client sent was no good: that is not the upstream's fault, and no other would like it
+                // better.
             default -> code >= 400 && code < 500 ? Outcome.INVALID : Outcome.ERROR;
         };
     }
--- a/src/main/java/rushproxy/http1/Upstreams.java
+++ b/src/main/java/rushproxy/http1/Upstreams.java
@@ -37,6 +37,7 @@
 public final class Upstreams {
     /** Idle connections are dropped this much before an upstream may drop them: a request then can't cross it. */
     private static final long IDLE_MARGIN_US = 2_000_000;
+
     private static final long SWEEP_MS = 1_000;
     private static final AsciiString HOST = AsciiString.cached("api.internal");
     /** A timer so late shows that the loop stood still; the longest that is made up for. */
@@ -49,12 +50,14 @@
         private long untilUs;
         /** Makes the message, told how long an answer is waited for. */
         private final LongFunction<FullHttpRequest> message;
+
         private final Result result;
         private final boolean reportInBody;
         /** Where a large answer goes on to; null for none. */
         private final Onward onward;
         /** A body that goes out while it comes; null where it is in the message. */
         private final Upload upload;
+
         private long sentUs;
         private Target target;
         private Channel channel;
@@ -66,10 +69,18 @@
         private long sendBeforeUs = Long.MAX_VALUE;
         /** Something of it may be with the kernel. */
         private boolean begun;
+
         private boolean ended;
 
-        Call(Upstreams pool, String upstream, long untilUs, boolean reportInBody,
-             LongFunction<FullHttpRequest> message, Result result, Onward onward, Upload upload) {
+        Call(
+                Upstreams pool,
+                String upstream,
+                long untilUs,
+                boolean reportInBody,
+                LongFunction<FullHttpRequest> message,
+                Result result,
+                Onward onward,
+                Upload upload) {
             this.onward = onward;
             this.upload = upload;
             this.pool = pool;
@@ -262,12 +273,14 @@
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    public Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, int maxConnections) {
+    public Upstreams(
+            EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.maxConnections = maxConnections;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = Dialling.tcp(loop, (int) Math.max(1, dialTimeoutUs / 1000), channel -> UpstreamConnection.on(channel, stallUs));
+        bootstrap = Dialling.tcp(
+                loop, (int) Math.max(1, dialTimeoutUs / 1000), channel -> UpstreamConnection.on(channel, stallUs));
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -282,7 +295,9 @@
             named.add(id);
             InetSocketAddress address = Addresses.parse(m.address());
             Target t = targets.get(id);
-            if (t == null || !t.address.equals(address) || t.startedUs != m.upstream().startedUs()) {
+            if (t == null
+                    || !t.address.equals(address)
+                    || t.startedUs != m.upstream().startedUs()) {
                 forget(t);
                 t = new Target(address, m.upstream().startedUs());
                 targets.put(id, t);
@@ -316,14 +331,33 @@
      * {@code onward}: where a large answer goes on to as it comes; null: what is large is no answer. {@code upload}: a body that is not
      * in the message; null: there is none.
      */
-    Call call(String upstream, long untilUs, LongFunction<FullHttpRequest> message, Attempt.Result result, Onward onward, Upload upload) {
+    Call call(
+            String upstream,
+            long untilUs,
+            LongFunction<FullHttpRequest> message,
+            Attempt.Result result,
+            Onward onward,
+            Upload upload) {
         return new Call(this, upstream, untilUs, false, message, result, onward, upload);
     }
 
     /** A probe, whose answer's body is the load report. */
     public Call probe(String upstream, long untilUs, Attempt.Result result) {
-        return new Call(this, upstream, untilUs, true, left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                HttpMethod.GET, Headers.STATS, Unpooled.EMPTY_BUFFER, Headers.CHECKED, Headers.CHECKED), result, null, null);
+        return new Call(
+                this,
+                upstream,
+                untilUs,
+                true,
+                left -> new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.GET,
+                        Headers.STATS,
+                        Unpooled.EMPTY_BUFFER,
+                        Headers.CHECKED,
+                        Headers.CHECKED),
+                result,
+                null,
+                null);
     }
 
     /** How many upstreams are kept. */
@@ -364,12 +398,16 @@
         long now = clock.now();
         call.sentUs = now;
         call.target = targets.get(call.upstream);
-        if (call.target == null || call.target.state != UpstreamState.READY || call.upload != null && !call.upload.canStart()) {
+        if (call.target == null
+                || call.target.state != UpstreamState.READY
+                || call.upload != null && !call.upload.canStart()) {
             call.end(Outcome.NOT_SENT, null, null);
             return;
         }
         // While a body comes its client's time does not run yet; who stands still is given up by its connection.
-        call.timeout = call.upload != null && !call.upload.whole() ? null : loop.schedule(call::timedOut, call.untilUs - now, TimeUnit.MICROSECONDS);
+        call.timeout = call.upload != null && !call.upload.whole()
+                ? null
+                : loop.schedule(call::timedOut, call.untilUs - now, TimeUnit.MICROSECONDS);
         Channel channel = takeIdle(call.target, now);
         if (channel != null) {
             call.channel = channel;
@@ -420,10 +458,13 @@
             } else if (!f.isSuccess()) {
                 call.refused = f.cause() instanceof ConnectException && !(f.cause() instanceof ConnectTimeoutException);
                 call.broke();
-            } else if (call.target.state != UpstreamState.READY || clock.now() >= call.sendBeforeUs
-                    || !call.reportInBody && !call.uploading() && clock.now() >= call.untilUs || !call.result.wanted()) {
+            } else if (call.target.state != UpstreamState.READY
+                    || clock.now() >= call.sendBeforeUs
+                    || !call.reportInBody && !call.uploading() && clock.now() >= call.untilUs
+                    || !call.result.wanted()) {
                 // The list changed, or time ran out, while the connection came up: nothing may be sent any more. It did
-                // come up, perhaps long ago on a loop that stood still: no word against the upstream. A probe still goes.
+                // come up, perhaps long ago on a loop that stood still: no word against the upstream. A probe still
+                // goes.
                 call.abandon(Outcome.NOT_SENT);
             } else {
                 write(call);
@@ -434,8 +475,10 @@
     private boolean dropOldestIdle() {
         Target oldest = null;
         for (Target t : targets.values()) {
-            if (!t.idle.isEmpty() && (oldest == null || connection(t.idle.peekLast()).idleSinceUs
-                    < connection(oldest.idle.peekLast()).idleSinceUs)) {
+            if (!t.idle.isEmpty()
+                    && (oldest == null
+                            || connection(t.idle.peekLast()).idleSinceUs
+                                    < connection(oldest.idle.peekLast()).idleSinceUs)) {
                 oldest = t;
             }
         }
@@ -448,7 +491,8 @@
     private void write(Call call) {
         call.begun = true;
         FullHttpRequest message = call.message.apply(call.untilUs - clock.now());
-        message.headers().set(HttpHeaderNames.HOST, HOST)
+        message.headers()
+                .set(HttpHeaderNames.HOST, HOST)
                 .set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
         connection(call.channel).begin(call, this::release);
         if (call.upload != null) {
--- a/src/main/java/rushproxy/json/Json.java
+++ b/src/main/java/rushproxy/json/Json.java
@@ -143,29 +143,37 @@
 
     @SuppressWarnings("unchecked")
     public List<Json> objects(String name) {
-        return ((List<Object>) of(name, List.class, "a list")).stream().map(o -> {
-            if (!(o instanceof Map)) {
-                throw new IllegalArgumentException("'" + name + "' holds what is no object");
-            }
-            return new Json((Map<String, Object>) o);
-        }).toList();
+        return ((List<Object>) of(name, List.class, "a list"))
+                .stream()
+                        .map(o -> {
+                            if (!(o instanceof Map)) {
+                                throw new IllegalArgumentException("'" + name + "' holds what is no object");
+                            }
+                            return new Json((Map<String, Object>) o);
+                        })
+                        .toList();
     }
 
     @SuppressWarnings("unchecked")
     public List<String> textsOrNone(String name) {
-        return has(name) ? ((List<Object>) of(name, List.class, "a list")).stream().map(String::valueOf).toList()
+        return has(name)
+                ? ((List<Object>) of(name, List.class, "a list"))
+                        .stream().map(String::valueOf).toList()
                 : List.of();
     }
 
     /** A list of numbers. */
     @SuppressWarnings("unchecked")
     public double[] numbers(String name) {
-        return ((List<Object>) of(name, List.class, "a list")).stream().mapToDouble(o -> {
-            if (!(o instanceof Number n)) {
-                throw new IllegalArgumentException("'" + name + "' holds what is no number");
-            }
-            return n.doubleValue();
-        }).toArray();
+        return ((List<Object>) of(name, List.class, "a list"))
+                .stream()
+                        .mapToDouble(o -> {
+                            if (!(o instanceof Number n)) {
+                                throw new IllegalArgumentException("'" + name + "' holds what is no number");
+                            }
+                            return n.doubleValue();
+                        })
+                        .toArray();
     }
 
     /** The names of its fields, in their order. */
@@ -196,7 +204,9 @@
             map.forEach((k, v) -> flatten(path.isEmpty() ? "" + k : path + "." + k, v, out));
         } else if (value instanceof List<?> list) {
             if (list.stream().noneMatch(Map.class::isInstance)) {
-                out.put(path, String.join(",", list.stream().map(String::valueOf).toList()));
+                out.put(
+                        path,
+                        String.join(",", list.stream().map(String::valueOf).toList()));
                 return;
             }
             out.put(path + ".count", "" + list.size());
--- a/src/main/java/rushproxy/lab/Day.java
+++ b/src/main/java/rushproxy/lab/Day.java
@@ -27,8 +27,12 @@
         List<Check> all = new ArrayList<>();
         Scenario.Expect e = scenario.expect();
         if (e.rules()) {
-            all.add(new Check("rules", "0 broken", broken + " broken" + (troubles.isEmpty() ? "" : ", " + troubles.get(0))
-                    + (fouls.isEmpty() ? "" : ": " + fouls.get(0)), sound()));
+            all.add(new Check(
+                    "rules",
+                    "0 broken",
+                    broken + " broken" + (troubles.isEmpty() ? "" : ", " + troubles.get(0))
+                            + (fouls.isEmpty() ? "" : ": " + fouls.get(0)),
+                    sound()));
         }
         least(all, "served", e.served(), figures.served());
         least(all, figures.dearest(), e.confirms(), figures.served(figures.dearest()));
@@ -38,18 +42,29 @@
         most(all, "tries failed", e.failed(), figures.failedShare());
         most(all, "own load", e.ownLoad(), figures.ownLoad());
         most(all, "connections on a node", e.connections(), figures.nodeConnections());
-        most(all, "calls to discovery a minute", e.calls(), figures.callsPerMinute(scenario.fleet().sidecars()));
+        most(
+                all,
+                "calls to discovery a minute",
+                e.calls(),
+                figures.callsPerMinute(scenario.fleet().sidecars()));
         most(all, "clients of a node, most over least", e.evenness(), figures.evenness());
         if (e.recoveryUs() >= 0) {
             int s = figures.recovery(lastEnds());
-            all.add(new Check("recovery", "within " + e.recoveryUs() / 1e6 + " s", s < 0 ? "never" : s + " s", s >= 0 && s * 1e6 <= e.recoveryUs()));
+            all.add(new Check(
+                    "recovery",
+                    "within " + e.recoveryUs() / 1e6 + " s",
+                    s < 0 ? "never" : s + " s",
+                    s >= 0 && s * 1e6 <= e.recoveryUs()));
         }
         return all;
     }
 
     /** Second at which the last event is over. */
     public int lastEnds() {
-        long us = scenario.faults().stream().mapToLong(f -> f.atUs() + f.withinUs() + Math.max(0, f.forUs())).max().orElse(0);
+        long us = scenario.faults().stream()
+                .mapToLong(f -> f.atUs() + f.withinUs() + Math.max(0, f.forUs()))
+                .max()
+                .orElse(0);
         return (int) (us / 1_000_000);
     }
 
@@ -66,7 +81,9 @@
     }
 
     private static String number(double d) {
-        return d == Math.rint(d) && Math.abs(d) >= 10 ? String.valueOf((long) d) : String.format(Locale.ROOT, "%.3f", d);
+        return d == Math.rint(d) && Math.abs(d) >= 10
+                ? String.valueOf((long) d)
+                : String.format(Locale.ROOT, "%.3f", d);
     }
 
     public boolean holds() {
@@ -76,11 +93,31 @@
     /** One line for people. */
     public String line() {
         Figures f = figures;
-        return String.format(Locale.ROOT, "%-18s seed %-4d %s  served %.3f (%s %.3f, worst %.2f)  refused %.3f failed %.3f  cold %.2f  %d"
-                + " tries, %d attempts, %d probes, %d dials, %d calls, own load %.4f  conn %d a node, %d a sidecar  even %.2f  %.1f M events in %.1f s",
-                scenario.name(), scenario.seed(), holds() ? "holds" : "FALLS SHORT", f.served(), f.dearest(), f.served(f.dearest()), f.worst(),
-                f.refusedShare(), f.failedShare(), f.coldMost(), f.tries, f.attempts, f.probes, f.dials, f.calls, f.ownLoad, f.nodeConnections,
-                f.sidecarConnections, f.evenness, f.events / 1e6, f.wallS);
+        return String.format(
+                Locale.ROOT,
+                "%-18s seed %-4d %s  served %.3f (%s %.3f, worst %.2f)  refused %.3f failed %.3f  cold %.2f  %d"
+                        + " tries, %d attempts, %d probes, %d dials, %d calls, own load %.4f  conn %d a node, %d a sidecar  even %.2f  %.1f M events in %.1f s",
+                scenario.name(),
+                scenario.seed(),
+                holds() ? "holds" : "FALLS SHORT",
+                f.served(),
+                f.dearest(),
+                f.served(f.dearest()),
+                f.worst(),
+                f.refusedShare(),
+                f.failedShare(),
+                f.coldMost(),
+                f.tries,
+                f.attempts,
+                f.probes,
+                f.dials,
+                f.calls,
+                f.ownLoad,
+                f.nodeConnections,
+                f.sidecarConnections,
+                f.evenness,
+                f.events / 1e6,
+                f.wallS);
     }
 
     /** For programs. Nothing in it depends on the machine, so the same day gives the same bytes. */
--- a/src/main/java/rushproxy/lab/Figures.java
+++ b/src/main/java/rushproxy/lab/Figures.java
@@ -25,6 +25,7 @@
     final int[] connections;
     /** By second and machine: work of nodes, in core seconds, over what those that are warm could do. */
     final Map<String, double[]> load = new LinkedHashMap<>();
+
     final Map<String, double[]> sent = new LinkedHashMap<>();
     long tries;
     long refusedTries;
@@ -47,6 +48,7 @@
     int idleSeconds;
     /** Work of nodes for sidecars' own sake, over what nodes can do in that time. */
     double ownLoad;
+
     long events;
     long digest;
     double wallS;
@@ -305,7 +307,9 @@
             Map<String, Object> one = new LinkedHashMap<>();
             one.put("served", served(classes.get(c)));
             for (double p : new double[] {50, 90, 99, 99.9}) {
-                one.put("p" + (p == 99.9 ? "999" : String.valueOf((int) p)) + "Ms", latency[c].getValueAtPercentile(p) / 1000.0);
+                one.put(
+                        "p" + (p == 99.9 ? "999" : String.valueOf((int) p)) + "Ms",
+                        latency[c].getValueAtPercentile(p) / 1000.0);
             }
             for (String what : List.of("asked", "served", "late", "refused", "failed")) {
                 List<Object> series = new ArrayList<>();
@@ -327,13 +331,22 @@
         m.put("classes", byClass);
         m.put("loadBySecond", series(load));
         m.put("sentBySecond", series(sent));
-        m.put("connectionsBySecond", java.util.Arrays.stream(connections).boxed().map(i -> (Object) (long) i).toList());
+        m.put(
+                "connectionsBySecond",
+                java.util.Arrays.stream(connections)
+                        .boxed()
+                        .map(i -> (Object) (long) i)
+                        .toList());
         return m;
     }
 
     private static Map<String, Object> series(Map<String, double[]> of) {
         Map<String, Object> m = new LinkedHashMap<>();
-        of.forEach((k, v) -> m.put(k, java.util.Arrays.stream(v).mapToObj(d -> (Object) (Math.round(d * 1e4) / 1e4)).toList()));
+        of.forEach((k, v) -> m.put(
+                k,
+                java.util.Arrays.stream(v)
+                        .mapToObj(d -> (Object) (Math.round(d * 1e4) / 1e4))
+                        .toList()));
         return m;
     }
 }
--- a/src/main/java/rushproxy/lab/Halo.java
+++ b/src/main/java/rushproxy/lab/Halo.java
@@ -12,7 +12,8 @@
     /** Parts by the machine's name, 1 in all. */
     static Map<String, Double> split(Scenario s) {
         int n = s.machines().size();
-        double shares = s.machines().stream().mapToDouble(Scenario.Machine::share).sum();
+        double shares =
+                s.machines().stream().mapToDouble(Scenario.Machine::share).sum();
         double[] k = new double[n];
         double[] mu = new double[n];
         for (int i = 0; i < n; i++) {
@@ -44,7 +45,9 @@
             Arrays.fill(p, 0);
             for (int i = 0; i < k.length; i++) {
                 if (!out[i]) {
-                    p[i] = k[i] * (mu[i] * roots - Math.sqrt(mu[i]) * sum + lambda * Math.sqrt(mu[i])) / (lambda * roots);
+                    p[i] = k[i]
+                            * (mu[i] * roots - Math.sqrt(mu[i]) * sum + lambda * Math.sqrt(mu[i]))
+                            / (lambda * roots);
                     if (p[i] < 0) {
                         out[i] = true;
                         again = true;
--- a/src/main/java/rushproxy/lab/Instance.java
+++ b/src/main/java/rushproxy/lab/Instance.java
@@ -35,12 +35,14 @@
     private final Map<String, Runnable> held = new LinkedHashMap<>();
     /** Counts its processes; each is another one to the referee, which was told nothing before it began. */
     private int life;
+
     private boolean alive;
     private Engine engine;
     private Lines lines;
     private Clock clock;
     /** When discovery, or its own process's start, last told it of all there is. */
     long listedUs;
+
     long probes;
     long words;
     long dialsBefore;
@@ -91,7 +93,13 @@
                 return world.time().now() + clockAheadUs;
             }
         };
-        lines = new Lines(world, this, timers, clock, scenario.nodes().idleUs(), scenario.sidecar().dialUs(),
+        lines = new Lines(
+                world,
+                this,
+                timers,
+                clock,
+                scenario.nodes().idleUs(),
+                scenario.sidecar().dialUs(),
                 scenario.sidecar().connections());
         world.speaks(this);
         long seed = scenario.seed() * 1_000_003 + number * 31L + of;
@@ -105,13 +113,22 @@
             if (kept != null) {
                 lists.add(kept);
             }
-            engine.members().keepWith(list -> disk.keep(world.time().now(), list), scenario.operator().membership().disk().refreshUs());
+            engine.members()
+                    .keepWith(
+                            list -> disk.keep(world.time().now(), list),
+                            scenario.operator().membership().disk().refreshUs());
         }
         if (lists.isEmpty()) {
             lists.add(new Listing(rushproxy.membership.Origin.KNOWN, 0, true, 0, List.of()));
         }
-        engine.start(lists, world.registry().of(this), scenario.operator().membership() != null,
-                scenario.operator().membership() == null ? 0 : scenario.operator().membership().spreadUs(), module);
+        engine.start(
+                lists,
+                world.registry().of(this),
+                scenario.operator().membership() != null,
+                scenario.operator().membership() == null
+                        ? 0
+                        : scenario.operator().membership().spreadUs(),
+                module);
         engine.watch();
     }
 
@@ -153,8 +170,12 @@
     }
 
     Exchange exchange(World.Try t, Request request, Exchange.Answer answer) {
-        return new Exchange(request, clock.now() + request.remainingUs(),
-                (upstream, untilUs, result) -> lines.attempt(t, upstream, untilUs, result), answer, null);
+        return new Exchange(
+                request,
+                clock.now() + request.remainingUs(),
+                (upstream, untilUs, result) -> lines.attempt(t, upstream, untilUs, result),
+                answer,
+                null);
     }
 
     void take(Exchange x) {
@@ -206,9 +227,12 @@
         }
         int guided = engine.module() instanceof Guided g ? g.held() : 0;
         int module = Held.requests(engine.module());
-        return engine.requests().held() + lines.out() + guided + module == 0 ? "" : "s" + number + " holds "
-                + engine.requests().held() + " requests, " + lines.out() + " attempts, " + guided + " and " + module
-                + " requests in its module";
+        return engine.requests().held() + lines.out() + guided + module == 0
+                ? ""
+                : "s" + number + " holds "
+                        + engine.requests().held() + " requests, " + lines.out() + " attempts, " + guided + " and "
+                        + module
+                        + " requests in its module";
     }
 
     @Override
--- a/src/main/java/rushproxy/lab/LabNode.java
+++ b/src/main/java/rushproxy/lab/LabNode.java
@@ -27,7 +27,12 @@
     }
 
     /** How it took a request. */
-    enum Took { SERVED, ERROR, TURNED_AWAY, DIED }
+    enum Took {
+        SERVED,
+        ERROR,
+        TURNED_AWAY,
+        DIED
+    }
 
     private static final class Job {
         final String id;
@@ -50,6 +55,7 @@
     final String zone;
     /** The machine's kind, as it is listed. */
     final String kind;
+
     private final Timeline time;
     private final Referee referee;
     private final Shape shape;
@@ -67,6 +73,7 @@
     private double neighbour = 1;
     /** Part of the answers that are errors, by turn. */
     private double errors;
+
     private double errorsDue;
     private long stallFromUs;
     private long stallUntilUs;
@@ -75,12 +82,14 @@
     private long reportedAtUs = Long.MIN_VALUE / 2;
     /** Connections that it holds, most of them at any time, and how many it has taken. */
     int connections;
+
     int mostConnections;
     long taken;
     /** Work of warm cores that it has done, milliseconds. */
     double workedMs;
     /** Time that its cores have been at work, all together, until when; and how it stood at the last look. */
     private long busyUs;
+
     private long busyAtUs;
     private long lookedBusyUs;
     private long lookedTaken;
@@ -90,8 +99,17 @@
     }
 
     /** @param startedUs when it starts, cold; 0 where it has been warm for long */
-    LabNode(Timeline time, Referee referee, Shape shape, String id, String zone, String kind, double speed, long reportEveryUs,
-            long startedUs, Consumer<LabNode> arrivals) {
+    LabNode(
+            Timeline time,
+            Referee referee,
+            Shape shape,
+            String id,
+            String zone,
+            String kind,
+            double speed,
+            long reportEveryUs,
+            long startedUs,
+            Consumer<LabNode> arrivals) {
         this.arrivals = arrivals;
         this.time = time;
         this.referee = referee;
@@ -299,7 +317,8 @@
         long now = time.now();
         if (now - reportedAtUs >= reportEveryUs) {
             reportedAtUs = now;
-            report = new LoadReport(working.size() + waiting.size(), waiting.size(), (double) working.size() / shape.cores());
+            report = new LoadReport(
+                    working.size() + waiting.size(), waiting.size(), (double) working.size() / shape.cores());
         }
         return report;
     }
--- a/src/main/java/rushproxy/lab/LabRegistry.java
+++ b/src/main/java/rushproxy/lab/LabRegistry.java
@@ -25,7 +25,9 @@
 final class LabRegistry {
     /** Changes that it can still tell one by one; who is further behind gets the whole list. */
     private static final int REMEMBERED = 500;
-    private static final String HEADER_BYTES = "GET /registry/instances HTTP/1.1 Host: discovery HTTP/1.1 200 OK Content-Length: 1234";
+
+    private static final String HEADER_BYTES =
+            "GET /registry/instances HTTP/1.1 Host: discovery HTTP/1.1 200 OK Content-Length: 1234";
 
     private record Changed(long generation, Member member) {}
 
@@ -39,6 +41,7 @@
         final RegistryCalls.Result result;
         /** What the caller knows; -1 where it asks for the whole list. */
         final long index;
+
         boolean over;
 
         Call(Instance of, RegistryCalls.Result result, long index) {
@@ -63,6 +66,7 @@
     private long lateUs;
     /** Calls that came, and bytes of calls and answers. */
     long calls;
+
     long bytes;
 
     LabRegistry(World world, Timeline time, Scenario.Registry how) {
@@ -233,7 +237,8 @@
             fail(c, "status 503");
             return;
         }
-        boolean whole = c.index < 0 || c.index > generation
+        boolean whole = c.index < 0
+                || c.index > generation
                 || c.index < generation && (changes.isEmpty() || changes.getFirst().generation > c.index + 1);
         Body body = bodies.computeIfAbsent(whole ? -1 : c.index, i -> body(whole, c.index));
         bytes += body.bytes.length;
@@ -249,8 +254,12 @@
     }
 
     private Body body(boolean whole, long index) {
-        List<Member> entries = whole ? new ArrayList<>(members.values())
-                : changes.stream().filter(c -> c.generation > index).map(Changed::member).toList();
+        List<Member> entries = whole
+                ? new ArrayList<>(members.values())
+                : changes.stream()
+                        .filter(c -> c.generation > index)
+                        .map(Changed::member)
+                        .toList();
         Map<String, Boolean> ready = new LinkedHashMap<>();
         if (whole) {
             everListed.forEach(id -> ready.put(id, false));
--- a/src/main/java/rushproxy/lab/LabSidecar.java
+++ b/src/main/java/rushproxy/lab/LabSidecar.java
@@ -49,6 +49,7 @@
     private final String zone;
     /** Attempts that went to another zone than the sidecar's. */
     int crossed;
+
     int attempts;
 
     LabSidecar(String zone, Timeline time, Map<String, LabNode> nodes, int maxAttempts, List<String> log) {
@@ -141,13 +142,24 @@
                     time.in(DIAL_US, () -> ended(x, number, upstream, Outcome.CONNECT_FAILED, sent, null));
                 }
             }
-            case UP, ANSWERS_LOST -> time.in(WIRE_US, () -> n.take(id, took -> {
-                if (n.link() != Link.UP && took != Took.DIED) {
-                    return;
-                }
-                time.in(WIRE_US, () -> ended(x, number, upstream, took == Took.SERVED ? Outcome.OK
-                        : took == Took.TURNED_AWAY ? Outcome.REJECTED : Outcome.RESET, sent, n.report()));
-            }));
+            case UP, ANSWERS_LOST -> time.in(
+                    WIRE_US,
+                    () -> n.take(id, took -> {
+                        if (n.link() != Link.UP && took != Took.DIED) {
+                            return;
+                        }
+                        time.in(
+                                WIRE_US,
+                                () -> ended(
+                                        x,
+                                        number,
+                                        upstream,
+                                        took == Took.SERVED
+                                                ? Outcome.OK
+                                                : took == Took.TURNED_AWAY ? Outcome.REJECTED : Outcome.RESET,
+                                        sent,
+                                        n.report()));
+                    }));
             default -> throw new IllegalStateException();
         }
     }
@@ -161,7 +173,8 @@
             end(x, "served");
         }
         settle(x);
-        call(() -> module.onOutcome(time.now(), x.request.id(), number, upstream, outcome, time.now() - sent, x.over, report));
+        call(() -> module.onOutcome(
+                time.now(), x.request.id(), number, upstream, outcome, time.now() - sent, x.over, report));
     }
 
     @Override
@@ -190,9 +203,14 @@
             long sent = time.now();
             boolean answers = n != null && n.link() == Link.UP;
             boolean refused = n == null || n.link() == Link.DEAD;
-            time.in(answers || refused ? 2 * WIRE_US : PROBE_US, () -> call(() -> module.onProbe(time.now(), upstream,
-                    answers ? Outcome.OK : refused ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, time.now() - sent,
-                    answers ? n.report() : null)));
+            time.in(
+                    answers || refused ? 2 * WIRE_US : PROBE_US,
+                    () -> call(() -> module.onProbe(
+                            time.now(),
+                            upstream,
+                            answers ? Outcome.OK : refused ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT,
+                            time.now() - sent,
+                            answers ? n.report() : null)));
         });
     }
 
--- a/src/main/java/rushproxy/lab/Lines.java
+++ b/src/main/java/rushproxy/lab/Lines.java
@@ -38,9 +38,11 @@
     private final Map<String, Target> targets = new LinkedHashMap<>();
     /** Calls under way to upstreams that are listed no more. */
     private final LinkedHashSet<Call> gone = new LinkedHashSet<>();
+
     private int open;
     /** Attempts that are out: none when all is over. */
     private int out;
+
     long dials;
     int mostOpen;
 
@@ -89,7 +91,9 @@
             String id = m.upstream().id();
             named.add(id);
             Target t = targets.get(id);
-            if (t == null || !t.address.equals(m.address()) || t.startedUs != m.upstream().startedUs()) {
+            if (t == null
+                    || !t.address.equals(m.address())
+                    || t.startedUs != m.upstream().startedUs()) {
                 forget(t);
                 t = new Target(world.at(m.address()), m.address(), m.upstream().startedUs());
                 targets.put(id, t);
@@ -305,7 +309,8 @@
                     } else if (node.connections >= world.connectionsOf(node)) {
                         world.dialRefused();
                         end(Outcome.REJECTED, null);
-                    } else if (!world.sendsTo(target.state) || request != null && clock.now() >= Math.min(untilUs, sendBeforeUs)) {
+                    } else if (!world.sendsTo(target.state)
+                            || request != null && clock.now() >= Math.min(untilUs, sendBeforeUs)) {
                         end(Outcome.NOT_SENT, null);
                     } else {
                         line = new Line(node);
@@ -465,7 +470,8 @@
     private boolean dropOldestIdle() {
         Target oldest = null;
         for (Target t : targets.values()) {
-            if (!t.idle.isEmpty() && (oldest == null || t.idle.peekLast().idleSinceUs < oldest.idle.peekLast().idleSinceUs)) {
+            if (!t.idle.isEmpty()
+                    && (oldest == null || t.idle.peekLast().idleSinceUs < oldest.idle.peekLast().idleSinceUs)) {
                 oldest = t;
             }
         }
--- a/src/main/java/rushproxy/lab/World.java
+++ b/src/main/java/rushproxy/lab/World.java
@@ -27,9 +27,7 @@
 import rushproxy.lab.LabNode.Link;
 import rushproxy.lab.scenario.Fault;
 import rushproxy.lab.scenario.Scenario;
-import rushproxy.membership.Listing;
 import rushproxy.membership.Member;
-import rushproxy.membership.Origin;
 import rushproxy.sidecar.Engine;
 import rushproxy.standin.FalseWords;
 import rushproxy.standin.Referee;
@@ -45,6 +43,7 @@
     private static final long SETTLE_US = 20_000_000;
     /** As {@code http1} takes it off a client's time, so that the answer is there before the client gives up. */
     private static final long MARGIN_US = 15_000;
+
     private static final long PRUNE_US = 30_000_000;
     private static final double HEAVY_PART = 0.02;
     private static final int MOST_TROUBLES = 20;
@@ -56,6 +55,7 @@
         private final double meanMs;
         /** For the account, of its last attempt that reached a node: how many did, when it was sent and came, and what it met. */
         private int attempts;
+
         private long firstSentUs;
         private long sentUs;
         private long arrivedUs;
@@ -124,6 +124,7 @@
     private final Consumer<String> log;
     /** Null where nobody asks for it. */
     private final Account account;
+
     private final long endUs;
     private final double totalShare;
     private Instance speaking;
@@ -131,6 +132,7 @@
     private int successors;
     /** By zone; how many times the usual load its sidecars' clients ask for. */
     private final Map<String, Double> loadFactor = new HashMap<>();
+
     private double heavy = 1;
     private int peersLost;
     private int peersGarbled;
@@ -156,8 +158,14 @@
         this.module = module;
         this.log = log;
         endUs = START_US + scenario.fleet().lengthUs();
-        long window = scenario.classes().stream().mapToLong(k -> k.spec().windowUs()).max().orElse(0);
-        referee = new Referee(scenario.sidecar().rules().drainGraceUs(), scenario.sidecar().rules().fallMultiple(), window);
+        long window = scenario.classes().stream()
+                .mapToLong(k -> k.spec().windowUs())
+                .max()
+                .orElse(0);
+        referee = new Referee(
+                scenario.sidecar().rules().drainGraceUs(),
+                scenario.sidecar().rules().fallMultiple(),
+                window);
         registry = new LabRegistry(this, time, scenario.registry());
         long seed = scenario.seed();
         arrivals = new UniformRandomProvider[scenario.fleet().sidecars()];
@@ -169,8 +177,10 @@
         draws = random(seed, 3);
         pauses = random(seed, 5);
         gaps = ZigguratSampler.Exponential.of(pauses);
-        totalShare = scenario.classes().stream().mapToDouble(Scenario.Kind::share).sum();
-        figures = new Figures(scenario.classes().stream().map(k -> k.spec().name()).toList(),
+        totalShare =
+                scenario.classes().stream().mapToDouble(Scenario.Kind::share).sum();
+        figures = new Figures(
+                scenario.classes().stream().map(k -> k.spec().name()).toList(),
                 scenario.classes().stream().mapToDouble(k -> k.spec().worth()).toArray(),
                 (int) ((scenario.fleet().lengthUs() + 999_999) / 1_000_000));
         nodes(random(seed, 4));
@@ -184,32 +194,59 @@
     }
 
     private static UniformRandomProvider random(long seed, long stream) {
-        return RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {seed * 0x9e3779b97f4a7c15L + stream, ~seed ^ stream * 0xbf58476d1ce4e5b9L});
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(
+                new long[] {seed * 0x9e3779b97f4a7c15L + stream, ~seed ^ stream * 0xbf58476d1ce4e5b9L});
     }
 
     // ---- what there is --------------------------------------------------------------------------
 
     private void nodes(UniformRandomProvider random) {
         ZigguratSampler.NormalizedGaussian normal = ZigguratSampler.NormalizedGaussian.of(random);
-        double shares = scenario.machines().stream().mapToDouble(Scenario.Machine::share).sum();
+        double shares = scenario.machines().stream()
+                .mapToDouble(Scenario.Machine::share)
+                .sum();
         int[] made = new int[scenario.machines().size()];
         for (int i = 0; i < scenario.fleet().nodes(); i++) {
             int want = 0;
             for (int k = 1; k < made.length; k++) {
                 double missing = scenario.machines().get(k).share() / shares * (i + 1) - made[k];
-                want = missing > scenario.machines().get(want).share() / shares * (i + 1) - made[want] + 1e-9 ? k : want;
+                want = missing > scenario.machines().get(want).share() / shares * (i + 1) - made[want] + 1e-9
+                        ? k
+                        : want;
             }
             made[want]++;
             double speed = Math.max(0.3, 1 + scenario.nodes().spread() * normal.sample());
-            add("n" + i, scenario.fleet().zones().get(i % scenario.fleet().zones().size()), scenario.machines().get(want), speed, 0, i);
+            add(
+                    "n" + i,
+                    scenario.fleet().zones().get(i % scenario.fleet().zones().size()),
+                    scenario.machines().get(want),
+                    speed,
+                    0,
+                    i);
         }
         posts.values().forEach(p -> registry.lists(member(p)));
     }
 
     private Post add(String id, String zone, Scenario.Machine m, double speed, long startedUs, int place) {
-        Shape shape = new Shape(m.cores(), 1, scenario.nodes().waiting(), scenario.nodes().coldShare(), scenario.nodes().rampUs() / 1000);
-        LabNode node = new LabNode(time, referee, shape, id, zone, m.name(), m.speed() * speed, scenario.nodes().reportUs(), startedUs, n -> { });
-        Post p = new Post(node, "10." + (place >> 16 & 255) + "." + (place >> 8 & 255) + "." + (place & 255) + ":8081", m);
+        Shape shape = new Shape(
+                m.cores(),
+                1,
+                scenario.nodes().waiting(),
+                scenario.nodes().coldShare(),
+                scenario.nodes().rampUs() / 1000);
+        LabNode node = new LabNode(
+                time,
+                referee,
+                shape,
+                id,
+                zone,
+                m.name(),
+                m.speed() * speed,
+                scenario.nodes().reportUs(),
+                startedUs,
+                n -> {});
+        Post p = new Post(
+                node, "10." + (place >> 16 & 255) + "." + (place >> 8 & 255) + "." + (place & 255) + ":8081", m);
         posts.put(id, p);
         byAddress.put(p.address, p);
         if (scenario.nodes().pauseEveryUs() > 0 && scenario.nodes().pauseUs() > 0) {
@@ -230,15 +267,24 @@
     private void sidecars() {
         int count = scenario.fleet().sidecars();
         for (int i = 0; i < count; i++) {
-            var disk = scenario.operator().membership() == null ? null : scenario.operator().membership().disk();
-            instances.add(new Instance(this, scenario, i, disk == null ? null
-                    : new LabDisk(disk.fleet(), disk.writesPerMinute(), this::note)));
+            var disk = scenario.operator().membership() == null
+                    ? null
+                    : scenario.operator().membership().disk();
+            instances.add(new Instance(
+                    this,
+                    scenario,
+                    i,
+                    disk == null ? null : new LabDisk(disk.fleet(), disk.writesPerMinute(), this::note)));
         }
         for (Instance i : instances) {
-            time.in(share(random(scenario.seed(), 6_000_000 + i.number), scenario.sidecar().spreadUs()), () -> {
-                boot(i);
-                nextArrival(i);
-            });
+            time.in(
+                    share(
+                            random(scenario.seed(), 6_000_000 + i.number),
+                            scenario.sidecar().spreadUs()),
+                    () -> {
+                        boot(i);
+                        nextArrival(i);
+                    });
         }
     }
 
@@ -254,9 +300,12 @@
 
     private Member member(Post p) {
         LabNode n = p.node;
-        UpstreamState state = p.retired || n.link() == Link.DEAD || n.link() == Link.CUT ? UpstreamState.GONE
+        UpstreamState state = p.retired || n.link() == Link.DEAD || n.link() == Link.CUT
+                ? UpstreamState.GONE
                 : p.draining ? UpstreamState.DRAINING : UpstreamState.READY;
-        return new Member(new Upstream(n.id, n.zone, n.kind, -1, n.startedUs() / 1000 * 1000, 1, state, Doubt.NONE, 0, Balancer.HTTP1),
+        return new Member(
+                new Upstream(
+                        n.id, n.zone, n.kind, -1, n.startedUs() / 1000 * 1000, 1, state, Doubt.NONE, 0, Balancer.HTTP1),
                 p.address);
     }
 
@@ -271,7 +320,12 @@
     // ---- who asks -------------------------------------------------------------------------------
 
     private double rate(Instance i) {
-        double wave = 1 + scenario.traffic().wave() * Math.sin(2 * Math.PI * (time.now() - START_US) / scenario.traffic().waveUs());
+        double wave = 1
+                + scenario.traffic().wave()
+                        * Math.sin(2
+                                * Math.PI
+                                * (time.now() - START_US)
+                                / scenario.traffic().waveUs());
         return scenario.perSecond(i.number) * wave * loadFactor.getOrDefault(i.zone, 1.0);
     }
 
@@ -296,12 +350,14 @@
     private void arrive(Instance i, UniformRandomProvider random) {
         double draw = random.nextDouble() * totalShare;
         int kind = 0;
-        while (kind + 1 < scenario.classes().size() && draw >= scenario.classes().get(kind).share()) {
+        while (kind + 1 < scenario.classes().size()
+                && draw >= scenario.classes().get(kind).share()) {
             draw -= scenario.classes().get(kind++).share();
         }
         int tenant = 0;
         double whose = random.nextDouble();
-        while (tenant + 1 < scenario.tenants().size() && whose >= scenario.tenants().get(tenant).share()) {
+        while (tenant + 1 < scenario.tenants().size()
+                && whose >= scenario.tenants().get(tenant).share()) {
             whose -= scenario.tenants().get(tenant++).share();
         }
         Scenario.Kind k = scenario.classes().get(kind);
@@ -326,16 +382,26 @@
         String intent = "w" + w.number;
         String id = again ? intent + "b" : intent;
         long now = time.now();
-        long waits = (long) (k.spec().deadlineUs() * (scenario.traffic().patience()
-                + (1 - scenario.traffic().patience()) * retries.nextDouble()));
+        long waits = (long) (k.spec().deadlineUs()
+                * (scenario.traffic().patience() + (1 - scenario.traffic().patience()) * retries.nextDouble()));
         referee.sent(now, id, intent, k.spec().semantics(), now + waits);
         figures.tries++;
         count(Account::asked);
         event("ask", w.number, id);
         Try t = new Try(id, w.workMs, k.workUs() / 1000);
         String tenant = scenario.tenants().get(w.tenant).name();
-        Request request = new Request(id, -1, again, k.spec().semantics() != Semantics.SAFE, 0, waits - MARGIN_US, tenant,
-                k.spec().name(), Balancer.HTTP1, false, keyed ? intent : null);
+        Request request = new Request(
+                id,
+                -1,
+                again,
+                k.spec().semantics() != Semantics.SAFE,
+                0,
+                waits - MARGIN_US,
+                tenant,
+                k.spec().name(),
+                Balancer.HTTP1,
+                false,
+                keyed ? intent : null);
         String of = i.name();
         boolean[] gone = new boolean[1];
         Exchange x = i.exchange(t, request, new Exchange.Answer() {
@@ -380,7 +446,8 @@
         }
     }
 
-    private void answered(Instance i, Wish w, Try t, boolean again, Referee.Ending how, long retryAfterUs, long askedUs) {
+    private void answered(
+            Instance i, Wish w, Try t, boolean again, Referee.Ending how, long retryAfterUs, long askedUs) {
         String id = t.id;
         i.letGo(id);
         Scenario.Kind k = scenario.classes().get(w.kind);
@@ -388,8 +455,13 @@
         event(how.name(), w.number, id);
         Figures.Cell cell = figures.cell(w.second, w.kind);
         boolean late = time.now() - w.firstUs > k.spec().aimUs();
-        count((a, us) -> a.ended(us, how == Referee.Ending.REFUSED ? Account.End.REFUSED : how == Referee.Ending.FAILED ? Account.End.FAILED
-                : late ? Account.End.LATE : Account.End.SERVED));
+        count((a, us) -> a.ended(
+                us,
+                how == Referee.Ending.REFUSED
+                        ? Account.End.REFUSED
+                        : how == Referee.Ending.FAILED
+                                ? Account.End.FAILED
+                                : late ? Account.End.LATE : Account.End.SERVED));
         if (how == Referee.Ending.SERVED) {
             figures.latency(w.kind, time.now() - w.firstUs);
             cause(w, t, how, askedUs);
@@ -445,12 +517,19 @@
     }
 
     long oneWayUs(Instance from, LabNode to) {
-        return way(to != null && from.zone.equals(to.zone) ? scenario.net().sameUs() : scenario.net().crossUs());
+        return way(
+                to != null && from.zone.equals(to.zone)
+                        ? scenario.net().sameUs()
+                        : scenario.net().crossUs());
     }
 
     private long way(long mean) {
         double us = mean * (1 + scenario.net().jitter() * -Math.log(1 - network.nextDouble()));
-        return (long) us + (scenario.net().loss() > 0 && network.nextDouble() < scenario.net().loss() ? 200_000 : 0);
+        return (long) us
+                + (scenario.net().loss() > 0
+                                && network.nextDouble() < scenario.net().loss()
+                        ? 200_000
+                        : 0);
     }
 
     /** Nodes are told how long an answer is waited for; some look at it. */
@@ -479,7 +558,8 @@
 
     /** Whether a node that takes requests, other than this one, has a core free now. */
     private boolean roomBeside(LabNode node) {
-        return posts.values().stream().anyMatch(p -> p.node != node && !p.draining && condition(p) == Condition.WARM && p.node.hasCoreFree());
+        return posts.values().stream()
+                .anyMatch(p -> p.node != node && !p.draining && condition(p) == Condition.WARM && p.node.hasCoreFree());
     }
 
     private void follow(Try t, LabNode node, long sentUs) {
@@ -499,13 +579,28 @@
         account.causes().request();
         if (how == Referee.Ending.SERVED) {
             long now = time.now();
-            long overUs = now - w.firstUs - scenario.classes().get(w.kind).spec().aimUs();
+            long overUs =
+                    now - w.firstUs - scenario.classes().get(w.kind).spec().aimUs();
             if (overUs > 0) {
-                account.causes().of(new Causes.Late(overUs, t.ill, t.roomElsewhere, askedUs - w.firstUs, t.sentUs - t.firstSentUs, t.firstSentUs - askedUs,
-                        t.arrivedUs - t.sentUs, now - t.arrivedUs - t.workUs, t.workUs).cause());
+                account.causes()
+                        .of(new Causes.Late(
+                                        overUs,
+                                        t.ill,
+                                        t.roomElsewhere,
+                                        askedUs - w.firstUs,
+                                        t.sentUs - t.firstSentUs,
+                                        t.firstSentUs - askedUs,
+                                        t.arrivedUs - t.sentUs,
+                                        now - t.arrivedUs - t.workUs,
+                                        t.workUs)
+                                .cause());
             }
         } else {
-            account.causes().of(how == Referee.Ending.FAILED ? Causes.Cause.FAILED : roomBeside(null) ? Causes.Cause.REFUSED_WITH_ROOM : Causes.Cause.REFUSED);
+            account.causes()
+                    .of(
+                            how == Referee.Ending.FAILED
+                                    ? Causes.Cause.FAILED
+                                    : roomBeside(null) ? Causes.Cause.REFUSED_WITH_ROOM : Causes.Cause.REFUSED);
         }
     }
 
@@ -557,7 +652,8 @@
             return Condition.GONE;
         }
         if (p.node.link() != Link.UP) {
-            boolean alone = posts.values().stream().anyMatch(o -> !o.retired && o.node.zone.equals(p.node.zone) && o.node.link() == Link.UP);
+            boolean alone = posts.values().stream()
+                    .anyMatch(o -> !o.retired && o.node.zone.equals(p.node.zone) && o.node.link() == Link.UP);
             return alone ? Condition.LOST : Condition.DEAD_ZONE;
         }
         return p.node.ails() ? Condition.BAD : p.node.warm() ? Condition.WARM : Condition.COLD;
@@ -597,7 +693,10 @@
     }
 
     private void tellOne(Instance from, int peer, byte[] message) {
-        if (peer == from.number || peer >= instances.size() || peersLost > 0 || network.nextDouble() < scenario.net().peerLoss()) {
+        if (peer == from.number
+                || peer >= instances.size()
+                || peersLost > 0
+                || network.nextDouble() < scenario.net().peerLoss()) {
             return;
         }
         byte[] bytes = message;
@@ -624,15 +723,24 @@
 
     private void begin(Fault f) {
         if (f.kind().meetsNodes()) {
-            List<Post> met = draw(f, posts.values().stream().filter(p -> !p.retired && !p.draining
-                    && (f.zone().isEmpty() || p.node.zone.equals(f.zone()))
-                    && (f.nodes().isEmpty() || f.nodes().contains(place(p)))).toList());
+            List<Post> met = draw(
+                    f,
+                    posts.values().stream()
+                            .filter(p -> !p.retired
+                                    && !p.draining
+                                    && (f.zone().isEmpty() || p.node.zone.equals(f.zone()))
+                                    && (f.nodes().isEmpty() || f.nodes().contains(place(p))))
+                            .toList());
             for (int k = 0; k < met.size(); k++) {
                 Post p = met.get(k);
                 time.in(f.withinUs() * k / Math.max(1, met.size()), () -> meet(f, p));
             }
         } else if (f.kind().meetsSidecars()) {
-            List<Instance> met = draw(f, instances.stream().filter(i -> f.zone().isEmpty() || i.zone.equals(f.zone())).toList());
+            List<Instance> met = draw(
+                    f,
+                    instances.stream()
+                            .filter(i -> f.zone().isEmpty() || i.zone.equals(f.zone()))
+                            .toList());
             for (int k = 0; k < met.size(); k++) {
                 Instance i = met.get(k);
                 time.in(f.withinUs() * k / Math.max(1, met.size()), () -> meet(f, i));
@@ -716,8 +824,13 @@
         relink(p);
         if (successor) {
             int number = ++successors;
-            Post s = add(p.node.id.replaceAll("-.*", "") + "-" + number, p.node.zone, p.machine, p.node.speed() / p.machine.speed(),
-                    time.now(), 1_000_000 + number);
+            Post s = add(
+                    p.node.id.replaceAll("-.*", "") + "-" + number,
+                    p.node.zone,
+                    p.machine,
+                    p.node.speed() / p.machine.speed(),
+                    time.now(),
+                    1_000_000 + number);
             notice(s, false);
         }
     }
@@ -725,7 +838,8 @@
     /** What is wrong with it decides how it is reached; nothing but a restart brings back one that fell over. */
     private void relink(Post p) {
         Link now = p.node.link();
-        Link then = p.retired || p.dead > 0 ? Link.DEAD : p.cut > 0 ? Link.CUT : p.lost > 0 ? Link.ANSWERS_LOST : Link.UP;
+        Link then =
+                p.retired || p.dead > 0 ? Link.DEAD : p.cut > 0 ? Link.CUT : p.lost > 0 ? Link.ANSWERS_LOST : Link.UP;
         if (now == then) {
             return;
         }
@@ -771,8 +885,11 @@
                 clockAheadUs = (long) (f.size() * 1e6);
                 after(f, () -> clockAheadUs = 0);
             }
-            case DISK_TORN -> instances.stream().filter(i -> i.disk() != null).forEach(i -> i.disk().tear());
-            case DISK_FORGETS -> instances.stream().filter(i -> i.disk() != null).forEach(i -> i.disk().forget());
+            case DISK_TORN -> instances.stream().filter(i -> i.disk() != null).forEach(i -> i.disk()
+                    .tear());
+            case DISK_FORGETS -> instances.stream()
+                    .filter(i -> i.disk() != null)
+                    .forEach(i -> i.disk().forget());
             case HEAVY -> {
                 heavy = f.size();
                 after(f, () -> heavy = 1);
@@ -807,7 +924,8 @@
 
     /** Part of the day's digest, and a line where somebody listens. */
     private void event(String what, long number, String name) {
-        digest = Long.rotateLeft(digest ^ time.now() * 31 + number * 1_000_003 + what.hashCode() * 17L + name.hashCode(), 23)
+        digest = Long.rotateLeft(
+                        digest ^ time.now() * 31 + number * 1_000_003 + what.hashCode() * 17L + name.hashCode(), 23)
                 * 0x9e3779b97f4a7c15L;
         if (log != null) {
             log.accept((time.now() - START_US) + " " + what + " " + number + " " + name);
@@ -828,7 +946,12 @@
             }
         }
         figures.connections[Math.min(second, figures.connections.length - 1)] = open;
-        figures.spread(second, posts.values().stream().filter(p -> condition(p) == Condition.WARM && !p.draining).map(p -> p.node.lately()).toList());
+        figures.spread(
+                second,
+                posts.values().stream()
+                        .filter(p -> condition(p) == Condition.WARM && !p.draining)
+                        .map(p -> p.node.lately())
+                        .toList());
         List<Post> all = new ArrayList<>(posts.values());
         Map<String, double[]> did = new LinkedHashMap<>();
         lastWorked = java.util.Arrays.copyOf(lastWorked, all.size());
@@ -877,7 +1000,12 @@
         }
         settle();
         figures.wallS = (System.nanoTime() - begun) / 1e9;
-        return new Day(scenario, figures, referee.fouls().stream().map(Object::toString).toList(), referee.count(), List.copyOf(troubles));
+        return new Day(
+                scenario,
+                figures,
+                referee.fouls().stream().map(Object::toString).toList(),
+                referee.count(),
+                List.copyOf(troubles));
     }
 
     /** While all of it is there. */
@@ -888,19 +1016,33 @@
         figures.dials = instances.stream().mapToLong(Instance::dials).sum();
         figures.calls = registry.calls;
         figures.callBytes = registry.bytes;
-        figures.nodeConnections = posts.values().stream().mapToInt(p -> p.node.mostConnections).max().orElse(0);
-        figures.sidecarConnections = instances.stream().mapToInt(Instance::mostOpen).max().orElse(0);
+        figures.nodeConnections = posts.values().stream()
+                .mapToInt(p -> p.node.mostConnections)
+                .max()
+                .orElse(0);
+        figures.sidecarConnections =
+                instances.stream().mapToInt(Instance::mostOpen).max().orElse(0);
         figures.ownLoad = ownWorkMs / (scenario.capacity() * scenario.fleet().lengthUs() / 1000);
-        List<Double> cold = posts.values().stream().flatMap(p -> p.node.coldPushes().stream()).sorted(Comparator.naturalOrder()).toList();
+        List<Double> cold = posts.values().stream()
+                .flatMap(p -> p.node.coldPushes().stream())
+                .sorted(Comparator.naturalOrder())
+                .toList();
         if (account != null) {
             cold.forEach(account::cold);
         }
         figures.coldMost = cold.isEmpty() ? 0 : cold.get(cold.size() - 1);
         figures.coldMean99 = cold.isEmpty() ? 0 : cold.get((int) Math.min(cold.size() - 1, 0.99 * cold.size()));
-        List<Post> listed = posts.values().stream().filter(p -> !p.retired && p.node.link() == Link.UP).toList();
-        long[] clients = listed.stream().mapToLong(p -> instances.stream().filter(i -> i.knows(p.node.id)).count()).toArray();
+        List<Post> listed = posts.values().stream()
+                .filter(p -> !p.retired && p.node.link() == Link.UP)
+                .toList();
+        long[] clients = listed.stream()
+                .mapToLong(
+                        p -> instances.stream().filter(i -> i.knows(p.node.id)).count())
+                .toArray();
         long least = java.util.Arrays.stream(clients).min().orElse(1);
-        figures.evenness = clients.length == 0 ? 1 : java.util.Arrays.stream(clients).max().orElse(1) / (double) Math.max(1, least);
+        figures.evenness = clients.length == 0
+                ? 1
+                : java.util.Arrays.stream(clients).max().orElse(1) / (double) Math.max(1, least);
     }
 
     private void settle() {
@@ -912,7 +1054,8 @@
                 troubles.add("all is over, and " + i.held());
             }
             if (i.mostOpen() > scenario.sidecar().connections() && troubles.size() < MOST_TROUBLES) {
-                troubles.add("s" + i.number + " held " + i.mostOpen() + " connections of " + scenario.sidecar().connections());
+                troubles.add("s" + i.number + " held " + i.mostOpen() + " connections of "
+                        + scenario.sidecar().connections());
             }
         }
     }
--- a/src/main/java/rushproxy/lab/ZoneDay.java
+++ b/src/main/java/rushproxy/lab/ZoneDay.java
@@ -37,7 +37,11 @@
     public static final List<String> ZONES = List.of("north", "south", "west");
     /** A node like those of the brief: one core, 90 ms a request, cold at 13 % for 24 s. */
     private static final Shape NODE = new Shape(1, 90, 12, 0.13, 24_000);
-    private static final long START_US = 1_000_000_000_000L, AIM_US = 330_000, DEADLINE_US = 830_000, WINDOW_US = 4_000_000;
+
+    private static final long START_US = 1_000_000_000_000L,
+            AIM_US = 330_000,
+            DEADLINE_US = 830_000,
+            WINDOW_US = 4_000_000;
     private static final long AGAIN_US = 100_000, BIN_US = 100_000;
 
     /** Worth that was asked for and served in its time, and what else became of tries, in one second. */
@@ -56,6 +60,7 @@
     private final TreeMap<Integer, Second> seconds = new TreeMap<>();
     /** Requests that came to a zone, by tenths of a second. */
     private final Map<String, TreeMap<Long, Integer>> arrivals = new LinkedHashMap<>();
+
     private final SplittableRandom random;
     private final double perSecond;
     private final boolean insistent;
@@ -70,7 +75,13 @@
      * @param options   of the zones, for a sidecar of this zone; null for the module alone
      * @param insistent whether clients ask for a failed confirmation once more, under a new id with the same key
      */
-    public ZoneDay(int perZone, int sidecarCount, double load, Function<String, Options> options, boolean insistent, long seed) {
+    public ZoneDay(
+            int perZone,
+            int sidecarCount,
+            double load,
+            Function<String, Options> options,
+            boolean insistent,
+            long seed) {
         random = new SplittableRandom(seed);
         this.insistent = insistent;
         perSecond = load * perZone * ZONES.size() * 1000 / NODE.workMs() * NODE.cores();
@@ -83,8 +94,17 @@
             LabSidecar s = new LabSidecar(settings.zone(), time, nodes, 4, log);
             long own = seed * 31 + i;
             Options of = options.apply(settings.zone());
-            s.module(of == null ? new Policy(settings, Guide.NONE, Others.SILENT, own, time.now(), s)
-                    : new Guided(of, settings, own, time.now(), s, (guide, hands) -> new Policy(settings, guide, Others.SILENT, own, time.now(), hands)));
+            s.module(
+                    of == null
+                            ? new Policy(settings, Guide.NONE, Others.SILENT, own, time.now(), s)
+                            : new Guided(
+                                    of,
+                                    settings,
+                                    own,
+                                    time.now(),
+                                    s,
+                                    (guide, hands) ->
+                                            new Policy(settings, guide, Others.SILENT, own, time.now(), hands)));
             sidecars.add(s);
         }
         list();
@@ -97,11 +117,41 @@
         List<RequestClass> classes = List.of(
                 new RequestClass("slot-lookup", Semantics.SAFE, Group.ALL, 0, AIM_US, 0, DEADLINE_US, 3, 0, false),
                 new RequestClass("booking-update", Semantics.SAFE, Group.ALL, 0, AIM_US, 0, DEADLINE_US, 3, 0, false),
-                new RequestClass("booking-confirm", Semantics.KEYED, Group.ZONE, WINDOW_US, AIM_US, 0, DEADLINE_US, 9, 0, false));
-        return new Settings(me, of, ZONES.get(me % ZONES.size()), ZONES, List.of("std"), classes, List.of(),
+                new RequestClass(
+                        "booking-confirm",
+                        Semantics.KEYED,
+                        Group.ZONE,
+                        WINDOW_US,
+                        AIM_US,
+                        0,
+                        DEADLINE_US,
+                        9,
+                        0,
+                        false));
+        return new Settings(
+                me,
+                of,
+                ZONES.get(me % ZONES.size()),
+                ZONES,
+                List.of("std"),
+                classes,
+                List.of(),
                 new Limits(4, true, true, true, false, true, 1_000_000, 15_000_000, 0),
-                new Rules(500_000, NODE.coldShare(), NODE.rampMs() * 1000, NodeModel.FALL_MULTIPLE, NodeModel.FALL_US, 10_000_000,
-                        5_000, 0), Reports.INLINE, false, false, 0.1, new Prices(0, 0, 0.002, 0, 0), 1_000);
+                new Rules(
+                        500_000,
+                        NODE.coldShare(),
+                        NODE.rampMs() * 1000,
+                        NodeModel.FALL_MULTIPLE,
+                        NodeModel.FALL_US,
+                        10_000_000,
+                        5_000,
+                        0),
+                Reports.INLINE,
+                false,
+                false,
+                0.1,
+                new Prices(0, 0, 0.002, 0, 0),
+                1_000);
     }
 
     /** Poisson arrivals at each sidecar. */
@@ -133,22 +183,39 @@
         String id = intent + (again ? "-again" : "");
         long now = time.now();
         referee.sent(now, id, intent, keyed ? Semantics.KEYED : Semantics.SAFE, now + DEADLINE_US);
-        s.take(new Request(id, -1, again, false, 0, DEADLINE_US - 15_000, null, c, rushproxy.Balancer.HTTP1, false,
-                keyed ? intent : null), end -> {
-            Second first = second(firstUs);
-            referee.answered(time.now(), id, end.equals("served") ? Referee.Ending.SERVED : end.equals("refused")
-                    ? Referee.Ending.REFUSED : Referee.Ending.FAILED, true);
-            if (end.equals("served")) {
-                if (time.now() - firstUs <= AIM_US) {
-                    first.served += worth(c);
-                    first.confirmsServed += keyed ? 1 : 0;
-                }
-            } else {
-                if (!again && (end.equals("refused") || keyed && insistent)) {
-                    time.in(AGAIN_US, () -> ask(s, c, intent, firstUs, true));
-                }
-            }
-        });
+        s.take(
+                new Request(
+                        id,
+                        -1,
+                        again,
+                        false,
+                        0,
+                        DEADLINE_US - 15_000,
+                        null,
+                        c,
+                        rushproxy.Balancer.HTTP1,
+                        false,
+                        keyed ? intent : null),
+                end -> {
+                    Second first = second(firstUs);
+                    referee.answered(
+                            time.now(),
+                            id,
+                            end.equals("served")
+                                    ? Referee.Ending.SERVED
+                                    : end.equals("refused") ? Referee.Ending.REFUSED : Referee.Ending.FAILED,
+                            true);
+                    if (end.equals("served")) {
+                        if (time.now() - firstUs <= AIM_US) {
+                            first.served += worth(c);
+                            first.confirmsServed += keyed ? 1 : 0;
+                        }
+                    } else {
+                        if (!again && (end.equals("refused") || keyed && insistent)) {
+                            time.in(AGAIN_US, () -> ask(s, c, intent, firstUs, true));
+                        }
+                    }
+                });
     }
 
     private void arrived(LabNode n) {
@@ -157,8 +224,10 @@
 
     /** Discovery's word goes to all sidecars, a little apart. */
     public void list() {
-        List<Upstream> entries = nodes.values().stream().filter(n -> tellLateUs < 0 || n.link() != Link.DEAD)
-                .map(n -> new Upstream(n.id, n.zone, "std", 0, n.startedUs(), 1, UpstreamState.READY)).toList();
+        List<Upstream> entries = nodes.values().stream()
+                .filter(n -> tellLateUs < 0 || n.link() != Link.DEAD)
+                .map(n -> new Upstream(n.id, n.zone, "std", 0, n.startedUs(), 1, UpstreamState.READY))
+                .toList();
         for (LabSidecar s : sidecars) {
             time.in(random.nextLong(20_000), () -> s.list(ListKind.FULL, entries));
         }
@@ -255,10 +324,19 @@
     public double peak(List<String> zones, int from, int to) {
         double peak = 0;
         for (String z : zones) {
-            double capacity = nodes.values().stream().filter(n -> n.zone.equals(z)).count() * NODE.cores() * 1_000 / NODE.workMs();
+            double capacity =
+                    nodes.values().stream().filter(n -> n.zone.equals(z)).count()
+                            * NODE.cores()
+                            * 1_000
+                            / NODE.workMs();
             TreeMap<Long, Integer> bins = arrivals.getOrDefault(z, new TreeMap<>());
             for (long bin = from * 10L; bin + 10 <= to * 10L; bin++) {
-                peak = Math.max(peak, bins.subMap(bin, bin + 10).values().stream().mapToInt(i -> i).sum() / capacity);
+                peak = Math.max(
+                        peak,
+                        bins.subMap(bin, bin + 10).values().stream()
+                                        .mapToInt(i -> i)
+                                        .sum()
+                                / capacity);
             }
         }
         return peak;
@@ -266,13 +344,18 @@
 
     /** What cold nodes were sent in a second, over what they could do then: this part of all such seconds had no more. */
     public double coldPush(double part) {
-        List<Double> all = nodes.values().stream().flatMap(n -> n.coldPushes().stream()).sorted().toList();
+        List<Double> all = nodes.values().stream()
+                .flatMap(n -> n.coldPushes().stream())
+                .sorted()
+                .toList();
         return all.isEmpty() ? 0 : all.get((int) Math.min(all.size() - 1, part * all.size()));
     }
 
     /** Part of all attempts that went to another zone than their sidecar's. */
     public double crossed() {
-        return sidecars.stream().mapToInt(s -> s.crossed).sum() / (double) Math.max(1, sidecars.stream().mapToInt(s -> s.attempts).sum());
+        return sidecars.stream().mapToInt(s -> s.crossed).sum()
+                / (double)
+                        Math.max(1, sidecars.stream().mapToInt(s -> s.attempts).sum());
     }
 
     /** Rules that broke, the four of them. */
@@ -282,7 +365,10 @@
     }
 
     public long doubleBookings() {
-        return referee.fouls().stream().filter(f -> f.rule() == Referee.Rule.NO_SECOND_EFFECT && f.what().contains("took effect")).count();
+        return referee.fouls().stream()
+                .filter(f ->
+                        f.rule() == Referee.Rule.NO_SECOND_EFFECT && f.what().contains("took effect"))
+                .count();
     }
 
     public List<String> log() {
@@ -296,6 +382,8 @@
     /** Requests that sidecars still hold. */
     public int held() {
         return sidecars.stream().mapToInt(LabSidecar::held).sum()
-                + sidecars.stream().mapToInt(s -> s.module() instanceof Guided g ? g.held() : 0).sum();
+                + sidecars.stream()
+                        .mapToInt(s -> s.module() instanceof Guided g ? g.held() : 0)
+                        .sum();
     }
 }
--- a/src/main/java/rushproxy/lab/fuzz/Mutator.java
+++ b/src/main/java/rushproxy/lab/fuzz/Mutator.java
@@ -47,7 +47,8 @@
             case 4 -> put(text, from, from, words.get(random.nextInt(words.size())));
             case 5 -> put(text, from, to, words.get(random.nextInt(words.size())));
             case 6 -> Arrays.copyOf(text, from);
-            default -> put(text, from, text.length, Arrays.copyOfRange(other, Math.min(other.length, from), other.length));
+            default -> put(
+                    text, from, text.length, Arrays.copyOfRange(other, Math.min(other.length, from), other.length));
         };
     }
 
--- a/src/main/java/rushproxy/lab/report/Charts.java
+++ b/src/main/java/rushproxy/lab/report/Charts.java
@@ -19,8 +19,17 @@
 final class Charts {
     private static final int WIDTH = 860, HEIGHT = 280;
     /** Okabe and Ito's palette. */
-    private static final Color[] COLOURS = {new Color(0x0072b2), new Color(0xd55e00), new Color(0x009e73), new Color(0xcc79a7),
-        new Color(0xe69f00), new Color(0x56b4e9), new Color(0x000000), new Color(0x999999)};
+    private static final Color[] COLOURS = {
+        new Color(0x0072b2),
+        new Color(0xd55e00),
+        new Color(0x009e73),
+        new Color(0xcc79a7),
+        new Color(0xe69f00),
+        new Color(0x56b4e9),
+        new Color(0x000000),
+        new Color(0x999999)
+    };
+
     private static final Font FONT = new Font(Font.SANS_SERIF, Font.PLAIN, 11);
 
     /** One line: points, and whether it is only a mark to compare with. */
@@ -50,8 +59,12 @@
             }
             all.addSeries(s);
             how.setSeriesPaint(n, COLOURS[n % COLOURS.length]);
-            how.setSeriesStroke(n, e.getValue().dashed() ? new BasicStroke(1.2f, BasicStroke.CAP_BUTT, BasicStroke.JOIN_ROUND, 1,
-                    new float[] {6, 4}, 0) : new BasicStroke(1.6f));
+            how.setSeriesStroke(
+                    n,
+                    e.getValue().dashed()
+                            ? new BasicStroke(
+                                    1.2f, BasicStroke.CAP_BUTT, BasicStroke.JOIN_ROUND, 1, new float[] {6, 4}, 0)
+                            : new BasicStroke(1.6f));
             n++;
         }
         ValueAxis x = logX ? new LogAxis(xName) : new NumberAxis(xName);
--- a/src/main/java/rushproxy/lab/report/Report.java
+++ b/src/main/java/rushproxy/lab/report/Report.java
@@ -19,16 +19,29 @@
     /** @param days as {@code Day.asMap} has them */
     public static String days(List<Json> days) {
         StringBuilder t = new StringBuilder(head("Days in the laboratory"));
-        t.append("<table><tr><th>scenario<th>seed<th>holds<th>served<th>worst 5 s<th>refused<th>failed<th>cold x<th>own load"
-                + "<th>connections a node<th>attempts</tr>");
+        t.append(
+                "<table><tr><th>scenario<th>seed<th>holds<th>served<th>worst 5 s<th>refused<th>failed<th>cold x<th>own load"
+                        + "<th>connections a node<th>attempts</tr>");
         for (Json d : days) {
             Json f = d.object("figures");
-            t.append("<tr><td><a href=\"#").append(anchor(d)).append("\">").append(escaped(d.text("scenario"))).append("</a><td>")
-                    .append(d.number("seed")).append("<td class=").append(d.flag("holds")).append('>').append(d.flag("holds") ? "yes" : "no");
+            t.append("<tr><td><a href=\"#")
+                    .append(anchor(d))
+                    .append("\">")
+                    .append(escaped(d.text("scenario")))
+                    .append("</a><td>")
+                    .append(d.number("seed"))
+                    .append("<td class=")
+                    .append(d.flag("holds"))
+                    .append('>')
+                    .append(d.flag("holds") ? "yes" : "no");
             for (String name : List.of("served", "worst", "refused", "failed", "coldMost", "ownLoad")) {
                 t.append("<td>").append(String.format(Locale.ROOT, "%.3f", f.realOr(name, 0)));
             }
-            t.append("<td>").append(f.number("nodeConnections")).append("<td>").append(f.number("attempts")).append("</tr>");
+            t.append("<td>")
+                    .append(f.number("nodeConnections"))
+                    .append("<td>")
+                    .append(f.number("attempts"))
+                    .append("</tr>");
         }
         t.append("</table>");
         days.forEach(d -> day(t, d));
@@ -36,17 +49,32 @@
     }
 
     private static void day(StringBuilder t, Json d) {
-        t.append("<h2 id=\"").append(anchor(d)).append("\">").append(escaped(d.text("scenario"))).append(", seed ").append(d.number("seed"))
-                .append("</h2><p>").append(escaped(d.textOr("about", ""))).append("</p>");
+        t.append("<h2 id=\"")
+                .append(anchor(d))
+                .append("\">")
+                .append(escaped(d.text("scenario")))
+                .append(", seed ")
+                .append(d.number("seed"))
+                .append("</h2><p>")
+                .append(escaped(d.textOr("about", "")))
+                .append("</p>");
         t.append("<table><tr><th>expected<th>wanted<th>found</tr>");
         for (Json c : d.objects("checks")) {
-            t.append("<tr><td>").append(escaped(c.text("what"))).append("<td>").append(escaped(c.text("wanted"))).append("<td class=")
-                    .append(c.flag("holds")).append('>').append(escaped(c.text("found"))).append("</tr>");
+            t.append("<tr><td>")
+                    .append(escaped(c.text("what")))
+                    .append("<td>")
+                    .append(escaped(c.text("wanted")))
+                    .append("<td class=")
+                    .append(c.flag("holds"))
+                    .append('>')
+                    .append(escaped(c.text("found")))
+                    .append("</tr>");
         }
         t.append("</table>");
         if (!d.textsOrNone("events").isEmpty()) {
             t.append("<ul>");
-            d.textsOrNone("events").forEach(e -> t.append("<li>").append(escaped(e)).append("</li>"));
+            d.textsOrNone("events")
+                    .forEach(e -> t.append("<li>").append(escaped(e)).append("</li>"));
             t.append("</ul>");
         }
         Json f = d.object("figures");
@@ -63,7 +91,12 @@
                 }
             }
         }
-        t.append(Charts.svg("How requests ended, by the second they were asked for (mean over " + SMOOTH + " s)", "second", "requests", false, ends));
+        t.append(Charts.svg(
+                "How requests ended, by the second they were asked for (mean over " + SMOOTH + " s)",
+                "second",
+                "requests",
+                false,
+                ends));
         Map<String, Line> load = new LinkedHashMap<>();
         Json bySecond = f.object("loadBySecond");
         bySecond.names().forEach(k -> load.put(k, Line.seconds(smooth(bySecond.numbers(k)), false)));
@@ -72,17 +105,41 @@
         Map<String, Line> latency = new LinkedHashMap<>();
         for (String c : classes.names()) {
             // What is rarer than one in all of them nobody has seen.
-            double served = java.util.Arrays.stream(classes.object(c).numbers("servedBySecond")).sum();
-            List<double[]> points = points(classes.object(c)).stream().filter(p -> p[0] < 100 - 100 / (served + 1)).toList();
-            latency.put(c, new Line(points.stream().mapToDouble(p -> 1 / Math.max(1e-5, 1 - p[0] / 100)).toArray(),
-                    points.stream().mapToDouble(p -> p[1]).toArray(), false));
+            double served = java.util.Arrays.stream(classes.object(c).numbers("servedBySecond"))
+                    .sum();
+            List<double[]> points = points(classes.object(c)).stream()
+                    .filter(p -> p[0] < 100 - 100 / (served + 1))
+                    .toList();
+            latency.put(
+                    c,
+                    new Line(
+                            points.stream()
+                                    .mapToDouble(p -> 1 / Math.max(1e-5, 1 - p[0] / 100))
+                                    .toArray(),
+                            points.stream().mapToDouble(p -> p[1]).toArray(),
+                            false));
         }
-        t.append(Charts.svg("Time to the answer, of those served: one in so many takes longer", "one in", "ms", true, latency));
-        t.append(Charts.svg("Connections of all sidecars", "second", "connections", false,
+        t.append(Charts.svg(
+                "Time to the answer, of those served: one in so many takes longer", "one in", "ms", true, latency));
+        t.append(Charts.svg(
+                "Connections of all sidecars",
+                "second",
+                "connections",
+                false,
                 Map.of("open", Line.seconds(f.numbers("connectionsBySecond"), false))));
-        t.append("<p>Sidecars: ").append(f.number("attempts")).append(" attempts, ").append(f.number("probes")).append(" probes, ")
-                .append(f.number("dials")).append(" new connections, ").append(f.number("words")).append(" words to peers, ")
-                .append(f.number("calls")).append(" calls to discovery of ").append(f.number("callBytes")).append(" bytes.</p>");
+        t.append("<p>Sidecars: ")
+                .append(f.number("attempts"))
+                .append(" attempts, ")
+                .append(f.number("probes"))
+                .append(" probes, ")
+                .append(f.number("dials"))
+                .append(" new connections, ")
+                .append(f.number("words"))
+                .append(" words to peers, ")
+                .append(f.number("calls"))
+                .append(" calls to discovery of ")
+                .append(f.number("callBytes"))
+                .append(" bytes.</p>");
     }
 
     private static List<double[]> points(Json c) {
@@ -114,7 +171,12 @@
             lines.put(k, Line.seconds(y, false));
             lines.put(k + ", Eq. (4)", Line.seconds(eq, true));
         }
-        t.append(Charts.svg("Attempts by kind of node, beside Eq. (4) for true speeds and the mean rate", "second", "part", false, lines));
+        t.append(Charts.svg(
+                "Attempts by kind of node, beside Eq. (4) for true speeds and the mean rate",
+                "second",
+                "part",
+                false,
+                lines));
     }
 
     /** One line a figure over the values of a key; marks of the same key in their order. */
@@ -124,9 +186,14 @@
             Map<String, Line> lines = new LinkedHashMap<>();
             ways.forEach((way, marks) -> {
                 double[] x = marks.stream().mapToDouble(Mark::x).toArray();
-                lines.put(way, new Line(x, marks.stream().mapToDouble(Mark::mean).toArray(), false));
-                lines.put(way + ", low", new Line(x, marks.stream().mapToDouble(Mark::low).toArray(), true));
-                lines.put(way + ", high", new Line(x, marks.stream().mapToDouble(Mark::high).toArray(), true));
+                lines.put(
+                        way, new Line(x, marks.stream().mapToDouble(Mark::mean).toArray(), false));
+                lines.put(
+                        way + ", low",
+                        new Line(x, marks.stream().mapToDouble(Mark::low).toArray(), true));
+                lines.put(
+                        way + ", high",
+                        new Line(x, marks.stream().mapToDouble(Mark::high).toArray(), true));
             });
             t.append(Charts.svg(figure, key, figure, false, lines));
         });
@@ -150,13 +217,17 @@
     }
 
     private static String head(String title) {
-        return "<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>" + escaped(title) + "</title><style>"
+        return "<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>" + escaped(title)
+                + "</title><style>"
                 + "body{font:14px sans-serif;max-width:900px;margin:2em auto;color:#222}table{border-collapse:collapse;margin:1em 0}"
                 + "td,th{padding:.2em .7em;border-bottom:1px solid #ddd;text-align:left}.true{color:#00664a}.false{color:#b00020;font-weight:bold}"
                 + "svg{display:block;margin:1em 0}</style></head><body><h1>" + escaped(title) + "</h1>";
     }
 
     private static String escaped(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 }
--- a/src/main/java/rushproxy/lab/scenario/Fault.java
+++ b/src/main/java/rushproxy/lab/scenario/Fault.java
@@ -13,7 +13,8 @@
  * @param withinUs over which it is spread: nodes and sidecars are met one after the other
  * @param size   how much, by its kind
  */
-public record Fault(long atUs, Kind kind, String zone, List<Integer> nodes, double part, long forUs, long withinUs, double size) {
+public record Fault(
+        long atUs, Kind kind, String zone, List<Integer> nodes, double part, long forUs, long withinUs, double size) {
     /** What happens. {@code scale}: what {@code size} means, with its least, its usual and its greatest. */
     public enum Kind {
         /** Processes die; they come back, cold, when it is over. */
@@ -121,7 +122,8 @@
     public String toString() {
         StringBuilder t = new StringBuilder(kind.word());
         if (kind.meetsNodes() || kind.meetsSidecars()) {
-            t.append(" of ").append(!nodes.isEmpty() ? "nodes " + nodes : part >= 1 ? "all" : Math.round(part * 100) + " %")
+            t.append(" of ")
+                    .append(!nodes.isEmpty() ? "nodes " + nodes : part >= 1 ? "all" : Math.round(part * 100) + " %")
                     .append(zone.isEmpty() ? "" : " in " + zone);
         }
         t.append(" at ").append(atUs / 1e6).append(" s");
@@ -131,12 +133,17 @@
         if (withinUs > 0) {
             t.append(", spread over ").append(withinUs / 1e6).append(" s");
         }
-        return kind.scale.isEmpty() ? t.toString() : t.append(", ").append(size).append(' ').append(kind.scale).toString();
+        return kind.scale.isEmpty()
+                ? t.toString()
+                : t.append(", ").append(size).append(' ').append(kind.scale).toString();
     }
 
     /** As it stands in a scenario file. */
     public String toml() {
-        StringBuilder t = new StringBuilder("[[event]]\nat = \"").append(atUs / 1000).append("ms\"\ndo = \"").append(kind.word())
+        StringBuilder t = new StringBuilder("[[event]]\nat = \"")
+                .append(atUs / 1000)
+                .append("ms\"\ndo = \"")
+                .append(kind.word())
                 .append("\"\n");
         if (!zone.isEmpty()) {
             t.append("zone = \"").append(zone).append("\"\n");
--- a/src/main/java/rushproxy/lab/scenario/Scenario.java
+++ b/src/main/java/rushproxy/lab/scenario/Scenario.java
@@ -14,9 +14,23 @@
  * A day to be played: what there is, who asks for how much, what goes wrong, and what must hold. Times are microseconds, a part
  * is from 0 to 1.
  */
-public record Scenario(String name, String about, long seed, Fleet fleet, List<Machine> machines, Nodes nodes, List<Kind> classes,
-                       List<Tenant> tenants, Traffic traffic, Registry registry, Net net, Sidecar sidecar, Operator operator,
-                       List<Fault> faults, Expect expect, Hunt hunt) {
+public record Scenario(
+        String name,
+        String about,
+        long seed,
+        Fleet fleet,
+        List<Machine> machines,
+        Nodes nodes,
+        List<Kind> classes,
+        List<Tenant> tenants,
+        Traffic traffic,
+        Registry registry,
+        Net net,
+        Sidecar sidecar,
+        Operator operator,
+        List<Fault> faults,
+        Expect expect,
+        Hunt hunt) {
     /**
      * @param told sidecars that there are by what each is told; it need not be true
      */
@@ -35,8 +49,19 @@
      * @param dropsExpired whether they drop what has waited for longer than its sidecar does
      * @param pauseEveryUs mean time between its own short pauses, 0 for none, of {@code pauseUs} on the average
      */
-    public record Nodes(double spread, int waiting, double coldShare, long rampUs, int connections, long idleUs, long handshakeUs,
-                        long reportUs, long pauseEveryUs, long pauseUs, long probeUs, boolean dropsExpired) {}
+    public record Nodes(
+            double spread,
+            int waiting,
+            double coldShare,
+            long rampUs,
+            int connections,
+            long idleUs,
+            long handshakeUs,
+            long reportUs,
+            long pauseEveryUs,
+            long pauseUs,
+            long probeUs,
+            boolean dropsExpired) {}
 
     /** A class of requests and what they cost: log-normal, of this mean on a core of speed 1 and this coefficient of variation. */
     public record Kind(RequestClass spec, double share, double workUs, double spread) {}
@@ -52,8 +77,18 @@
      * @param impatient  part of requests whose client leaves before its time
      * @param patience   part of the deadline that clients wait at least
      */
-    public record Traffic(double load, double perSecond, int busyOneIn, double busyTimes, double wave, long waveUs, double retries,
-                          long retryUs, boolean insistent, double impatient, double patience) {}
+    public record Traffic(
+            double load,
+            double perSecond,
+            int busyOneIn,
+            double busyTimes,
+            double wave,
+            long waveUs,
+            double retries,
+            long retryUs,
+            boolean insistent,
+            double impatient,
+            double patience) {}
 
     /**
      * @param asked          sidecars ask; else lists are pushed
@@ -68,8 +103,15 @@
     public record Net(long sameUs, long crossUs, double jitter, double loss, long peerUs, double peerLoss) {}
 
     /** What the platform allows a sidecar; {@code probePrice}: points of the result for one probe to each first try. */
-    public record Sidecar(Limits limits, Reports reports, Rules rules, long dialUs, int connections, long bootUs, long spreadUs,
-                          double probePrice) {}
+    public record Sidecar(
+            Limits limits,
+            Reports reports,
+            Rules rules,
+            long dialUs,
+            int connections,
+            long bootUs,
+            long spreadUs,
+            double probePrice) {}
 
     /**
      * What must hold; a bound that is not set is below 0.
@@ -87,22 +129,38 @@
      * @param calls       mean calls to discovery, a sidecar and minute
      * @param evenness    most over least of the clients of a node
      */
-    public record Expect(boolean rules, double served, double confirms, double worstSecond, double cold, long recoveryUs,
-                         double refused, double failed, double ownLoad, int connections, double calls, double evenness) {}
+    public record Expect(
+            boolean rules,
+            double served,
+            double confirms,
+            double worstSecond,
+            double cold,
+            long recoveryUs,
+            double refused,
+            double failed,
+            double ownLoad,
+            int connections,
+            double calls,
+            double evenness) {}
 
     /** What a search may draw: so many events at the most, of these kinds. */
     public record Hunt(int events, List<Fault.Kind> kinds) {}
 
     /** What all nodes, warm, can do: core seconds a second. */
     public double capacity() {
-        return machines.stream().mapToDouble(m -> m.share() * m.cores() * m.speed()).sum()
-                / machines.stream().mapToDouble(Machine::share).sum() * fleet.nodes();
+        return machines.stream()
+                        .mapToDouble(m -> m.share() * m.cores() * m.speed())
+                        .sum()
+                / machines.stream().mapToDouble(Machine::share).sum()
+                * fleet.nodes();
     }
 
     /** Core seconds that a request takes on the average. */
     public double workS() {
         double shares = classes.stream().mapToDouble(Kind::share).sum();
-        return classes.stream().mapToDouble(k -> k.share() / shares * k.workUs() / 1e6).sum();
+        return classes.stream()
+                .mapToDouble(k -> k.share() / shares * k.workUs() / 1e6)
+                .sum();
     }
 
     /** Requests a second of all clients, on the average. */
@@ -125,19 +183,47 @@
 
     /** What sidecar number {@code me} is told. */
     public Settings settings(int me) {
-        return new Settings(me, fleet.told(), fleet.zones().get(me % fleet.zones().size()), fleet.zones(),
-                machines.stream().map(Machine::name).toList(), classes.stream().map(Kind::spec).toList(), tenants,
-                sidecar.limits(), sidecar.rules(), sidecar.reports(), registry.asked(), false, 0.1,
-                new Prices(0.005, 0.01, sidecar.probePrice(), 0, 0), 1_000);
+        return new Settings(
+                me,
+                fleet.told(),
+                fleet.zones().get(me % fleet.zones().size()),
+                fleet.zones(),
+                machines.stream().map(Machine::name).toList(),
+                classes.stream().map(Kind::spec).toList(),
+                tenants,
+                sidecar.limits(),
+                sidecar.rules(),
+                sidecar.reports(),
+                registry.asked(),
+                false,
+                0.1,
+                new Prices(0.005, 0.01, sidecar.probePrice(), 0, 0),
+                1_000);
     }
 
     public Scenario with(List<Fault> others, long otherSeed) {
-        return new Scenario(name, about, otherSeed, fleet, machines, nodes, classes, tenants, traffic, registry, net, sidecar, operator,
-                List.copyOf(others), expect, hunt);
+        return new Scenario(
+                name,
+                about,
+                otherSeed,
+                fleet,
+                machines,
+                nodes,
+                classes,
+                tenants,
+                traffic,
+                registry,
+                net,
+                sidecar,
+                operator,
+                List.copyOf(others),
+                expect,
+                hunt);
     }
 
     public Scenario with(Operator other) {
-        return new Scenario(name, about, seed, fleet, machines, nodes, classes, tenants, traffic, registry, net, sidecar, other,
+        return new Scenario(
+                name, about, seed, fleet, machines, nodes, classes, tenants, traffic, registry, net, sidecar, other,
                 faults, expect, hunt);
     }
 }
--- a/src/main/java/rushproxy/lab/scenario/ScenarioFile.java
+++ b/src/main/java/rushproxy/lab/scenario/ScenarioFile.java
@@ -29,9 +29,29 @@
  */
 public final class ScenarioFile {
     /** The scenarios that come with the program. */
-    public static final List<String> SHIPPED = List.of("calm", "monday", "deploy", "cold-fleet", "half-stalled", "zone-dark",
-            "flapping", "discovery-down", "registry-restored", "quiet", "retry-storm", "keyed-repeats", "replaced", "split",
-            "storm-of-faults", "cold-storm", "vast", "vast-join", "vast-dark", "spread", "mass");
+    public static final List<String> SHIPPED = List.of(
+            "calm",
+            "monday",
+            "deploy",
+            "cold-fleet",
+            "half-stalled",
+            "zone-dark",
+            "flapping",
+            "discovery-down",
+            "registry-restored",
+            "quiet",
+            "retry-storm",
+            "keyed-repeats",
+            "replaced",
+            "split",
+            "storm-of-faults",
+            "cold-storm",
+            "vast",
+            "vast-join",
+            "vast-dark",
+            "spread",
+            "mass");
+
     private static final double FALL = 3;
     private static final long FALL_US = 1_000_000, GRACE_US = 500_000;
 
@@ -58,7 +78,8 @@
             if (!name.endsWith(".toml")) {
                 try (InputStream in = ScenarioFile.class.getResourceAsStream("/lab/" + name + ".toml")) {
                     if (in == null) {
-                        throw new Broken("scenario '" + name + "': there is no such file, and shipped are " + String.join(", ", SHIPPED));
+                        throw new Broken("scenario '" + name + "': there is no such file, and shipped are "
+                                + String.join(", ", SHIPPED));
                     }
                     return new String(in.readAllBytes(), StandardCharsets.UTF_8);
                 }
@@ -69,7 +90,8 @@
         }
     }
 
-    private static Scenario read(String name, String file, String text, String folder, Map<String, Object> instead, int depth)
+    private static Scenario read(
+            String name, String file, String text, String folder, Map<String, Object> instead, int depth)
             throws Broken {
         Table root = Table.parse(file, text, instead);
         if (!root.has("base")) {
@@ -99,8 +121,23 @@
         Scenario s = read(name, base, text(base, folder), folder, all, depth + 1);
         List<Fault> faults = own ? faults(events, s.fleet()) : s.faults();
         root.done();
-        return new Scenario(name, about, s.seed(), s.fleet(), s.machines(), s.nodes(), s.classes(), s.tenants(), s.traffic(),
-                s.registry(), s.net(), s.sidecar(), s.operator(), faults, s.expect(), s.hunt());
+        return new Scenario(
+                name,
+                about,
+                s.seed(),
+                s.fleet(),
+                s.machines(),
+                s.nodes(),
+                s.classes(),
+                s.tenants(),
+                s.traffic(),
+                s.registry(),
+                s.net(),
+                s.sidecar(),
+                s.operator(),
+                faults,
+                s.expect(),
+                s.hunt());
     }
 
     private static Scenario scenario(String name, Table root) throws Broken {
@@ -110,22 +147,38 @@
         Scenario.Fleet fleet = fleet(or(root.table("fleet"), empty));
         List<Scenario.Machine> machines = machines(root);
         Table t = or(root.table("nodes"), empty);
-        Scenario.Nodes nodes = new Scenario.Nodes(t.real("speed_spread", 0.08, 0, 0.5), t.whole("waiting", 8, 0, 1_000),
-                t.real("cold_share", 0.2, 0.01, 1), t.duration("ramp", "20s", "0s", "10min", null),
-                t.whole("connections", 500, 1, 100_000), t.duration("idle", "15s", "1s", "1h", null),
-                ms(t, "handshake_ms", 0.1, 50), ms(t, "report_ms", 3, 10_000), t.duration("pause_every", "6s", "0s", "1h", null),
-                ms(t, "pause_ms", 0, 5_000), ms(t, "probe_ms", 0.04, 10), t.flag("drops_expired", false));
+        Scenario.Nodes nodes = new Scenario.Nodes(
+                t.real("speed_spread", 0.08, 0, 0.5),
+                t.whole("waiting", 8, 0, 1_000),
+                t.real("cold_share", 0.2, 0.01, 1),
+                t.duration("ramp", "20s", "0s", "10min", null),
+                t.whole("connections", 500, 1, 100_000),
+                t.duration("idle", "15s", "1s", "1h", null),
+                ms(t, "handshake_ms", 0.1, 50),
+                ms(t, "report_ms", 3, 10_000),
+                t.duration("pause_every", "6s", "0s", "1h", null),
+                ms(t, "pause_ms", 0, 5_000),
+                ms(t, "probe_ms", 0.04, 10),
+                t.flag("drops_expired", false));
         t.done();
         List<Scenario.Kind> classes = classes(root);
         Scenario.Traffic traffic = traffic(or(root.table("traffic"), empty));
         t = or(root.table("registry"), empty);
-        Scenario.Registry registry = new Scenario.Registry(t.flag("asked", true), t.duration("notice", "2s", "0s", "60s", null),
-                t.duration("silent", "8s", "0s", "10min", null), t.whole("calls_per_second", 2_000, 1, 1_000_000),
+        Scenario.Registry registry = new Scenario.Registry(
+                t.flag("asked", true),
+                t.duration("notice", "2s", "0s", "60s", null),
+                t.duration("silent", "8s", "0s", "10min", null),
+                t.whole("calls_per_second", 2_000, 1, 1_000_000),
                 t.duration("known_age", "0s", "0s", "365d", "none"));
         t.done();
         t = or(root.table("network"), empty);
-        Scenario.Net net = new Scenario.Net(ms(t, "same_ms", 0.15, 1_000), ms(t, "cross_ms", 0.4, 1_000),
-                t.real("jitter", 0.2, 0, 10), t.real("loss", 0, 0, 0.5), ms(t, "peer_ms", 8, 10_000), t.real("peer_loss", 0.01, 0, 1));
+        Scenario.Net net = new Scenario.Net(
+                ms(t, "same_ms", 0.15, 1_000),
+                ms(t, "cross_ms", 0.4, 1_000),
+                t.real("jitter", 0.2, 0, 10),
+                t.real("loss", 0, 0, 0.5),
+                ms(t, "peer_ms", 8, 10_000),
+                t.real("peer_loss", 0.01, 0, 1));
         t.done();
         Scenario.Sidecar sidecar = sidecar(or(root.table("sidecar"), empty), nodes);
         Table o = root.table("operator");
@@ -134,12 +187,30 @@
         Scenario.Expect expect = expect(or(root.table("expect"), empty));
         Scenario.Hunt hunt = hunt(or(root.table("search"), empty));
         List<Tenant> tenants = tenants(root);
-        Scenario s = new Scenario(name, about, seed, fleet, machines, nodes, classes, List.of(), traffic, registry, net, sidecar, operator,
-                faults, expect, hunt);
+        Scenario s = new Scenario(
+                name, about, seed, fleet, machines, nodes, classes, List.of(), traffic, registry, net, sidecar,
+                operator, faults, expect, hunt);
         // A tenant's quota is its share of nine tenths of what all nodes can do.
         double room = 0.9 * s.capacity() / s.workS();
-        return new Scenario(name, about, seed, fleet, machines, nodes, classes, tenants.stream().map(x -> new Tenant(x.name(), x.share(),
-                x.share() * room)).toList(), traffic, registry, net, sidecar, operator, faults, expect, hunt);
+        return new Scenario(
+                name,
+                about,
+                seed,
+                fleet,
+                machines,
+                nodes,
+                classes,
+                tenants.stream()
+                        .map(x -> new Tenant(x.name(), x.share(), x.share() * room))
+                        .toList(),
+                traffic,
+                registry,
+                net,
+                sidecar,
+                operator,
+                faults,
+                expect,
+                hunt);
     }
 
     private static Table or(Table t, Table empty) {
@@ -153,8 +224,12 @@
     private static Scenario.Fleet fleet(Table t) throws Broken {
         int sidecars = t.whole("sidecars", 5, 1, 20_000);
         List<String> zones = t.texts("zones");
-        Scenario.Fleet f = new Scenario.Fleet(t.whole("nodes", 12, 1, 2_000), sidecars, t.whole("told_sidecars", sidecars, 1, 1_000_000),
-                zones.isEmpty() ? List.of("north", "south", "west") : zones, t.duration("length", "60s", "1s", "24h", null));
+        Scenario.Fleet f = new Scenario.Fleet(
+                t.whole("nodes", 12, 1, 2_000),
+                sidecars,
+                t.whole("told_sidecars", sidecars, 1, 1_000_000),
+                zones.isEmpty() ? List.of("north", "south", "west") : zones,
+                t.duration("length", "60s", "1s", "24h", null));
         t.done();
         return f;
     }
@@ -162,17 +237,34 @@
     private static List<Scenario.Machine> machines(Table root) throws Broken {
         List<Scenario.Machine> machines = new ArrayList<>();
         for (Table t : root.tables("machine")) {
-            machines.add(new Scenario.Machine(t.text("name", null), t.real("share", 1, 0.001, 1_000), t.whole("cores", 1, 1, 256),
+            machines.add(new Scenario.Machine(
+                    t.text("name", null),
+                    t.real("share", 1, 0.001, 1_000),
+                    t.whole("cores", 1, 1, 256),
                     t.real("speed", 1, 0.01, 100)));
             t.done();
         }
-        return machines.isEmpty() ? List.of(new Scenario.Machine("std-a", 0.44, 1, 1), new Scenario.Machine("std-b", 0.56, 1, 1)) : machines;
+        return machines.isEmpty()
+                ? List.of(new Scenario.Machine("std-a", 0.44, 1, 1), new Scenario.Machine("std-b", 0.56, 1, 1))
+                : machines;
     }
 
-    private static Scenario.Kind kind(String name, double share, double workMs, double spread, Semantics s, Group group, long windowUs,
-                                      long aimUs, long deadlineUs, double worth) {
-        return new Scenario.Kind(new RequestClass(name, s, group, windowUs, aimUs, 0, deadlineUs, worth, 0, false), share,
-                workMs * 1000, spread);
+    private static Scenario.Kind kind(
+            String name,
+            double share,
+            double workMs,
+            double spread,
+            Semantics s,
+            Group group,
+            long windowUs,
+            long aimUs,
+            long deadlineUs,
+            double worth) {
+        return new Scenario.Kind(
+                new RequestClass(name, s, group, windowUs, aimUs, 0, deadlineUs, worth, 0, false),
+                share,
+                workMs * 1000,
+                spread);
     }
 
     private static List<Scenario.Kind> classes(Table root) throws Broken {
@@ -180,28 +272,50 @@
         for (Table t : root.tables("class")) {
             String effect = t.text("effect", "safe");
             String group = t.text("group", "all");
-            Semantics s = switch (effect) {
-                case "safe" -> Semantics.SAFE;
-                case "keyed" -> Semantics.KEYED;
-                case "unsafe" -> Semantics.UNSAFE;
-                default -> throw t.broken("effect", "\"safe\", \"keyed\" or \"unsafe\"");
-            };
-            Group g = switch (group) {
-                case "all" -> Group.ALL;
-                case "zone" -> Group.ZONE;
-                case "cell" -> Group.CELL;
-                default -> throw t.broken("group", "\"all\", \"zone\" or \"cell\"");
-            };
+            Semantics s =
+                    switch (effect) {
+                        case "safe" -> Semantics.SAFE;
+                        case "keyed" -> Semantics.KEYED;
+                        case "unsafe" -> Semantics.UNSAFE;
+                        default -> throw t.broken("effect", "\"safe\", \"keyed\" or \"unsafe\"");
+                    };
+            Group g =
+                    switch (group) {
+                        case "all" -> Group.ALL;
+                        case "zone" -> Group.ZONE;
+                        case "cell" -> Group.CELL;
+                        default -> throw t.broken("group", "\"all\", \"zone\" or \"cell\"");
+                    };
             long aim = t.duration("aim", "330ms", "1ms", "1h", null);
-            classes.add(kind(t.text("name", null), t.real("share", 1, 0.001, 1_000), t.real("work_ms", 90, 0.001, 100_000),
-                    t.real("spread", 0.6, 0, 5), s, g, t.duration("window", "4s", "0s", "1d", null), aim,
-                    t.duration("deadline", "830ms", "1ms", "1h", null), t.real("worth", 1, 0, 1_000)));
+            classes.add(kind(
+                    t.text("name", null),
+                    t.real("share", 1, 0.001, 1_000),
+                    t.real("work_ms", 90, 0.001, 100_000),
+                    t.real("spread", 0.6, 0, 5),
+                    s,
+                    g,
+                    t.duration("window", "4s", "0s", "1d", null),
+                    aim,
+                    t.duration("deadline", "830ms", "1ms", "1h", null),
+                    t.real("worth", 1, 0, 1_000)));
             t.done();
         }
-        return !classes.isEmpty() ? classes : List.of(
-                kind("slot-lookup", 0.47, 96, 0.68, Semantics.SAFE, Group.ALL, 0, 330_000, 830_000, 3),
-                kind("booking-update", 0.37, 91, 0.64, Semantics.SAFE, Group.ALL, 0, 330_000, 830_000, 3),
-                kind("booking-confirm", 0.16, 89, 0.68, Semantics.KEYED, Group.ZONE, 4_000_000, 330_000, 830_000, 9));
+        return !classes.isEmpty()
+                ? classes
+                : List.of(
+                        kind("slot-lookup", 0.47, 96, 0.68, Semantics.SAFE, Group.ALL, 0, 330_000, 830_000, 3),
+                        kind("booking-update", 0.37, 91, 0.64, Semantics.SAFE, Group.ALL, 0, 330_000, 830_000, 3),
+                        kind(
+                                "booking-confirm",
+                                0.16,
+                                89,
+                                0.68,
+                                Semantics.KEYED,
+                                Group.ZONE,
+                                4_000_000,
+                                330_000,
+                                830_000,
+                                9));
     }
 
     private static List<Tenant> tenants(Table root) throws Broken {
@@ -210,34 +324,68 @@
             tenants.add(new Tenant(t.text("name", null), t.real("share", 1, 0.001, 1), 0));
             t.done();
         }
-        return !tenants.isEmpty() ? tenants : List.of(new Tenant("zahnplan-stamm", 0.43, 0), new Tenant("dentaltal", 0.3, 0),
-                new Tenant("lachwerk", 0.16, 0), new Tenant("kieferhaus", 0.11, 0));
+        return !tenants.isEmpty()
+                ? tenants
+                : List.of(
+                        new Tenant("zahnplan-stamm", 0.43, 0),
+                        new Tenant("dentaltal", 0.3, 0),
+                        new Tenant("lachwerk", 0.16, 0),
+                        new Tenant("kieferhaus", 0.11, 0));
     }
 
     private static Scenario.Traffic traffic(Table t) throws Broken {
-        Scenario.Traffic traffic = new Scenario.Traffic(t.real("load", 0.5, 0, 10), t.real("per_second", 0, 0, 100_000),
-                t.whole("busy_one_in", 0, 0, 10_000), t.real("busy_times", 1, 1, 10_000), t.real("wave", 0, 0, 0.95),
-                t.duration("wave_period", "20s", "1s", "24h", null), t.real("retries", 0.8, 0, 1), ms(t, "retry_ms", 120, 60_000),
-                t.flag("insistent", false), t.real("impatient", 0.005, 0, 1), t.real("patience", 0.85, 0.1, 1));
+        Scenario.Traffic traffic = new Scenario.Traffic(
+                t.real("load", 0.5, 0, 10),
+                t.real("per_second", 0, 0, 100_000),
+                t.whole("busy_one_in", 0, 0, 10_000),
+                t.real("busy_times", 1, 1, 10_000),
+                t.real("wave", 0, 0, 0.95),
+                t.duration("wave_period", "20s", "1s", "24h", null),
+                t.real("retries", 0.8, 0, 1),
+                ms(t, "retry_ms", 120, 60_000),
+                t.flag("insistent", false),
+                t.real("impatient", 0.005, 0, 1),
+                t.real("patience", 0.85, 0.1, 1));
         t.done();
         return traffic;
     }
 
     private static Scenario.Sidecar sidecar(Table t, Scenario.Nodes nodes) throws Broken {
         String reports = t.text("reports", "inline");
-        Reports how = switch (reports) {
-            case "inline" -> Reports.INLINE;
-            case "probe" -> Reports.ON_PROBE;
-            case "none" -> Reports.NONE;
-            default -> throw t.broken("reports", "\"inline\", \"probe\" or \"none\"");
-        };
+        Reports how =
+                switch (reports) {
+                    case "inline" -> Reports.INLINE;
+                    case "probe" -> Reports.ON_PROBE;
+                    case "none" -> Reports.NONE;
+                    default -> throw t.broken("reports", "\"inline\", \"probe\" or \"none\"");
+                };
         boolean retryAfter = t.flag("retry_after", false);
-        Scenario.Sidecar s = new Scenario.Sidecar(new Limits(t.whole("attempts", 4, 1, 16), t.flag("second_copies", true),
-                t.flag("cancelling", true), t.flag("probes", true), t.flag("peers", true), retryAfter, retryAfter ? 1_200_000 : 0,
-                nodes.idleUs(), 0), how, new Rules(GRACE_US, nodes.coldShare(), nodes.rampUs(), FALL, FALL_US,
-                t.duration("ask_every", "10s", "1s", "60s", null), 5_000, 0), t.duration("dial_timeout", "250ms", "1ms", "60s", null),
-                t.whole("connections", 400, 4, 100_000), t.duration("boot", "1s", "0s", "60s", null),
-                t.duration("start_spread", "1s", "0s", "60s", null), t.real("probe_price", 0.002, 0, 10));
+        Scenario.Sidecar s = new Scenario.Sidecar(
+                new Limits(
+                        t.whole("attempts", 4, 1, 16),
+                        t.flag("second_copies", true),
+                        t.flag("cancelling", true),
+                        t.flag("probes", true),
+                        t.flag("peers", true),
+                        retryAfter,
+                        retryAfter ? 1_200_000 : 0,
+                        nodes.idleUs(),
+                        0),
+                how,
+                new Rules(
+                        GRACE_US,
+                        nodes.coldShare(),
+                        nodes.rampUs(),
+                        FALL,
+                        FALL_US,
+                        t.duration("ask_every", "10s", "1s", "60s", null),
+                        5_000,
+                        0),
+                t.duration("dial_timeout", "250ms", "1ms", "60s", null),
+                t.whole("connections", 400, 4, 100_000),
+                t.duration("boot", "1s", "0s", "60s", null),
+                t.duration("start_spread", "1s", "0s", "60s", null),
+                t.real("probe_price", 0.002, 0, 10));
         t.done();
         return s;
     }
@@ -247,7 +395,14 @@
         for (Table t : tables) {
             Fault.Kind kind = Fault.Kind.of(t.text("do", null));
             if (kind == null) {
-                throw t.broken("do", "one of " + String.join(", ", java.util.Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList()));
+                throw t.broken(
+                        "do",
+                        "one of "
+                                + String.join(
+                                        ", ",
+                                        java.util.Arrays.stream(Fault.Kind.values())
+                                                .map(Fault.Kind::word)
+                                                .toList()));
             }
             long at = t.duration("at", "0s", "0s", "24h", null);
             String zone = t.has("zone") ? t.text("zone", null) : "";
@@ -257,8 +412,14 @@
             if (at > fleet.lengthUs()) {
                 throw t.broken("at", "a time within fleet.length");
             }
-            faults.add(new Fault(at, kind, zone, t.wholes("nodes", 0, fleet.nodes() - 1), t.real("part", 1, 0.0001, 1),
-                    t.duration("for", "0s", "0s", "24h", null), t.duration("within", "0s", "0s", "24h", null),
+            faults.add(new Fault(
+                    at,
+                    kind,
+                    zone,
+                    t.wholes("nodes", 0, fleet.nodes() - 1),
+                    t.real("part", 1, 0.0001, 1),
+                    t.duration("for", "0s", "0s", "24h", null),
+                    t.duration("within", "0s", "0s", "24h", null),
                     kind.scale.isEmpty() ? 0 : t.real("size", kind.usual, kind.least, kind.most)));
             t.done();
         }
@@ -266,10 +427,19 @@
     }
 
     private static Scenario.Expect expect(Table t) throws Broken {
-        Scenario.Expect e = new Scenario.Expect(t.flag("rules", true), bound(t, "served", 1), bound(t, "confirms", 1), bound(t, "worst_second", 1),
-                bound(t, "cold_multiple", 100), t.has("recovery") ? t.duration("recovery", "10s", "0s", "1h", null) : -1, bound(t, "refused", 1),
-                bound(t, "failed", 1), bound(t, "own_load", 1), t.has("connections") ? t.whole("connections", 0, 0, 1_000_000) : -1,
-                bound(t, "calls_per_minute", 10_000), bound(t, "evenness", 1_000));
+        Scenario.Expect e = new Scenario.Expect(
+                t.flag("rules", true),
+                bound(t, "served", 1),
+                bound(t, "confirms", 1),
+                bound(t, "worst_second", 1),
+                bound(t, "cold_multiple", 100),
+                t.has("recovery") ? t.duration("recovery", "10s", "0s", "1h", null) : -1,
+                bound(t, "refused", 1),
+                bound(t, "failed", 1),
+                bound(t, "own_load", 1),
+                t.has("connections") ? t.whole("connections", 0, 0, 1_000_000) : -1,
+                bound(t, "calls_per_minute", 10_000),
+                bound(t, "evenness", 1_000));
         t.done();
         return e;
     }
@@ -287,22 +457,48 @@
             }
             kinds.add(kind);
         }
-        Scenario.Hunt h = new Scenario.Hunt(t.whole("events", 4, 1, 20), kinds.isEmpty() ? List.of(Fault.Kind.CRASH, Fault.Kind.STALL,
-                Fault.Kind.SLOW, Fault.Kind.CUT, Fault.Kind.ANSWERS_LOST, Fault.Kind.RESET, Fault.Kind.DEPLOY, Fault.Kind.DRAIN,
-                Fault.Kind.ERRORS, Fault.Kind.REGISTRY_DOWN, Fault.Kind.REGISTRY_LATE, Fault.Kind.REGISTRY_CUT, Fault.Kind.RESTART,
-                Fault.Kind.HEAVY, Fault.Kind.LOAD, Fault.Kind.PEERS_LOST, Fault.Kind.PEERS_GARBLED) : kinds);
+        Scenario.Hunt h = new Scenario.Hunt(
+                t.whole("events", 4, 1, 20),
+                kinds.isEmpty()
+                        ? List.of(
+                                Fault.Kind.CRASH,
+                                Fault.Kind.STALL,
+                                Fault.Kind.SLOW,
+                                Fault.Kind.CUT,
+                                Fault.Kind.ANSWERS_LOST,
+                                Fault.Kind.RESET,
+                                Fault.Kind.DEPLOY,
+                                Fault.Kind.DRAIN,
+                                Fault.Kind.ERRORS,
+                                Fault.Kind.REGISTRY_DOWN,
+                                Fault.Kind.REGISTRY_LATE,
+                                Fault.Kind.REGISTRY_CUT,
+                                Fault.Kind.RESTART,
+                                Fault.Kind.HEAVY,
+                                Fault.Kind.LOAD,
+                                Fault.Kind.PEERS_LOST,
+                                Fault.Kind.PEERS_GARBLED)
+                        : kinds);
         t.done();
         return h;
     }
 
     /** A scenario file: another one with these values, this seed and these events alone. */
     public static String write(String base, String about, Map<String, Object> instead, long seed, List<Fault> faults) {
-        StringBuilder t = new StringBuilder("about = \"").append(about.replace("\\", "\\\\").replace("\"", "'")).append("\"\nbase = \"")
-                .append(base).append("\"\nseed = ").append(seed).append('\n');
+        StringBuilder t = new StringBuilder("about = \"")
+                .append(about.replace("\\", "\\\\").replace("\"", "'"))
+                .append("\"\nbase = \"")
+                .append(base)
+                .append("\"\nseed = ")
+                .append(seed)
+                .append('\n');
         if (!instead.isEmpty()) {
             t.append("\n[instead]\n");
-            new LinkedHashMap<>(instead).forEach((k, v) -> t.append('"').append(k).append("\" = ")
-                    .append(v instanceof String ? "\"" + v + "\"" : String.valueOf(v)).append('\n'));
+            new LinkedHashMap<>(instead).forEach((k, v) -> t.append('"')
+                    .append(k)
+                    .append("\" = ")
+                    .append(v instanceof String ? "\"" + v + "\"" : String.valueOf(v))
+                    .append('\n'));
         }
         if (faults.isEmpty()) {
             // None at all, where the base has some.
--- a/src/main/java/rushproxy/lab/search/Bootstrap.java
+++ b/src/main/java/rushproxy/lab/search/Bootstrap.java
@@ -20,6 +20,9 @@
             means[r] = sum / figures.length;
         }
         Arrays.sort(means);
-        return new Bootstrap(Arrays.stream(figures).average().orElse(0), means[RESAMPLES / 40], means[RESAMPLES - 1 - RESAMPLES / 40]);
+        return new Bootstrap(
+                Arrays.stream(figures).average().orElse(0),
+                means[RESAMPLES / 40],
+                means[RESAMPLES - 1 - RESAMPLES / 40]);
     }
 }
--- a/src/main/java/rushproxy/lab/search/Search.java
+++ b/src/main/java/rushproxy/lab/search/Search.java
@@ -56,7 +56,8 @@
 
     /** The day that a run draws: the same for the same seed and number, whatever else is played. */
     public Scenario draw(long seed, int run) {
-        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {seed * 7_919 + run, seed ^ 0x5eedL + run * 31L});
+        UniformRandomProvider random =
+                RandomSource.XO_RO_SHI_RO_128_PP.create(new long[] {seed * 7_919 + run, seed ^ 0x5eedL + run * 31L});
         int count = 1 + random.nextInt(base.hunt().events());
         List<Fault> faults = new ArrayList<>(base.faults());
         for (int i = 0; i < count; i++) {
@@ -67,34 +68,50 @@
     }
 
     private Fault fault(UniformRandomProvider random) {
-        Fault.Kind kind = base.hunt().kinds().get(random.nextInt(base.hunt().kinds().size()));
+        Fault.Kind kind =
+                base.hunt().kinds().get(random.nextInt(base.hunt().kinds().size()));
         long length = base.fleet().lengthUs();
         long at = (long) (length * (0.05 + 0.65 * random.nextDouble()));
         long lasts = (long) (300 * MS * Math.pow(40, random.nextDouble()));
         List<String> zones = base.fleet().zones();
         String zone = random.nextDouble() < 0.3 ? zones.get(random.nextInt(zones.size())) : "";
-        double part = switch (random.nextInt(4)) {
-            case 0 -> 1;
-            case 1 -> 0.5;
-            case 2 -> 0.25;
-            default -> 0.0001;
-        };
+        double part =
+                switch (random.nextInt(4)) {
+                    case 0 -> 1;
+                    case 1 -> 0.5;
+                    case 2 -> 0.25;
+                    default -> 0.0001;
+                };
         long within = random.nextBoolean() ? 0 : (long) (4_000 * MS * random.nextDouble());
         if (kind == Fault.Kind.CRASH) {
             // A process that dies needs its time to come back.
             lasts = Math.max(lasts, 2_000 * MS);
         }
         if (kind == Fault.Kind.STALL && !base.nodes().dropsExpired()) {
-            // A node that stands still for longer than its group remembers keys books twice whatever a sidecar does, once the
+            // A node that stands still for longer than its group remembers keys books twice whatever a sidecar does,
+            // once the
             // request has been repeated within the rules: no day of that kind says anything of the sidecar.
             lasts = Math.min(lasts, windowUs() / 2);
         }
-        double size = kind.scale.isEmpty() ? 0 : Math.min(kind.most, Math.max(kind.least, kind.usual * (0.5 + random.nextDouble() * 1.5)));
-        return new Fault(at / MS * MS, kind, zone, List.of(), part, lasts / MS * MS, within / MS * MS, Math.round(size * 100) / 100.0);
+        double size = kind.scale.isEmpty()
+                ? 0
+                : Math.min(kind.most, Math.max(kind.least, kind.usual * (0.5 + random.nextDouble() * 1.5)));
+        return new Fault(
+                at / MS * MS,
+                kind,
+                zone,
+                List.of(),
+                part,
+                lasts / MS * MS,
+                within / MS * MS,
+                Math.round(size * 100) / 100.0);
     }
 
     private long windowUs() {
-        return base.classes().stream().filter(k -> k.spec().semantics() == Semantics.KEYED).mapToLong(k -> k.spec().windowUs()).min()
+        return base.classes().stream()
+                .filter(k -> k.spec().semantics() == Semantics.KEYED)
+                .mapToLong(k -> k.spec().windowUs())
+                .min()
                 .orElse(Long.MAX_VALUE);
     }
 
@@ -104,7 +121,8 @@
     }
 
     /** Plays so many runs; {@code progress} is told each day in its order. What was found is not shortened yet. */
-    public List<Day> play(long seed, int first, int runs, Runner runner, Consumer<Day> progress) throws InterruptedException {
+    public List<Day> play(long seed, int first, int runs, Runner runner, Consumer<Day> progress)
+            throws InterruptedException {
         List<Callable<Day>> days = new ArrayList<>();
         for (int run = first; run < first + runs; run++) {
             Scenario s = draw(seed, run);
@@ -156,7 +174,9 @@
                 }
             }
             for (Map<String, Object> smaller : smaller(values, best.scenario(), faults)) {
-                Day d = tries < TRIES ? same(rule, smaller, faults, found.scenario().seed()) : null;
+                Day d = tries < TRIES
+                        ? same(rule, smaller, faults, found.scenario().seed())
+                        : null;
                 if (d != null) {
                     values = smaller;
                     best = d;
@@ -165,9 +185,21 @@
                 }
             }
         }
-        String about = "found by a search: " + best.fouls().stream().findFirst().orElse(best.troubles().isEmpty() ? "" : best.troubles().get(0));
-        return new Find(run, rule, ScenarioFile.write(name, about, new LinkedHashMap<>(new java.util.TreeMap<>(values)),
-                found.scenario().seed(), faults), best, tries);
+        String about = "found by a search: "
+                + best.fouls().stream()
+                        .findFirst()
+                        .orElse(best.troubles().isEmpty() ? "" : best.troubles().get(0));
+        return new Find(
+                run,
+                rule,
+                ScenarioFile.write(
+                        name,
+                        about,
+                        new LinkedHashMap<>(new java.util.TreeMap<>(values)),
+                        found.scenario().seed(),
+                        faults),
+                best,
+                tries);
     }
 
     private static List<Fault> lesser(Fault f) {
@@ -187,7 +219,10 @@
 
     private static List<Map<String, Object>> smaller(Map<String, Object> values, Scenario s, List<Fault> faults) {
         List<Map<String, Object>> all = new ArrayList<>();
-        long lastUs = faults.stream().mapToLong(f -> f.atUs() + f.withinUs() + f.forUs()).max().orElse(0);
+        long lastUs = faults.stream()
+                .mapToLong(f -> f.atUs() + f.withinUs() + f.forUs())
+                .max()
+                .orElse(0);
         long seconds = s.fleet().lengthUs() / 1_000_000;
         long shorter = Math.max(lastUs / 1_000_000 + 2, seconds * 2 / 3);
         if (shorter < seconds && faults.stream().allMatch(f -> f.atUs() <= shorter * 1_000_000)) {
@@ -197,7 +232,8 @@
             all.add(with(values, "fleet.sidecars", (long) Math.max(1, s.fleet().sidecars() / 2)));
         }
         if (s.fleet().nodes() > s.fleet().zones().size()) {
-            all.add(with(values, "fleet.nodes", (long) Math.max(s.fleet().zones().size(), s.fleet().nodes() * 2 / 3)));
+            all.add(with(values, "fleet.nodes", (long)
+                    Math.max(s.fleet().zones().size(), s.fleet().nodes() * 2 / 3)));
         }
         return all;
     }
--- a/src/main/java/rushproxy/lab/search/Sweep.java
+++ b/src/main/java/rushproxy/lab/search/Sweep.java
@@ -28,7 +28,8 @@
             }
             String key = text.substring(0, equals);
             String values = text.substring(equals + 1);
-            java.util.regex.Matcher range = java.util.regex.Pattern.compile("(-?[0-9.]+)\\.\\.(-?[0-9.]+):([0-9]{1,3})").matcher(values);
+            java.util.regex.Matcher range = java.util.regex.Pattern.compile("(-?[0-9.]+)\\.\\.(-?[0-9.]+):([0-9]{1,3})")
+                    .matcher(values);
             try {
                 List<Object> all = new ArrayList<>();
                 if (range.matches()) {
@@ -81,7 +82,8 @@
     /** One point: the values of the keys, and the days of each way in the order of their seeds. */
     public record Point(Map<String, Object> values, Map<String, List<Day>> days) {
         public Bootstrap of(String way, String figure) {
-            return Bootstrap.of(days.get(way).stream().mapToDouble(FIGURES.get(figure)).toArray());
+            return Bootstrap.of(
+                    days.get(way).stream().mapToDouble(FIGURES.get(figure)).toArray());
         }
 
         /** The difference of the second way to the first, seed by seed. */
@@ -89,7 +91,8 @@
             List<List<Day>> both = new ArrayList<>(days.values());
             double[] d = new double[Math.min(both.get(0).size(), both.get(1).size())];
             for (int i = 0; i < d.length; i++) {
-                d[i] = FIGURES.get(figure).applyAsDouble(both.get(1).get(i)) - FIGURES.get(figure).applyAsDouble(both.get(0).get(i));
+                d[i] = FIGURES.get(figure).applyAsDouble(both.get(1).get(i))
+                        - FIGURES.get(figure).applyAsDouble(both.get(0).get(i));
             }
             return Bootstrap.of(d);
         }
@@ -101,8 +104,16 @@
      * @param axes at least one
      * @param ways by name, the operator's settings; null for those of the scenario
      */
-    public static List<Point> play(String name, Map<String, Object> instead, List<Axis> axes, Map<String, Operator> ways, long seed,
-                                   int seeds, Runner runner, Consumer<Day> progress) throws Broken, InterruptedException {
+    public static List<Point> play(
+            String name,
+            Map<String, Object> instead,
+            List<Axis> axes,
+            Map<String, Operator> ways,
+            long seed,
+            int seeds,
+            Runner runner,
+            Consumer<Day> progress)
+            throws Broken, InterruptedException {
         List<Map<String, Object>> points = new ArrayList<>(List.of(new LinkedHashMap<>()));
         for (Axis a : axes) {
             List<Map<String, Object>> more = new ArrayList<>();
--- a/src/main/java/rushproxy/measure/FleetMeasure.java
+++ b/src/main/java/rushproxy/measure/FleetMeasure.java
@@ -27,6 +27,7 @@
     private static final double GAIN_DARK = 0.005, LOSS_ELSEWHERE = 0.01;
     /** What is sent to a cold node at size is over the rule with and without words (see docs/design/fleet.md): they must not add to it. */
     private static final double COLD_MORE = 0.2;
+
     private static final String AT_SIZE = " x100";
 
     private record Played(String kind, Callable<Day> alone, Callable<Day> told) {}
@@ -62,23 +63,40 @@
             runner.play(days, played::add);
         }
         List<String> shortfalls = new ArrayList<>();
-        System.out.println("day            seed   served: alone  with words   refused: alone  with words   cold: alone  with words  words a sidecar and s");
+        System.out.println(
+                "day            seed   served: alone  with words   refused: alone  with words   cold: alone  with words  words a sidecar and s");
         Map<String, Double> gains = new LinkedHashMap<>();
         for (int i = 0; i < played.size(); i += 2) {
             Day alone = played.get(i);
             Day told = played.get(i + 1);
             String kind = pairs.get(i / 2).kind;
             boolean large = kind.endsWith(AT_SIZE);
-            double seconds = told.scenario().fleet().lengthUs() / 1e6 * told.scenario().fleet().sidecars();
-            System.out.printf(Locale.ROOT, "%-14s %4d      %.4f      %.4f          %.4f      %.4f         %.2f        %.2f  %10.0f%n",
-                    kind, told.scenario().seed(), alone.figures().served(), told.figures().served(), alone.figures().refusedShare(),
-                    told.figures().refusedShare(), alone.figures().coldMost(), told.figures().coldMost(),
+            double seconds = told.scenario().fleet().lengthUs()
+                    / 1e6
+                    * told.scenario().fleet().sidecars();
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-14s %4d      %.4f      %.4f          %.4f      %.4f         %.2f        %.2f  %10.0f%n",
+                    kind,
+                    told.scenario().seed(),
+                    alone.figures().served(),
+                    told.figures().served(),
+                    alone.figures().refusedShare(),
+                    told.figures().refusedShare(),
+                    alone.figures().coldMost(),
+                    told.figures().coldMost(),
                     (long) told.figures().asMap().get("words") / seconds);
             gains.merge(kind, (told.figures().served() - alone.figures().served()) / worlds, Double::sum);
             String which = kind + " seed " + told.scenario().seed();
-            Shortfalls.check(shortfalls, large || told.sound(), which + ": " + told.broken() + " rules broken " + told.fouls() + told.troubles());
+            Shortfalls.check(
+                    shortfalls,
+                    large || told.sound(),
+                    which + ": " + told.broken() + " rules broken " + told.fouls() + told.troubles());
             double most = large ? Math.max(COLD_MOST, alone.figures().coldMost() + COLD_MORE) : COLD_MOST;
-            Shortfalls.check(shortfalls, told.figures().coldMost() <= most, which + ": a cold node was sent " + told.figures().coldMost());
+            Shortfalls.check(
+                    shortfalls,
+                    told.figures().coldMost() <= most,
+                    which + ": a cold node was sent " + told.figures().coldMost());
             Shortfalls.check(shortfalls, told.troubles().isEmpty(), which + ": " + told.troubles());
         }
         gains.forEach((kind, gain) -> {
--- a/src/main/java/rushproxy/measure/ForwardMeasure.java
+++ b/src/main/java/rushproxy/measure/ForwardMeasure.java
@@ -26,6 +26,7 @@
     private static final double MOST_RATIO = 3, MOST_ADDED_US = 250;
     /** Absolute aims for gRPC, which the library alone may miss on a machine: told, not judged. */
     private static final double GRPC_ADDED_US = 400, GRPC_THROUGHPUT = 0.7;
+
     private static final int NODES = 6;
     private static final int RATE = 300;
     private static final Shape NODE = new Shape(4, 1, 64, 0.13, 3_000);
@@ -55,30 +56,59 @@
         try (World world = new World(NODE).grpc().nodes(NODES)) {
             Process bare = bare(world.nodes());
             try {
-                String line = new BufferedReader(new InputStreamReader(bare.getInputStream(), StandardCharsets.UTF_8)).readLine();
+                String line = new BufferedReader(new InputStreamReader(bare.getInputStream(), StandardCharsets.UTF_8))
+                        .readLine();
                 String[] ports = line.substring(line.lastIndexOf("on ") + 3).split(" ");
                 SidecarProcess alone = sidecar(world, 1);
                 SidecarProcess ofThree = sidecar(world, 3);
                 Way h1 = new Way("bare HTTP/1.1", world, port(ports[0]), false, bare.toHandle());
                 Way h2 = new Way("bare HTTP/2", world, port(ports[1]), true, bare.toHandle());
-                Way s1 = new Way("sidecar HTTP/1.1", world, alone.address(), false, alone.process().toHandle());
-                Way s2 = new Way("sidecar gRPC", world, alone.grpcAddress(), true, alone.process().toHandle());
-                Way s3 = new Way("one of three HTTP/1.1", world, ofThree.address(), false, ofThree.process().toHandle());
-                Way straight = new Way("gRPC straight", world, new InetSocketAddress("127.0.0.1",
-                        world.nodes().get(0).grpcPort()), true, null);
+                Way s1 = new Way(
+                        "sidecar HTTP/1.1",
+                        world,
+                        alone.address(),
+                        false,
+                        alone.process().toHandle());
+                Way s2 = new Way(
+                        "sidecar gRPC",
+                        world,
+                        alone.grpcAddress(),
+                        true,
+                        alone.process().toHandle());
+                Way s3 = new Way(
+                        "one of three HTTP/1.1",
+                        world,
+                        ofThree.address(),
+                        false,
+                        ofThree.process().toHandle());
+                Way straight = new Way(
+                        "gRPC straight",
+                        world,
+                        new InetSocketAddress("127.0.0.1", world.nodes().get(0).grpcPort()),
+                        true,
+                        null);
                 List<Way> all = List.of(straight, h1, h2, s1, s2, s3);
                 // Warm as a process is that has served for a while.
                 Way.play(all, RATE, 2_500, rounds, roundMs);
                 all.forEach(System.out::println);
                 judge(h1, s1);
                 judge(h2, s2);
-                System.out.printf(Locale.ROOT, "one of three, which asks nodes for their load: %.2f of the bare forwarder's CPU%n",
+                System.out.printf(
+                        Locale.ROOT,
+                        "one of three, which asks nodes for their load: %.2f of the bare forwarder's CPU%n",
                         s3.costUs() / h1.costUs());
-                System.out.printf(Locale.ROOT, "gRPC adds %.0f us to a call straight to a node (aim %.0f), the bare forwarder %.0f%n",
-                        s2.p50Us() - straight.p50Us(), GRPC_ADDED_US, h2.p50Us() - straight.p50Us());
-                System.out.printf(Locale.ROOT,
+                System.out.printf(
+                        Locale.ROOT,
+                        "gRPC adds %.0f us to a call straight to a node (aim %.0f), the bare forwarder %.0f%n",
+                        s2.p50Us() - straight.p50Us(),
+                        GRPC_ADDED_US,
+                        h2.p50Us() - straight.p50Us());
+                System.out.printf(
+                        Locale.ROOT,
                         "gRPC has %.2f of HTTP/1.1's requests a second of CPU (aim %.1f), the bare forwarder %.2f%n",
-                        s1.costUs() / s2.costUs(), GRPC_THROUGHPUT, h1.costUs() / h2.costUs());
+                        s1.costUs() / s2.costUs(),
+                        GRPC_THROUGHPUT,
+                        h1.costUs() / h2.costUs());
             } finally {
                 bare.destroy();
             }
@@ -87,14 +117,22 @@
 
     private void judge(Way bare, Way sidecar) {
         double ratio = sidecar.costUs() / bare.costUs();
-        System.out.printf(Locale.ROOT, "%s: %.2f of the bare forwarder's CPU, %.0f us more at the median%n", sidecar.name, ratio,
+        System.out.printf(
+                Locale.ROOT,
+                "%s: %.2f of the bare forwarder's CPU, %.0f us more at the median%n",
+                sidecar.name,
+                ratio,
                 sidecar.p50Us() - bare.p50Us());
         if (sidecar.p50Us() - bare.p50Us() > MOST_ADDED_US) {
-            shortfalls.add(String.format(Locale.ROOT, "%s takes %.0f us more than the bare forwarder", sidecar.name,
+            shortfalls.add(String.format(
+                    Locale.ROOT,
+                    "%s takes %.0f us more than the bare forwarder",
+                    sidecar.name,
                     sidecar.p50Us() - bare.p50Us()));
         }
         if (ratio > MOST_RATIO) {
-            shortfalls.add(String.format(Locale.ROOT, "%s costs %.2f times the bare forwarder's CPU", sidecar.name, ratio));
+            shortfalls.add(
+                    String.format(Locale.ROOT, "%s costs %.2f times the bare forwarder's CPU", sidecar.name, ratio));
         }
     }
 
@@ -105,15 +143,23 @@
     private static Process bare(List<Node> nodes) throws IOException {
         List<String> command = new ArrayList<>(List.of("taskset", "-c", "0"));
         command.addAll(SidecarProcess.java());
-        command.addAll(List.of(Forwarder.class.getName(),
+        command.addAll(List.of(
+                Forwarder.class.getName(),
                 nodes.stream().map(Node::address).collect(Collectors.joining(",")),
                 nodes.stream().map(n -> "127.0.0.1:" + n.grpcPort()).collect(Collectors.joining(","))));
-        return new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        return new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
     }
 
     private static SidecarProcess sidecar(World world, int of) throws Exception {
-        SidecarProcess s = world.sidecar(of, World.list(1, world.nodes().stream().map(Listed::of).toList()), World.grpcTable(),
-                "taskset", "-c", "0");
+        SidecarProcess s = world.sidecar(
+                of,
+                World.list(1, world.nodes().stream().map(Listed::of).toList()),
+                World.grpcTable(),
+                "taskset",
+                "-c",
+                "0");
         world.ready(s.address()).get(60, TimeUnit.SECONDS);
         return s;
     }
--- a/src/main/java/rushproxy/measure/Forwarder.java
+++ b/src/main/java/rushproxy/measure/Forwarder.java
@@ -78,81 +78,109 @@
     }
 
     private int listen(Equip equip) throws InterruptedException {
-        Channel listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(each(equip))
-                .bind(new InetSocketAddress("127.0.0.1", 0)).sync().channel();
+        Channel listener = new ServerBootstrap()
+                .group(loop)
+                .channelFactory(NioServerSocketChannel::new)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(each(equip))
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .sync()
+                .channel();
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
     private Equip http1(List<InetSocketAddress> upstreams) {
         List<ArrayDeque<Channel>> idle = new ArrayList<>();
         upstreams.forEach(u -> idle.add(new ArrayDeque<>()));
-        return client -> client.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(BODY),
-                new SimpleChannelInboundHandler<FullHttpRequest>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                int to = turn++ % upstreams.size();
-                request.retain();
-                Channel c = idle.get(to).pollFirst();
-                if (c != null) {
-                    c.attr(ANSWERS).set(client);
-                    c.writeAndFlush(request);
-                    return;
-                }
-                Dialling.tcp(loop, 1_000, up -> up.pipeline().addLast(new HttpClientCodec(),
-                        new HttpObjectAggregator(BODY), new SimpleChannelInboundHandler<FullHttpResponse>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext of, FullHttpResponse answer) {
-                        Channel to1 = of.channel().attr(ANSWERS).get();
-                        idle.get(to).addFirst(of.channel());
-                        to1.writeAndFlush(answer.retain());
-                    }
-                })).connect(upstreams.get(to)).addListener(f -> {
-                    Channel made = ((io.netty.channel.ChannelFuture) f).channel();
-                    made.attr(ANSWERS).set(client);
-                    made.writeAndFlush(request);
-                });
-            }
-        });
+        return client -> client.pipeline()
+                .addLast(
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(BODY),
+                        new SimpleChannelInboundHandler<FullHttpRequest>() {
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                                int to = turn++ % upstreams.size();
+                                request.retain();
+                                Channel c = idle.get(to).pollFirst();
+                                if (c != null) {
+                                    c.attr(ANSWERS).set(client);
+                                    c.writeAndFlush(request);
+                                    return;
+                                }
+                                Dialling.tcp(loop, 1_000, up -> up.pipeline()
+                                                .addLast(
+                                                        new HttpClientCodec(),
+                                                        new HttpObjectAggregator(BODY),
+                                                        new SimpleChannelInboundHandler<FullHttpResponse>() {
+                                                            @Override
+                                                            protected void channelRead0(
+                                                                    ChannelHandlerContext of, FullHttpResponse answer) {
+                                                                Channel to1 = of.channel()
+                                                                        .attr(ANSWERS)
+                                                                        .get();
+                                                                idle.get(to).addFirst(of.channel());
+                                                                to1.writeAndFlush(answer.retain());
+                                                            }
+                                                        }))
+                                        .connect(upstreams.get(to))
+                                        .addListener(f -> {
+                                            Channel made = ((io.netty.channel.ChannelFuture) f).channel();
+                                            made.attr(ANSWERS).set(client);
+                                            made.writeAndFlush(request);
+                                        });
+                            }
+                        });
     }
 
     private Equip http2(List<InetSocketAddress> upstreams) throws InterruptedException {
         List<Channel> open = new ArrayList<>();
         for (InetSocketAddress u : upstreams) {
-            open.add(Dialling.tcp(loop, 1_000, up -> up.pipeline().addLast(
-                    Http2FrameCodecBuilder.forClient().initialSettings(new Http2Settings().pushEnabled(false)).build(),
-                    new Http2MultiplexHandler(each(Channel::close)))).connect(u).sync().channel());
+            open.add(Dialling.tcp(loop, 1_000, up -> up.pipeline()
+                            .addLast(
+                                    Http2FrameCodecBuilder.forClient()
+                                            .initialSettings(new Http2Settings().pushEnabled(false))
+                                            .build(),
+                                    new Http2MultiplexHandler(each(Channel::close))))
+                    .connect(u)
+                    .sync()
+                    .channel());
         }
-        return client -> client.pipeline().addLast(
-                Http2FrameCodecBuilder.forServer().initialSettings(new Http2Settings()).build(),
-                new Http2MultiplexHandler(each(stream -> stream.pipeline().addLast(new ChannelInboundHandlerAdapter() {
-                    private final ArrayDeque<Object> first = new ArrayDeque<>();
-                    private Channel upstream;
+        return client -> client.pipeline()
+                .addLast(
+                        Http2FrameCodecBuilder.forServer()
+                                .initialSettings(new Http2Settings())
+                                .build(),
+                        new Http2MultiplexHandler(
+                                each(stream -> stream.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+                                    private final ArrayDeque<Object> first = new ArrayDeque<>();
+                                    private Channel upstream;
 
-                    @Override
-                    public void channelRead(ChannelHandlerContext ctx, Object frame) {
-                        if (first.isEmpty() && upstream == null) {
-                            new Http2StreamChannelBootstrap(open.get(turn++ % open.size())).handler(pass(ctx.channel())).open()
-                                    .addListener(f -> {
-                                        upstream = (Channel) f.getNow();
-                                        first.forEach(x -> upstream.write(copy(x)));
-                                        upstream.flush();
-                                    });
-                        }
-                        if (upstream == null) {
-                            first.add(frame);
-                        } else {
-                            upstream.write(copy(frame));
-                        }
-                    }
+                                    @Override
+                                    public void channelRead(ChannelHandlerContext ctx, Object frame) {
+                                        if (first.isEmpty() && upstream == null) {
+                                            new Http2StreamChannelBootstrap(open.get(turn++ % open.size()))
+                                                    .handler(pass(ctx.channel()))
+                                                    .open()
+                                                    .addListener(f -> {
+                                                        upstream = (Channel) f.getNow();
+                                                        first.forEach(x -> upstream.write(copy(x)));
+                                                        upstream.flush();
+                                                    });
+                                        }
+                                        if (upstream == null) {
+                                            first.add(frame);
+                                        } else {
+                                            upstream.write(copy(frame));
+                                        }
+                                    }
 
-                    @Override
-                    public void channelReadComplete(ChannelHandlerContext ctx) {
-                        if (upstream != null) {
-                            upstream.flush();
-                        }
-                    }
-                }))));
+                                    @Override
+                                    public void channelReadComplete(ChannelHandlerContext ctx) {
+                                        if (upstream != null) {
+                                            upstream.flush();
+                                        }
+                                    }
+                                }))));
     }
 
     private static ChannelHandler pass(Channel to) {
--- a/src/main/java/rushproxy/measure/GrpcMeasure.java
+++ b/src/main/java/rushproxy/measure/GrpcMeasure.java
@@ -48,8 +48,13 @@
     }
 
     private static SidecarProcess sidecar(World world, String core) throws Exception {
-        SidecarProcess s = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()), World.grpcTable(),
-                "taskset", "-c", core);
+        SidecarProcess s = world.sidecar(
+                1,
+                World.list(1, world.nodes().stream().map(Listed::of).toList()),
+                World.grpcTable(),
+                "taskset",
+                "-c",
+                core);
         world.ready(s.address()).get(60, TimeUnit.SECONDS);
         return s;
     }
@@ -85,7 +90,8 @@
             agree("refused", h.refused(), h.sent(), g.refused(), g.sent());
             agree("failed", h.failed() + h.unreachable(), h.sent(), g.failed() + g.unreachable(), g.sent());
             verdict.first().stream().limit(5).forEach(f -> System.out.println("    " + f));
-            System.out.println("faults   rules broken: " + verdict.fouls() + " times over " + verdict.tries() + " tries");
+            System.out.println(
+                    "faults   rules broken: " + verdict.fouls() + " times over " + verdict.tries() + " tries");
             if (verdict.fouls() > 0) {
                 shortfalls.add("rules broken " + verdict.fouls() + " times");
             }
@@ -107,10 +113,11 @@
     /** Calls at once to one idle node: the first on cold code, then thrice more. Its room and its class's aim decide. Beside them streams that last. */
     private void bursts() throws Exception {
         try (World world = new World(QUICK_NODE).grpc().nodes(1);
-             World other = new World(QUICK_NODE).grpc().nodes(1)) {
+                World other = new World(QUICK_NODE).grpc().nodes(1)) {
             SidecarProcess sidecar = sidecar(world, "0");
             Burst lasting = other.burst("Echo", 9_000);
-            int begun = lasting.make(sidecar(other, "1").grpcAddress(), 20, 5_000).served();
+            int begun =
+                    lasting.make(sidecar(other, "1").grpcAddress(), 20, 5_000).served();
             long begunNanos = System.nanoTime();
             for (String method : List.of("Echo", "Lookup", "Note", "Confirm")) {
                 boolean streams = method.equals("Echo");
@@ -118,14 +125,23 @@
                     Burst burst = world.burst(method, streams ? 9_000 : 600);
                     Burst.Result r = burst.make(sidecar.grpcAddress(), BURST, 5_000);
                     int well = burst.finish(5_000);
-                    System.out.printf(Locale.ROOT, "burst    %-8s %d of %d served, %d refused, %d failed, worst wait %.0f ms%n", method,
-                            r.served(), BURST, r.refused(), r.failed(), r.worstMs());
+                    System.out.printf(
+                            Locale.ROOT,
+                            "burst    %-8s %d of %d served, %d refused, %d failed, worst wait %.0f ms%n",
+                            method,
+                            r.served(),
+                            BURST,
+                            r.refused(),
+                            r.failed(),
+                            r.worstMs());
                     if (r.served() + r.refused() + r.failed() < BURST) {
                         shortfalls.add("calls of a burst of " + method + " without an answer");
                     }
-                    // A node works on so many at once: unary calls that would come too late are refused, and none is lost.
+                    // A node works on so many at once: unary calls that would come too late are refused, and none is
+                    // lost.
                     if (streams ? r.served() < BURST || well < BURST : r.failed() > 0 || r.served() < BURST / 2) {
-                        shortfalls.add("of a burst of " + BURST + " " + method + " " + r.served() + " were served, " + well + " ended well");
+                        shortfalls.add("of a burst of " + BURST + " " + method + " " + r.served() + " were served, "
+                                + well + " ended well");
                     }
                     world.play(300);
                 }
@@ -133,7 +149,11 @@
             // The class allows 600 ms, the client nine seconds, and the node ends a call at the time it is told.
             other.play(Math.max(0, LASTING_MS - (System.nanoTime() - begunNanos) / 1_000_000));
             int well = lasting.finish(3_000);
-            System.out.printf(Locale.ROOT, "long     %d of 20 streams begun, %d of them ended well after %d s%n", begun, well,
+            System.out.printf(
+                    Locale.ROOT,
+                    "long     %d of 20 streams begun, %d of them ended well after %d s%n",
+                    begun,
+                    well,
                     LASTING_MS / 1_000);
             if (well < 20) {
                 shortfalls.add(20 - well + " of 20 streams of " + LASTING_MS / 1_000 + " s did not end well");
@@ -155,7 +175,13 @@
             Burst.Result all = world.burst("Echo", 0).make(sidecar.grpcAddress(), wanted, 12_000);
             int open = all.served();
             double held = residentMb(sidecar) - before;
-            System.out.printf(Locale.ROOT, "streams  %d of %d open, %.1f MB more resident (from %.1f)%n", open, wanted, held, before);
+            System.out.printf(
+                    Locale.ROOT,
+                    "streams  %d of %d open, %.1f MB more resident (from %.1f)%n",
+                    open,
+                    wanted,
+                    held,
+                    before);
             if (open < wanted) {
                 shortfalls.add("only " + open + " of " + wanted + " streams were opened");
             }
--- a/src/main/java/rushproxy/measure/LabMeasure.java
+++ b/src/main/java/rushproxy/measure/LabMeasure.java
@@ -88,10 +88,19 @@
         new World(s, Engine.module(s.operator()), null).play();
         Day alone = new World(s, Engine.module(s.operator()), null).play();
         double perCore = alone.figures().events() / alone.figures().wallS();
-        System.out.printf(Locale.ROOT, "%d days in %.1f s, %.2f M events a second on %d cores; one day alone on one: %.2f M%n", played.size(), seconds,
-                events / seconds / 1e6, CORES, perCore / 1e6);
+        System.out.printf(
+                Locale.ROOT,
+                "%d days in %.1f s, %.2f M events a second on %d cores; one day alone on one: %.2f M%n",
+                played.size(),
+                seconds,
+                events / seconds / 1e6,
+                CORES,
+                perCore / 1e6);
         for (Day d : played) {
-            check(d.holds(), d.scenario().name() + ", seed " + d.scenario().seed() + ": " + d.checks().stream().filter(c -> !c.holds()).toList());
+            check(
+                    d.holds(),
+                    d.scenario().name() + ", seed " + d.scenario().seed() + ": "
+                            + d.checks().stream().filter(c -> !c.holds()).toList());
         }
         check(perCore >= 1e6, String.format(Locale.ROOT, "%.2f M events a second a core (aim 1)", perCore / 1e6));
     }
@@ -121,8 +130,9 @@
 
     private static List<String> json(List<Scenario> scenarios, int jobs) throws InterruptedException {
         try (Runner runner = new Runner(jobs)) {
-            return runner.play(scenarios.stream().map(LabMeasure::day).toList(), d -> { }).stream()
-                    .map(d -> new String(Json.write(d.asMap()), StandardCharsets.UTF_8)).toList();
+            return runner.play(scenarios.stream().map(LabMeasure::day).toList(), d -> {}).stream()
+                    .map(d -> new String(Json.write(d.asMap()), StandardCharsets.UTF_8))
+                    .toList();
         }
     }
 
@@ -133,13 +143,25 @@
             long begun = System.nanoTime();
             List<Day> days;
             try (Runner runner = new Runner(CORES)) {
-                days = search.play(1, 0, runs, runner, d -> { });
+                days = search.play(1, 0, runs, runner, d -> {});
             }
-            List<Day> broken = days.stream().filter(d -> !Search.broken(d).isEmpty()).toList();
-            System.out.printf(Locale.ROOT, "search, %s: %d days with %d events in %.1f s, %d broke a rule%n", name, days.size(),
-                    days.stream().mapToInt(d -> d.scenario().faults().size()).sum(), (System.nanoTime() - begun) / 1e9, broken.size());
-            check(broken.isEmpty(), name + ": " + broken.size() + " of " + runs + " days broke a rule, such as "
-                    + broken.stream().findFirst().map(d -> d.fouls() + " " + d.troubles()).orElse(""));
+            List<Day> broken =
+                    days.stream().filter(d -> !Search.broken(d).isEmpty()).toList();
+            System.out.printf(
+                    Locale.ROOT,
+                    "search, %s: %d days with %d events in %.1f s, %d broke a rule%n",
+                    name,
+                    days.size(),
+                    days.stream().mapToInt(d -> d.scenario().faults().size()).sum(),
+                    (System.nanoTime() - begun) / 1e9,
+                    broken.size());
+            check(
+                    broken.isEmpty(),
+                    name + ": " + broken.size() + " of " + runs + " days broke a rule, such as "
+                            + broken.stream()
+                                    .findFirst()
+                                    .map(d -> d.fouls() + " " + d.troubles())
+                                    .orElse(""));
         }
     }
 
@@ -148,46 +170,62 @@
     private static final int NODES = 6, SIDECARS = 2, SECONDS = 14;
     private static final double RATE = 120;
     /** The stand-in stage, said as a scenario: its nodes, its clients, its classes and what its sidecars are allowed. */
-    private static final String STAGE = "about = 'as the stage on sockets'\n[fleet]\nnodes = " + NODES + "\nsidecars = " + SIDECARS + "\nlength = '" + SECONDS
+    private static final String STAGE = "about = 'as the stage on sockets'\n[fleet]\nnodes = " + NODES + "\nsidecars = "
+            + SIDECARS + "\nlength = '" + SECONDS
             + "s'\n[[machine]]\nname = 'stand-in'\n[nodes]\nspeed_spread = 0\nwaiting = 12\ncold_share = 0.13\nramp = '3s'\npause_every = '0s'\n"
             + "handshake_ms = 0\nprobe_ms = 0\n[[class]]\nname = 'slot-lookup'\nshare = %s\nwork_ms = 10\nspread = 0\naim = '200ms'\n"
             + "deadline = '600ms'\nworth = 3\n[[class]]\nname = 'note-change'\nshare = %s\nwork_ms = 10\nspread = 0\naim = '200ms'\ndeadline = '600ms'\n"
             + "effect = 'unsafe'\nworth = 3\n[[class]]\nname = 'booking-confirm'\nshare = %s\nwork_ms = 10\nspread = 0\naim = '200ms'\ndeadline = '600ms'\n"
-            + "effect = 'keyed'\ngroup = 'zone'\nworth = 9\n[traffic]\nper_second = " + RATE + "\nretries = 1\nretry_ms = 50\nimpatient = 0\npatience = 1\n"
+            + "effect = 'keyed'\ngroup = 'zone'\nworth = 9\n[traffic]\nper_second = " + RATE
+            + "\nretries = 1\nretry_ms = 50\nimpatient = 0\npatience = 1\n"
             + "[registry]\nnotice = '%s'\nsilent = '%s'\n[network]\nsame_ms = 0.1\ncross_ms = 0.1\n[sidecar]\npeers = false\nsecond_copies = false\n"
             + "retry_after = true\nboot = '0s'\nstart_spread = '0s'\n";
 
     private record Seen(double inTime, double refused, double failed, double cold, int fouls, String first) {}
 
     private void truth() throws Exception {
-        System.out.println("the same on sockets and in the laboratory: in time, refused, failed, most to a cold node; rules broken");
-        compare("calm", "", stage -> { });
+        System.out.println(
+                "the same on sockets and in the laboratory: in time, refused, failed, most to a cold node; rules broken");
+        compare("calm", "", stage -> {});
         // A node dies for two seconds; neither registry says so, so both sidecars find it out themselves.
         compare("death", "[[event]]\nat = '4s'\ndo = 'crash'\nnodes = [1]\nfor = '2s'\n", stage -> {
             stage.after(4_000, () -> stage.nodes().get(1).kill());
             stage.after(6_000, () -> stage.nodes().get(1).restart());
         });
-        compare("stall", "[[event]]\nat = '4s'\ndo = 'stall'\nnodes = [0, 1, 2]\nfor = '1500ms'\n", stage -> stage.after(4_000, () ->
-                stage.nodes().subList(0, 3).forEach(n -> n.stall(1_500))));
+        compare(
+                "stall",
+                "[[event]]\nat = '4s'\ndo = 'stall'\nnodes = [0, 1, 2]\nfor = '1500ms'\n",
+                stage -> stage.after(4_000, () -> stage.nodes().subList(0, 3).forEach(n -> n.stall(1_500))));
         compare("three die", "[[event]]\nat = '4s'\ndo = 'crash'\nnodes = [0, 1, 2]\nfor = '3s'\n", stage -> {
             stage.after(4_000, () -> stage.nodes().subList(0, 3).forEach(Node::kill));
             stage.after(7_000, () -> stage.nodes().subList(0, 3).forEach(Node::restart));
         });
-        compare("discovery down", "[[event]]\nat = '3s'\ndo = 'registry-down'\nfor = '6s'\n[[event]]\nat = '4s'\ndo = 'crash'\nnodes = [1]\nfor = '2s'\n", stage -> {
-            stage.after(3_000, () -> stage.registry().down(true));
-            stage.after(9_000, () -> stage.registry().down(false));
-            stage.after(4_000, () -> stage.nodes().get(1).kill());
-            stage.after(6_000, () -> stage.nodes().get(1).restart());
-        });
+        compare(
+                "discovery down",
+                "[[event]]\nat = '3s'\ndo = 'registry-down'\nfor = '6s'\n[[event]]\nat = '4s'\ndo = 'crash'\nnodes = [1]\nfor = '2s'\n",
+                stage -> {
+                    stage.after(3_000, () -> stage.registry().down(true));
+                    stage.after(9_000, () -> stage.registry().down(false));
+                    stage.after(4_000, () -> stage.nodes().get(1).kill());
+                    stage.after(6_000, () -> stage.nodes().get(1).restart());
+                });
     }
 
     private void compare(String name, String events, Consumer<rushproxy.standin.World> plan) throws Exception {
         Seen sockets = sockets(plan);
         Seen lab = lab(events);
         System.out.printf(Locale.ROOT, "%-16s sockets %s; laboratory %s%n", name, text(sockets), text(lab));
-        check(Math.abs(sockets.inTime - lab.inTime) <= 0.03, name + String.format(Locale.ROOT, ": %.3f in time on sockets, %.3f in the laboratory",
-                sockets.inTime, lab.inTime));
-        check(sockets.fouls == 0 && lab.fouls == 0, name + ": " + sockets.fouls + " and " + lab.fouls + " rules broken, " + sockets.first);
+        check(
+                Math.abs(sockets.inTime - lab.inTime) <= 0.03,
+                name
+                        + String.format(
+                                Locale.ROOT,
+                                ": %.3f in time on sockets, %.3f in the laboratory",
+                                sockets.inTime,
+                                lab.inTime));
+        check(
+                sockets.fouls == 0 && lab.fouls == 0,
+                name + ": " + sockets.fouls + " and " + lab.fouls + " rules broken, " + sockets.first);
     }
 
     private static String text(Seen s) {
@@ -202,7 +240,8 @@
         int fouls = 0;
         int seeds = 5;
         for (int seed = 1; seed <= seeds; seed++) {
-            Scenario s = ScenarioFile.parse("stage", STAGE.formatted("0.6", "0.2", "0.2", "60s", "60s") + events, Map.of("seed", (long) seed));
+            Scenario s = ScenarioFile.parse(
+                    "stage", STAGE.formatted("0.6", "0.2", "0.2", "60s", "60s") + events, Map.of("seed", (long) seed));
             Day d = new World(s, Engine.module(s.operator()), null).play();
             long asked = d.figures().asked();
             double served = 0;
@@ -240,7 +279,12 @@
             stage.play(SECONDS * 1_000);
             Verdict v = stage.verdict();
             Clients.Tally t = stage.tally(0, SECONDS + 1);
-            return new Seen(t.inTimeShare(), t.refused() / (double) t.sent(), (t.failed() + t.unreachable()) / (double) t.sent(), v.coldPeak(), v.fouls(),
+            return new Seen(
+                    t.inTimeShare(),
+                    t.refused() / (double) t.sent(),
+                    (t.failed() + t.unreachable()) / (double) t.sent(),
+                    v.coldPeak(),
+                    v.fouls(),
                     v.first().isEmpty() ? "" : v.first().get(0).toString());
         }
     }
--- a/src/main/java/rushproxy/measure/OperationsMeasure.java
+++ b/src/main/java/rushproxy/measure/OperationsMeasure.java
@@ -30,6 +30,7 @@
     private static final double RATE = 150;
     /** What of the page is 1 s for a caller, 2 requests at the door for each upgrade, and 144 MB for two processes. */
     private static final long MOST_CALL_MS = 1_000, MOST_MB = 144;
+
     private static final int MOST_AT_DOOR = 2;
     private static final long GRACE_MS = 500;
 
@@ -60,7 +61,8 @@
     }
 
     private boolean run(int upgrades) throws Exception {
-        sidecar = world.operated(World.list(1, world.nodes().stream().map(Listed::of).toList()));
+        sidecar = world.operated(
+                World.list(1, world.nodes().stream().map(Listed::of).toList()));
         sidecar.awaitLog(" ready after ");
         Clients clients = world.clients(sidecar.name());
         clients.start(sidecar.address(), RATE);
@@ -83,8 +85,17 @@
 
         List<Long> took = clients.latenciesUs().stream().sorted().toList();
         long p99 = took.isEmpty() ? 0 : took.get((int) (took.size() * 0.99)) / 1_000;
-        System.out.printf(Locale.ROOT, "%d requests, %d in time, %d refused, %d failed, %d at a closed door; p99 %d ms; worst call %d ms; "
-                        + "both processes at most %d MB%n", all.sent(), all.inTime(), all.refused(), all.failed(), all.unreachable(), p99, worstCallMs,
+        System.out.printf(
+                Locale.ROOT,
+                "%d requests, %d in time, %d refused, %d failed, %d at a closed door; p99 %d ms; worst call %d ms; "
+                        + "both processes at most %d MB%n",
+                all.sent(),
+                all.inTime(),
+                all.refused(),
+                all.failed(),
+                all.unreachable(),
+                p99,
+                worstCallMs,
                 peakMb);
         for (Referee.Foul f : verdict.first()) {
             System.out.println("foul: " + f);
@@ -108,13 +119,17 @@
 
     /** Nothing comes to it from the grace after the yes to the call back. */
     private void ban(Node node) throws Exception {
-        check(call("POST", "/control/upstreams/" + node.id() + "/offline").startsWith("HTTP/1.1 200"), "no yes to a ban");
+        check(
+                call("POST", "/control/upstreams/" + node.id() + "/offline").startsWith("HTTP/1.1 200"),
+                "no yes to a ban");
         world.play(GRACE_MS);
         int before = node.served();
         world.play(300);
         toBanned += node.served() - before;
         node.restart();
-        check(call("POST", "/control/upstreams/" + node.id() + "/online").startsWith("HTTP/1.1 200"), "no yes to a call back");
+        check(
+                call("POST", "/control/upstreams/" + node.id() + "/online").startsWith("HTTP/1.1 200"),
+                "no yes to a call back");
     }
 
     /** All that was asked so far has ended, or is held: the sums agree. */
@@ -139,15 +154,21 @@
             long loaded = counters().number("conf_loaded");
             long invalid = counters().number("conf_invalid");
             boolean broken = i % 2 == 0;
-            Files.writeString(file, broken ? broken(good, i) : good.replace("\"max_attempts\":4", "\"max_attempts\":" + (i % 4 == 1 ? 3 : 4)));
+            Files.writeString(
+                    file,
+                    broken
+                            ? broken(good, i)
+                            : good.replace("\"max_attempts\":4", "\"max_attempts\":" + (i % 4 == 1 ? 3 : 4)));
             sidecar.hangUp();
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
             Json told = counters();
-            while (told.number("conf_loaded") + told.number("conf_invalid") == loaded + invalid && System.nanoTime() < until) {
+            while (told.number("conf_loaded") + told.number("conf_invalid") == loaded + invalid
+                    && System.nanoTime() < until) {
                 world.play(10);
                 told = counters();
             }
-            check(told.number(broken ? "conf_invalid" : "conf_loaded") == (broken ? invalid : loaded) + 1,
+            check(
+                    told.number(broken ? "conf_invalid" : "conf_loaded") == (broken ? invalid : loaded) + 1,
                     "a " + (broken ? "broken" : "good") + " file was not counted as one");
         }
         Files.writeString(file, good);
@@ -199,8 +220,11 @@
         InetSocketAddress at = sidecar.address();
         try (Socket s = new Socket(at.getAddress(), at.getPort())) {
             s.setSoTimeout(15_000);
-            s.getOutputStream().write(("GET /api?mb=" + LARGE_MB + " HTTP/1.1\r\nHost: a\r\nX-Txn: " + sidecar.name() + "-large" + number
-                    + "\r\nX-Lane: slot-lookup\r\nX-Remaining-Ms: 600\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream()
+                    .write(("GET /api?mb=" + LARGE_MB + " HTTP/1.1\r\nHost: a\r\nX-Txn: " + sidecar.name() + "-large"
+                                    + number
+                                    + "\r\nX-Lane: slot-lookup\r\nX-Remaining-Ms: 600\r\nConnection: close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             InputStream in = s.getInputStream();
             StringBuilder head = new StringBuilder();
             while (head.indexOf("\r\n\r\n") < 0) {
@@ -246,7 +270,10 @@
     }
 
     private List<Long> pids() {
-        return world.processes().stream().filter(p -> p.process().isAlive()).map(p -> p.process().pid()).toList();
+        return world.processes().stream()
+                .filter(p -> p.process().isAlive())
+                .map(p -> p.process().pid())
+                .toList();
     }
 
     private Json counters() throws Exception {
@@ -259,7 +286,8 @@
         InetSocketAddress at = sidecar.adminAddress();
         try (Socket s = new Socket(at.getAddress(), at.getPort())) {
             s.setSoTimeout(5_000);
-            s.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream()
+                    .write((method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
             String answer = new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             worstCallMs = Math.max(worstCallMs, (System.nanoTime() - begun) / 1_000_000);
             return answer;
--- a/src/main/java/rushproxy/measure/PolicyChangeMeasure.java
+++ b/src/main/java/rushproxy/measure/PolicyChangeMeasure.java
@@ -46,8 +46,9 @@
             System.exit(2);
         }
         List<String> shortfalls = new ArrayList<>();
-        System.out.println("virtual time, lease 3 s, words 5 ms on the way: from propose until in force there and at all (ms: median, worst), two versions at most (ms), "
-                + "words a change and sidecar, words and bytes a second and sidecar at rest");
+        System.out.println(
+                "virtual time, lease 3 s, words 5 ms on the way: from propose until in force there and at all (ms: median, worst), two versions at most (ms), "
+                        + "words a change and sidecar, words and bytes a second and sidecar at rest");
         for (int members : new int[] {5, 16, 100, 300}) {
             for (double loss : new double[] {0, 0.05}) {
                 changes(members, loss, quick ? 10 : 50, shortfalls);
@@ -74,7 +75,12 @@
         try (Runner runner = new Runner(Runtime.getRuntime().availableProcessors())) {
             runner.play(days, broken::addAll);
         }
-        System.out.printf(Locale.ROOT, "%d days of drawn faults with 16 sidecars, %d with 300: %d breaches%n", small, large, broken.size());
+        System.out.printf(
+                Locale.ROOT,
+                "%d days of drawn faults with 16 sidecars, %d with 300: %d breaches%n",
+                small,
+                large,
+                broken.size());
         Shortfalls.check(shortfalls, broken.isEmpty(), "days of faults: " + broken);
     }
 
@@ -110,16 +116,39 @@
             long rest = r.until(() -> r.allGoBy(ALL, version), 30 * S);
             all[c] = commit[c] + rest;
             each += (double) (r.words() - words) / members / changes;
-            Shortfalls.check(shortfalls, commit[c] >= 0 && rest >= 0, members + " sidecars, change " + c + " did not get through");
+            Shortfalls.check(
+                    shortfalls,
+                    commit[c] >= 0 && rest >= 0,
+                    members + " sidecars, change " + c + " did not get through");
             r.play(S);
         }
         Arrays.sort(commit);
         Arrays.sort(all);
-        System.out.printf(Locale.ROOT, "%4d sidecars, %2.0f %% lost   %4d %4d   %4d %4d   %4d   %5.1f   %5.1f %5.0f%n", members, 100 * loss, commit[changes / 2] / 1000,
-                commit[changes - 1] / 1000, all[changes / 2] / 1000, all[changes - 1] / 1000, r.longestJointUs() / 1000, each, restWords, restBytes);
-        Shortfalls.check(shortfalls, commit[changes - 1] <= COMMIT, members + " sidecars: in force after " + commit[changes - 1] + " us");
-        Shortfalls.check(shortfalls, all[changes - 1] <= EVERYWHERE, members + " sidecars: everywhere after " + all[changes - 1] + " us");
-        Shortfalls.check(shortfalls, r.longestJointUs() <= JOINT, members + " sidecars: two versions for " + r.longestJointUs() + " us");
+        System.out.printf(
+                Locale.ROOT,
+                "%4d sidecars, %2.0f %% lost   %4d %4d   %4d %4d   %4d   %5.1f   %5.1f %5.0f%n",
+                members,
+                100 * loss,
+                commit[changes / 2] / 1000,
+                commit[changes - 1] / 1000,
+                all[changes / 2] / 1000,
+                all[changes - 1] / 1000,
+                r.longestJointUs() / 1000,
+                each,
+                restWords,
+                restBytes);
+        Shortfalls.check(
+                shortfalls,
+                commit[changes - 1] <= COMMIT,
+                members + " sidecars: in force after " + commit[changes - 1] + " us");
+        Shortfalls.check(
+                shortfalls,
+                all[changes - 1] <= EVERYWHERE,
+                members + " sidecars: everywhere after " + all[changes - 1] + " us");
+        Shortfalls.check(
+                shortfalls,
+                r.longestJointUs() <= JOINT,
+                members + " sidecars: two versions for " + r.longestJointUs() + " us");
         Shortfalls.check(shortfalls, r.broken().isEmpty(), members + " sidecars: " + r.broken());
     }
 
@@ -140,7 +169,11 @@
             back = Math.max(back, healed < 0 ? Long.MAX_VALUE : healed);
             Shortfalls.check(shortfalls, r.broken().isEmpty(), "a third cut off: " + r.broken());
         }
-        System.out.printf(Locale.ROOT, "a third of 100 cut off: in force at the others after %d ms at the most, at them %d ms after they are back%n", worst / 1000, back / 1000);
+        System.out.printf(
+                Locale.ROOT,
+                "a third of 100 cut off: in force at the others after %d ms at the most, at them %d ms after they are back%n",
+                worst / 1000,
+                back / 1000);
         Shortfalls.check(shortfalls, worst <= CUT, "with a third cut off in force after " + worst + " us");
         Shortfalls.check(shortfalls, back <= EVERYWHERE, "back, a third learns it after " + back + " us");
     }
@@ -150,8 +183,23 @@
      * changes; a zone is away in turn, with room for all in the others.
      */
     private static void onProcesses(int processes, int changes, List<String> shortfalls) throws Exception {
-        Scenario s = ScenarioFile.read("spread", Map.of("fleet.sidecars", (long) processes, "fleet.nodes", 12L, "traffic.load", 0.3, "fleet.length", "1min"));
-        try (Processes fleet = new Processes(s, false, null, folder -> "[zones]\n[accord]\nfleet = \"measure\"\nvoters = 5\nfile = \"" + folder.resolve("policy.toml") + "\"\n")) {
+        Scenario s = ScenarioFile.read(
+                "spread",
+                Map.of(
+                        "fleet.sidecars",
+                        (long) processes,
+                        "fleet.nodes",
+                        12L,
+                        "traffic.load",
+                        0.3,
+                        "fleet.length",
+                        "1min"));
+        try (Processes fleet = new Processes(
+                s,
+                false,
+                null,
+                folder -> "[zones]\n[accord]\nfleet = \"measure\"\nvoters = 5\nfile = \""
+                        + folder.resolve("policy.toml") + "\"\n")) {
             long begunUs = fleet.world().clock().now();
             fleet.begin();
             fleet.world().play(8_000);
@@ -161,7 +209,9 @@
             int[] from = heard(fleet);
             long changingUs = fleet.world().clock().now();
             for (int c = 0; c < changes; c++) {
-                Files.writeString(fleet.world().folder().resolve("policy.toml"), "# change " + c + "\n[zones]\naway = [\"" + World.ZONES.get(c % World.ZONES.size()) + "\"]\n");
+                Files.writeString(
+                        fleet.world().folder().resolve("policy.toml"),
+                        "# change " + c + "\n[zones]\naway = [\"" + World.ZONES.get(c % World.ZONES.size()) + "\"]\n");
                 long proposedUs = System.nanoTime() / 1000;
                 SidecarProcess by = fleet.sidecars().get(c % processes);
                 propose(by);
@@ -182,19 +232,41 @@
             Processes.Played played = fleet.end(begunUs, 0, 3_600);
             Collections.sort(commits);
             Collections.sort(alls);
-            System.out.printf(Locale.ROOT, "%d processes, %d changes in %d ms with traffic: in force at the proposer after %d ms (median; worst %d), at all %d (%d); p99 of requests %d ms, "
-                    + "as long without changes %d%n", processes, changes, changedMs, commits.get(changes / 2) / 1000, commits.get(changes - 1) / 1000,
-                    alls.get(changes / 2) / 1000, alls.get(changes - 1) / 1000, with / 1000, without / 1000);
+            System.out.printf(
+                    Locale.ROOT,
+                    "%d processes, %d changes in %d ms with traffic: in force at the proposer after %d ms (median; worst %d), at all %d (%d); p99 of requests %d ms, "
+                            + "as long without changes %d%n",
+                    processes,
+                    changes,
+                    changedMs,
+                    commits.get(changes / 2) / 1000,
+                    commits.get(changes - 1) / 1000,
+                    alls.get(changes / 2) / 1000,
+                    alls.get(changes - 1) / 1000,
+                    with / 1000,
+                    without / 1000);
             System.out.println(played.line());
-            Shortfalls.check(shortfalls, alls.get(changes - 1) <= EVERYWHERE, "processes: everywhere after " + alls.get(changes - 1) + " us");
-            Shortfalls.check(shortfalls, played.verdict().fouls() == 0, "processes: rules broken " + played.verdict().first());
-            Shortfalls.check(shortfalls, played.all().failed() + played.all().unreachable() == 0, "processes: " + played.line());
-            Shortfalls.check(shortfalls, with <= without * 1.1, "processes: p99 of " + with + " us with changes, " + without + " without");
+            Shortfalls.check(
+                    shortfalls,
+                    alls.get(changes - 1) <= EVERYWHERE,
+                    "processes: everywhere after " + alls.get(changes - 1) + " us");
+            Shortfalls.check(
+                    shortfalls,
+                    played.verdict().fouls() == 0,
+                    "processes: rules broken " + played.verdict().first());
+            Shortfalls.check(
+                    shortfalls, played.all().failed() + played.all().unreachable() == 0, "processes: " + played.line());
+            Shortfalls.check(
+                    shortfalls,
+                    with <= without * 1.1,
+                    "processes: p99 of " + with + " us with changes, " + without + " without");
         }
     }
 
     private static int[] heard(Processes fleet) {
-        return IntStream.range(0, fleet.sidecars().size()).map(i -> fleet.clients(i).latenciesUs().size()).toArray();
+        return IntStream.range(0, fleet.sidecars().size())
+                .map(i -> fleet.clients(i).latenciesUs().size())
+                .toArray();
     }
 
     private static long p99(Processes fleet, int[] from, int[] to) {
@@ -209,7 +281,10 @@
     private static void propose(SidecarProcess by) throws Exception {
         // Another's may still be on its way to this one: then it says so, and is asked again.
         for (int tries = 0; ; tries++) {
-            HttpURLConnection c = (HttpURLConnection) URI.create("http://127.0.0.1:" + by.adminAddress().getPort() + "/control/policy/propose").toURL().openConnection();
+            HttpURLConnection c = (HttpURLConnection)
+                    URI.create("http://127.0.0.1:" + by.adminAddress().getPort() + "/control/policy/propose")
+                            .toURL()
+                            .openConnection();
             c.setRequestMethod("POST");
             int status = c.getResponseCode();
             c.disconnect();
@@ -226,8 +301,14 @@
         for (int voters : new int[] {3, 5}) {
             Explorer.Looked walks = Explorer.sound(voters, voters).walks(1, quick ? 5_000 : 100_000, 400);
             Explorer.Looked all = Explorer.sound(voters, voters).all(quick ? 15_000 : 400_000, 1, 2, 6);
-            System.out.printf(Locale.ROOT, "explorer, %d sidecars: %d events in random orders; %d different states to a depth of %d%s%n", voters, walks.states(), all.states(),
-                    all.depth(), all.all() ? ", all there are" : "");
+            System.out.printf(
+                    Locale.ROOT,
+                    "explorer, %d sidecars: %d events in random orders; %d different states to a depth of %d%s%n",
+                    voters,
+                    walks.states(),
+                    all.states(),
+                    all.depth(),
+                    all.all() ? ", all there are" : "");
             for (Explorer.Looked l : List.of(walks, all)) {
                 Shortfalls.check(shortfalls, l.found() == null, "an order breaks " + l.found());
             }
--- a/src/main/java/rushproxy/measure/SpreadMeasure.java
+++ b/src/main/java/rushproxy/measure/SpreadMeasure.java
@@ -23,9 +23,11 @@
 public final class SpreadMeasure {
     /** Served in time at the least, at these loads; past capacity as a part of what could be served at all. */
     private static final double[] LOADS = {0.65, 0.8, 0.95, 1.1, 1.5};
+
     private static final double[] LEAST = {0.95, 0.92, 0.83, 0.75, 0.75 / 1.5};
     /** What sockets may lie under the laboratory. */
     private static final double APART = 0.05;
+
     private static final int LARGE = 100;
     /** Of the mean node's work in a second, the busiest one's at the most, from this load on: below it one that is busy for all of a second is over it. */
     private static final double BUSIEST = 1.5, BUSIEST_FROM = 0.8;
@@ -69,30 +71,72 @@
         try (Runner runner = new Runner(Runtime.getRuntime().availableProcessors())) {
             runner.play(days, played::add);
         }
-        System.out.println("laboratory, 60 nodes of one core: served in time (least of " + worlds + " worlds), refused of the tries, words a request, busiest node"
+        System.out.println("laboratory, 60 nodes of one core: served in time (least of " + worlds
+                + " worlds), refused of the tries, words a request, busiest node"
                 + " over the mean in the worst second, idle seconds");
         for (int i = 0; i < rows.size(); i++) {
             Row row = rows.get(i);
             List<Day> of = played.subList(i * worlds, (i + 1) * worlds);
-            double served = of.stream().mapToDouble(d -> d.figures().served()).average().orElse(0);
-            double least = of.stream().mapToDouble(d -> d.figures().served()).min().orElse(0);
-            double refused = of.stream().mapToDouble(d -> d.figures().refusedShare()).average().orElse(0);
-            double words = of.stream().mapToDouble(d -> ((Number) d.figures().asMap().get("words")).doubleValue()
-                    / Math.max(1, ((Number) d.figures().asMap().get("tries")).doubleValue())).average().orElse(0);
-            double busiest = of.stream().mapToDouble(d -> d.figures().busiest()).max().orElse(0);
+            double served =
+                    of.stream().mapToDouble(d -> d.figures().served()).average().orElse(0);
+            double least =
+                    of.stream().mapToDouble(d -> d.figures().served()).min().orElse(0);
+            double refused = of.stream()
+                    .mapToDouble(d -> d.figures().refusedShare())
+                    .average()
+                    .orElse(0);
+            double words = of.stream()
+                    .mapToDouble(d -> ((Number) d.figures().asMap().get("words")).doubleValue()
+                            / Math.max(1, ((Number) d.figures().asMap().get("tries")).doubleValue()))
+                    .average()
+                    .orElse(0);
+            double busiest =
+                    of.stream().mapToDouble(d -> d.figures().busiest()).max().orElse(0);
             int idle = of.stream().mapToInt(d -> d.figures().idleSeconds()).sum();
-            System.out.printf(Locale.ROOT, "%4d sidecars, load %.2f   %.3f (%.3f)   %.3f   %5.1f   %.2f   %d%n", row.sidecars, row.load, served, least, refused, words,
-                    busiest, idle);
+            System.out.printf(
+                    Locale.ROOT,
+                    "%4d sidecars, load %.2f   %.3f (%.3f)   %.3f   %5.1f   %.2f   %d%n",
+                    row.sidecars,
+                    row.load,
+                    served,
+                    least,
+                    refused,
+                    words,
+                    busiest,
+                    idle);
             if (row.sidecars >= LARGE) {
-                Shortfalls.check(shortfalls, row.load < BUSIEST_FROM || busiest <= BUSIEST, String.format(Locale.ROOT, "%d sidecars at %.2f: busiest node %.2f of the mean", row.sidecars, row.load, busiest));
-                Shortfalls.check(shortfalls, idle == 0, row.sidecars + " sidecars at " + row.load + ": " + idle + " idle seconds of usable nodes");
+                Shortfalls.check(
+                        shortfalls,
+                        row.load < BUSIEST_FROM || busiest <= BUSIEST,
+                        String.format(
+                                Locale.ROOT,
+                                "%d sidecars at %.2f: busiest node %.2f of the mean",
+                                row.sidecars,
+                                row.load,
+                                busiest));
+                Shortfalls.check(
+                        shortfalls,
+                        idle == 0,
+                        row.sidecars + " sidecars at " + row.load + ": " + idle + " idle seconds of usable nodes");
             }
             for (Day d : of) {
-                Shortfalls.check(shortfalls, d.sound(), row + " seed " + d.scenario().seed() + ": " + d.broken() + " rules broken " + d.fouls() + d.troubles());
+                Shortfalls.check(
+                        shortfalls,
+                        d.sound(),
+                        row + " seed " + d.scenario().seed() + ": " + d.broken() + " rules broken " + d.fouls()
+                                + d.troubles());
             }
             for (int l = 0; l < LOADS.length && row.sidecars >= LARGE; l++) {
-                Shortfalls.check(shortfalls, row.load != LOADS[l] || served >= LEAST[l], String.format(Locale.ROOT, "%d sidecars at %.2f: %.3f, %.3f wanted",
-                        row.sidecars, row.load, served, LEAST[l]));
+                Shortfalls.check(
+                        shortfalls,
+                        row.load != LOADS[l] || served >= LEAST[l],
+                        String.format(
+                                Locale.ROOT,
+                                "%d sidecars at %.2f: %.3f, %.3f wanted",
+                                row.sidecars,
+                                row.load,
+                                served,
+                                LEAST[l]));
             }
         }
     }
@@ -120,11 +164,26 @@
         try (Processes fleet = new Processes(s, false)) {
             Processes.Played played = fleet.play();
             System.out.println(played.line());
-            System.out.println("by second  " + played.bySecond().stream().map(d -> String.format(Locale.ROOT, "%.2f", d)).toList());
-            System.out.printf(Locale.ROOT, "laboratory served %.3f by the same file%n", lab.figures().served());
-            Shortfalls.check(shortfalls, played.verdict().fouls() == 0, "sockets: rules broken " + played.verdict().first());
-            Shortfalls.check(shortfalls, played.served() >= lab.figures().served() - APART, String.format(Locale.ROOT, "sockets: served %.3f, the laboratory %.3f",
-                    played.served(), lab.figures().served()));
+            System.out.println("by second  "
+                    + played.bySecond().stream()
+                            .map(d -> String.format(Locale.ROOT, "%.2f", d))
+                            .toList());
+            System.out.printf(
+                    Locale.ROOT,
+                    "laboratory served %.3f by the same file%n",
+                    lab.figures().served());
+            Shortfalls.check(
+                    shortfalls,
+                    played.verdict().fouls() == 0,
+                    "sockets: rules broken " + played.verdict().first());
+            Shortfalls.check(
+                    shortfalls,
+                    played.served() >= lab.figures().served() - APART,
+                    String.format(
+                            Locale.ROOT,
+                            "sockets: served %.3f, the laboratory %.3f",
+                            played.served(),
+                            lab.figures().served()));
         }
     }
 }
