--- a/src/main/java/rushproxy/measure/StartMeasure.java
+++ b/src/main/java/rushproxy/measure/StartMeasure.java
@@ -34,15 +34,21 @@
     private static final int LISTED = 12;
     /** Older than the registry remembers, so that on its return it gives the whole list. */
     private static final int GENERATION = 30;
+
     private static final double RATE = 100;
     private static final long SECOND_US = 1_000_000;
     /** Cold for long enough that a start falls into it. */
     private static final Shape SHAPE = new Shape(1, 10, 12, 0.13, 12_000);
+
     private static final double MOST_FAILED = 0.01, MOST_COLD = 3, MOST_FIRST_S = 1.5;
 
     /** How old the list is, and which share of its names is dead by then. */
     private enum Age {
-        NOW(0, 0), MINUTE(60, 0.08), HOUR(3_600, 0.25), DAY(86_400, 0.5), WEEK(604_800, 0.67);
+        NOW(0, 0),
+        MINUTE(60, 0.08),
+        HOUR(3_600, 0.25),
+        DAY(86_400, 0.5),
+        WEEK(604_800, 0.67);
 
         final long seconds;
         final double dead;
@@ -53,12 +59,23 @@
         }
     }
 
-    private enum Mode { DISK, KNOWN, BLIND }
+    private enum Mode {
+        DISK,
+        KNOWN,
+        BLIND
+    }
 
     private record Case(Age age, int sidecars, Mode mode, int offS, List<Integer> cores) {}
 
-    private record Result(Case of, Clients.Tally first, Clients.Tally five, Clients.Tally all, World.Verdict verdict,
-                          double firstServedS, int callsOnReturn, int notReady) {
+    private record Result(
+            Case of,
+            Clients.Tally first,
+            Clients.Tally five,
+            Clients.Tally all,
+            World.Verdict verdict,
+            double firstServedS,
+            int callsOnReturn,
+            int notReady) {
         double failed() {
             return all.sent() == 0 ? 1 : (double) (all.failed() + all.unreachable()) / all.sent();
         }
@@ -83,9 +100,13 @@
         int offS = quick ? 5 : 20;
         List<List<Case>> rounds = new ArrayList<>();
         if (quick) {
-            rounds.add(List.of(of(Age.WEEK, 1, Mode.DISK, offS, 0), of(Age.WEEK, 1, Mode.BLIND, offS, 1),
+            rounds.add(List.of(
+                    of(Age.WEEK, 1, Mode.DISK, offS, 0),
+                    of(Age.WEEK, 1, Mode.BLIND, offS, 1),
                     of(Age.NOW, 4, Mode.DISK, offS, 2)));
-            rounds.add(List.of(of(Age.DAY, 1, Mode.KNOWN, offS, 0), of(Age.WEEK, 4, Mode.KNOWN, offS, 1),
+            rounds.add(List.of(
+                    of(Age.DAY, 1, Mode.KNOWN, offS, 0),
+                    of(Age.WEEK, 4, Mode.KNOWN, offS, 1),
                     of(Age.NOW, 1, Mode.DISK, offS, 5)));
         } else {
             for (Age age : Age.values()) {
@@ -94,9 +115,11 @@
                 }
             }
         }
-        System.out.println("12 listed nodes of 100 requests a second, 100 requests a second in all, discovery off for " + offS
-                + " s; of the dead names a third are strangers; one living node restarts cold as the sidecars start");
-        System.out.println("age     of  mode   sent  failed%  refused%  in time% of 1 s, 5 s, all   cold x  first s  calls/s  fouls");
+        System.out.println(
+                "12 listed nodes of 100 requests a second, 100 requests a second in all, discovery off for " + offS
+                        + " s; of the dead names a third are strangers; one living node restarts cold as the sidecars start");
+        System.out.println(
+                "age     of  mode   sent  failed%  refused%  in time% of 1 s, 5 s, all   cold x  first s  calls/s  fouls");
         List<String> shortfalls = new ArrayList<>();
         for (List<Case> round : rounds) {
             ExecutorService stages = Executors.newFixedThreadPool(round.size());
@@ -126,9 +149,21 @@
 
     private static void judge(Result r, List<String> shortfalls) {
         Case c = r.of;
-        System.out.printf(Locale.ROOT, "%-7s %2d  %-5s %5d  %7.2f  %8.2f  %8.1f %5.1f %5.1f %14.2f  %7.2f  %7d  %5d%n", c.age, c.sidecars,
-                c.mode, r.all.sent(), 100 * r.failed(), 100 * r.refused(), 100 * r.first.inTimeShare(),
-                100 * r.five.inTimeShare(), 100 * r.all.inTimeShare(), r.verdict.coldPeak(), r.firstServedS, r.callsOnReturn,
+        System.out.printf(
+                Locale.ROOT,
+                "%-7s %2d  %-5s %5d  %7.2f  %8.2f  %8.1f %5.1f %5.1f %14.2f  %7.2f  %7d  %5d%n",
+                c.age,
+                c.sidecars,
+                c.mode,
+                r.all.sent(),
+                100 * r.failed(),
+                100 * r.refused(),
+                100 * r.first.inTimeShare(),
+                100 * r.five.inTimeShare(),
+                100 * r.all.inTimeShare(),
+                r.verdict.coldPeak(),
+                r.firstServedS,
+                r.callsOnReturn,
                 r.verdict.fouls());
         r.verdict.first().stream().limit(3).forEach(f -> System.out.println("    " + f));
         if (c.mode == Mode.BLIND) {
@@ -142,7 +177,8 @@
             shortfalls.add(String.format(Locale.ROOT, "%s: %.2f %% failed", name, 100 * r.failed()));
         }
         if (r.verdict.coldPeak() > MOST_COLD) {
-            shortfalls.add(String.format(Locale.ROOT, "%s: a cold node had %.2f times its capacity", name, r.verdict.coldPeak()));
+            shortfalls.add(String.format(
+                    Locale.ROOT, "%s: a cold node had %.2f times its capacity", name, r.verdict.coldPeak()));
         }
         if (r.verdict.fouls() > 0) {
             shortfalls.add(name + ": rules broken " + r.verdict.fouls() + " times");
@@ -158,9 +194,19 @@
             int dead = (int) Math.round(LISTED * c.age.dead);
             for (int i = 0; i < LISTED; i++) {
                 Node n = world.nodes().get(i);
-                // The fleet is as large as ever: where a name is dead, another node has taken its place under a new one.
-                list.add(i >= dead ? Listed.of(n) : new Listed("gone-" + i, i % 3 == 0
-                        ? world.impostor(Impostor.Manner.values()[i / 3 % 3]).address() : nobodysAddress(), n.zone(), 0));
+                // The fleet is as large as ever: where a name is dead, another node has taken its place under a new
+                // one.
+                list.add(
+                        i >= dead
+                                ? Listed.of(n)
+                                : new Listed(
+                                        "gone-" + i,
+                                        i % 3 == 0
+                                                ? world.impostor(Impostor.Manner.values()[i / 3 % 3])
+                                                        .address()
+                                                : nobodysAddress(),
+                                        n.zone(),
+                                        0));
             }
             world.registry().down(true);
             Node restarting = world.nodes().get(LISTED - 1);
@@ -187,10 +233,21 @@
             double first = 0;
             for (int i = 0; i < clients.size(); i++) {
                 long served = clients.get(i).firstServedUs();
-                first = Math.max(first, served == 0 ? Double.POSITIVE_INFINITY : (served - sidecars.get(i).startedUs()) / 1e6);
+                first = Math.max(
+                        first,
+                        served == 0
+                                ? Double.POSITIVE_INFINITY
+                                : (served - sidecars.get(i).startedUs()) / 1e6);
             }
-            return new Result(c, world.tally(0, 1), world.tally(0, 5), world.tally(0, Integer.MAX_VALUE), verdict, first,
-                    world.registry().callsPeakSince(backS), notReady);
+            return new Result(
+                    c,
+                    world.tally(0, 1),
+                    world.tally(0, 5),
+                    world.tally(0, Integer.MAX_VALUE),
+                    verdict,
+                    first,
+                    world.registry().callsPeakSince(backS),
+                    notReady);
         }
     }
 
@@ -205,8 +262,16 @@
             } else if (c.mode == Mode.DISK) {
                 Path folder = world.folder().resolve("kept" + i);
                 try (ListStore store = new ListStore(folder, "stage", 1 << 20)) {
-                    store.write(new Listing(Origin.DISK, GENERATION, true, asOfUs, list.stream().map(e -> new Member(new Upstream(e.id(),
-                            e.zone(), "stand-in", 0, 0, 1, UpstreamState.READY), e.address())).toList()));
+                    store.write(new Listing(
+                            Origin.DISK,
+                            GENERATION,
+                            true,
+                            asOfUs,
+                            list.stream()
+                                    .map(e -> new Member(
+                                            new Upstream(e.id(), e.zone(), "stand-in", 0, 0, 1, UpstreamState.READY),
+                                            e.address()))
+                                    .toList()));
                 }
                 known = World.list(1, List.of());
                 operator = "[membership]\n[membership.disk]\nfleet = \"stage\"\nfolder = \"" + folder + "\"\n";
--- a/src/main/java/rushproxy/measure/TracesMeasure.java
+++ b/src/main/java/rushproxy/measure/TracesMeasure.java
@@ -63,8 +63,8 @@
     }
 
     private static SidecarProcess sidecar(World world, String operator) throws Exception {
-        SidecarProcess s = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()), operator,
-                "taskset", "-c", "0");
+        SidecarProcess s = world.sidecar(
+                1, World.list(1, world.nodes().stream().map(Listed::of).toList()), operator, "taskset", "-c", "0");
         world.ready(s.address()).get(60, TimeUnit.SECONDS);
         return s;
     }
@@ -73,8 +73,12 @@
     private void faults() throws Exception {
         try (World world = new World(Shape.SMALL).grpc().nodes(4)) {
             Collector collector = world.collector();
-            SidecarProcess sidecar = sidecar(world, World.grpcTable() + World.tracesTable(collector,
-                    "trouble_per_second = 500\nnoted_per_second = 500\nordinary_per_second = 2\nwaiting = 5000\n"));
+            SidecarProcess sidecar = sidecar(
+                    world,
+                    World.grpcTable()
+                            + World.tracesTable(
+                                    collector,
+                                    "trouble_per_second = 500\nnoted_per_second = 500\nordinary_per_second = 2\nwaiting = 5000\n"));
             // Three milliseconds after the request no node can have answered.
             Clients http = world.clients(sidecar.name()).traced().leaving(53, 3);
             Clients grpc = world.grpcClients(sidecar.name()).traced().leaving(53, 3);
@@ -104,32 +108,50 @@
             world.play(1_500);
             List<Seen> seen = collector.seen();
             Map<String, Seen> requests = new HashMap<>();
-            seen.stream().filter(s -> s.attributes().containsKey(Names.REQUEST)).forEach(s -> requests.put(s.text(Names.REQUEST), s));
+            seen.stream()
+                    .filter(s -> s.attributes().containsKey(Names.REQUEST))
+                    .forEach(s -> requests.put(s.text(Names.REQUEST), s));
             List<Tried> tried = new ArrayList<>(http.tried());
-            Set<String> marked = new HashSet<>(tried.stream().filter(Tried::again).map(Tried::id).toList());
+            Set<String> marked = new HashSet<>(
+                    tried.stream().filter(Tried::again).map(Tried::id).toList());
             List<Tried> ofGrpc = grpc.tried();
             tried.addAll(ofGrpc);
             Map<String, List<Node.Ran>> ran = new HashMap<>();
-            world.nodes().forEach(n -> n.ran().forEach(r -> ran.computeIfAbsent(r.id(), i -> new ArrayList<>()).add(r)));
+            world.nodes().forEach(n -> n.ran().forEach(r -> ran.computeIfAbsent(r.id(), i -> new ArrayList<>())
+                    .add(r)));
             Map<String, Predicate<Tried>> kinds = new LinkedHashMap<>();
             kinds.put("refused", t -> t.ending().equals("REFUSED"));
             kinds.put("failed", t -> t.ending().equals("FAILED") || t.ending().equals("LOST"));
             kinds.put("left", t -> t.ending().equals("LEFT"));
             kinds.put("slow", t -> t.ending().equals("SERVED") && t.tookUs() > AIM_US + SLACK_US);
-            kinds.put("sent again", t -> marked.contains(t.id()) || t.again() && t.lane().equals("booking-confirm"));
+            kinds.put(
+                    "sent again",
+                    t -> marked.contains(t.id()) || t.again() && t.lane().equals("booking-confirm"));
             kinds.put("run twice", t -> ran.getOrDefault(t.id(), List.of()).size() > 1);
             int known = 0;
             for (Map.Entry<String, Predicate<Tried>> k : kinds.entrySet()) {
                 List<Tried> of = tried.stream().filter(k.getValue()).toList();
-                List<Tried> missing = of.stream().filter(t -> !requests.containsKey(t.id())).toList();
+                List<Tried> missing =
+                        of.stream().filter(t -> !requests.containsKey(t.id())).toList();
                 known += of.size();
-                System.out.printf(Locale.ROOT, "faults   %-10s %4d known, %d not among the traces%n", k.getKey(), of.size(), missing.size());
+                System.out.printf(
+                        Locale.ROOT,
+                        "faults   %-10s %4d known, %d not among the traces%n",
+                        k.getKey(),
+                        of.size(),
+                        missing.size());
                 if (!missing.isEmpty()) {
-                    shortfalls.add(missing.size() + " " + k.getKey() + " requests have no trace, such as " + missing.get(0));
+                    shortfalls.add(
+                            missing.size() + " " + k.getKey() + " requests have no trace, such as " + missing.get(0));
                 }
             }
-            System.out.printf(Locale.ROOT, "faults   %d of %d tries were in trouble; %d traces, %d spans%n", known, tried.size(),
-                    requests.size(), seen.size());
+            System.out.printf(
+                    Locale.ROOT,
+                    "faults   %d of %d tries were in trouble; %d traces, %d spans%n",
+                    known,
+                    tried.size(),
+                    requests.size(),
+                    seen.size());
             if (known < 20) {
                 shortfalls.add("only " + known + " requests came into trouble: the stage was too kind");
             }
@@ -142,7 +164,8 @@
     }
 
     /** The nodes' own spans hang below the right attempts, and all tries of one intent are in one trace. */
-    private void joins(List<Seen> seen, Map<String, Seen> requests, Map<String, List<Node.Ran>> ran, List<Tried> tried) {
+    private void joins(
+            List<Seen> seen, Map<String, Seen> requests, Map<String, List<Node.Ran>> ran, List<Tried> tried) {
         int attempts = 0;
         int apart = 0;
         Map<String, Seen> bySpan = new HashMap<>();
@@ -152,21 +175,30 @@
                 attempts++;
                 String parent = "00-" + a.trace() + "-" + a.span() + "-";
                 apart += ran.getOrDefault(bySpan.get(a.parent()).text(Names.REQUEST), List.of()).stream()
-                        .anyMatch(r -> r.parent() != null && r.parent().startsWith(parent)) ? 0 : 1;
+                                .anyMatch(r -> r.parent() != null && r.parent().startsWith(parent))
+                        ? 0
+                        : 1;
             }
         }
         Map<String, Set<String>> traces = new HashMap<>();
         Map<String, Integer> tries = new HashMap<>();
         for (Tried t : tried) {
             if (t.lane().equals("booking-confirm") && requests.containsKey(t.id())) {
-                traces.computeIfAbsent(t.intent(), i -> new HashSet<>()).add(requests.get(t.id()).trace());
+                traces.computeIfAbsent(t.intent(), i -> new HashSet<>())
+                        .add(requests.get(t.id()).trace());
                 tries.merge(t.intent(), 1, Integer::sum);
             }
         }
         long again = tries.values().stream().filter(n -> n > 1).count();
         long split = traces.values().stream().filter(s -> s.size() > 1).count();
-        System.out.printf(Locale.ROOT, "joins    %d of %d served attempts have their node's span; %d confirmations were sent again by their"
-                + " client, %d of them in two traces%n", attempts - apart, attempts, again, split);
+        System.out.printf(
+                Locale.ROOT,
+                "joins    %d of %d served attempts have their node's span; %d confirmations were sent again by their"
+                        + " client, %d of them in two traces%n",
+                attempts - apart,
+                attempts,
+                again,
+                split);
         if (apart > 0 || split > 0) {
             shortfalls.add(apart + " attempts without their node's span, " + split + " confirmations in two traces");
         }
@@ -176,8 +208,10 @@
     private void flood() throws Exception {
         try (World world = new World(Shape.SMALL).nodes(2)) {
             Collector collector = world.collector();
-            SidecarProcess sidecar = sidecar(world, World.tracesTable(collector,
-                    "trouble_per_second = 20\nnoted_per_second = 2\nordinary_per_second = 5\n"));
+            SidecarProcess sidecar = sidecar(
+                    world,
+                    World.tracesTable(
+                            collector, "trouble_per_second = 20\nnoted_per_second = 2\nordinary_per_second = 5\n"));
             Clients clients = world.clients(sidecar.name()).traced();
             int seconds = quick ? 6 : 30;
             clients.start(sidecar.address(), 400);
@@ -189,27 +223,45 @@
             clients.stop();
             world.settle();
             world.play(1_500);
-            List<Seen> requests = collector.seen().stream().filter(s -> s.attributes().containsKey(Names.REQUEST)).toList();
+            List<Seen> requests = collector.seen().stream()
+                    .filter(s -> s.attributes().containsKey(Names.REQUEST))
+                    .toList();
             Map<String, Seen> byId = new HashMap<>();
             requests.forEach(s -> byId.put(s.text(Names.REQUEST), s));
             long from = requests.stream().mapToLong(Seen::start).min().orElse(0) + 2_000_000_000L;
             List<Tried> tried = clients.tried();
             // The first two seconds teach the rate; from then on the weights are to stand for all.
             int skip = (int) (tried.size() * 2.0 / seconds);
-            long refused = tried.subList(skip, tried.size()).stream().filter(t -> t.ending().equals("REFUSED")).count();
-            double stands = requests.stream().filter(s -> s.start() >= from && s.text(Names.ANSWER).equals("refused"))
-                    .mapToDouble(s -> Double.parseDouble(s.text(Names.WEIGHT))).sum();
-            long trouble = requests.stream().filter(s -> !s.text(Names.REASONS).matches("ordinary|hedged|asked|hedged,asked")).count();
-            long reset = collector.seen().stream().filter(s -> s.text(Names.OUTCOME).equals("reset")).count();
-            System.out.printf(Locale.ROOT, "flood    %d sent, %d refused after the first 2 s; %d traces of trouble kept, of refusals then they"
-                    + " stand for %.0f; %d attempts that were reset among them%n", tried.size(), refused, trouble, stands, reset);
+            long refused = tried.subList(skip, tried.size()).stream()
+                    .filter(t -> t.ending().equals("REFUSED"))
+                    .count();
+            double stands = requests.stream()
+                    .filter(s -> s.start() >= from && s.text(Names.ANSWER).equals("refused"))
+                    .mapToDouble(s -> Double.parseDouble(s.text(Names.WEIGHT)))
+                    .sum();
+            long trouble = requests.stream()
+                    .filter(s -> !s.text(Names.REASONS).matches("ordinary|hedged|asked|hedged,asked"))
+                    .count();
+            long reset = collector.seen().stream()
+                    .filter(s -> s.text(Names.OUTCOME).equals("reset"))
+                    .count();
+            System.out.printf(
+                    Locale.ROOT,
+                    "flood    %d sent, %d refused after the first 2 s; %d traces of trouble kept, of refusals then they"
+                            + " stand for %.0f; %d attempts that were reset among them%n",
+                    tried.size(),
+                    refused,
+                    trouble,
+                    stands,
+                    reset);
             // Beside the rate: the bucket's four seconds, and three of each of the few kinds in every ten seconds.
             double most = 20 * (seconds + 6) + 3 * 40 * Math.ceil(seconds / 10.0);
             if (trouble > most) {
                 shortfalls.add(trouble + " traces of a flood were kept, " + most + " at most wanted");
             }
             if (refused < 100 || Math.abs(stands - refused) > 0.35 * refused) {
-                shortfalls.add(String.format(Locale.ROOT, "%d refusals, but their traces stand for %.0f", refused, stands));
+                shortfalls.add(
+                        String.format(Locale.ROOT, "%d refusals, but their traces stand for %.0f", refused, stands));
             }
             if (reset == 0) {
                 shortfalls.add("the resets were lost in the flood");
@@ -221,8 +273,9 @@
     private void deadCollector() throws Exception {
         try (World world = new World(QUICK_NODE).nodes(4)) {
             Collector collector = world.collector();
-            SidecarProcess sidecar = sidecar(world, World.tracesTable(collector,
-                    "ordinary_per_second = 1000\nwaiting = 300\ngive_up = \"2s\"\n"));
+            SidecarProcess sidecar = sidecar(
+                    world,
+                    World.tracesTable(collector, "ordinary_per_second = 1000\nwaiting = 300\ngive_up = \"2s\"\n"));
             Clients clients = world.clients(sidecar.name());
             int part = quick ? 2 : 10;
             clients.start(sidecar.address(), 200);
@@ -238,10 +291,17 @@
             world.settle();
             double well = clients.tally(0, part).inTimeShare();
             double dead = clients.tally(part, 2 * part).inTimeShare();
-            System.out.printf(Locale.ROOT, "dead     in time %.4f with a collector, %.4f with a dead one, %.1f MB more; %d spans after it came"
-                    + " back%n", well, dead, held, collector.seen().size() - seen);
+            System.out.printf(
+                    Locale.ROOT,
+                    "dead     in time %.4f with a collector, %.4f with a dead one, %.1f MB more; %d spans after it came"
+                            + " back%n",
+                    well,
+                    dead,
+                    held,
+                    collector.seen().size() - seen);
             if (dead < well - 0.01) {
-                shortfalls.add(String.format(Locale.ROOT, "a dead collector costs service: %.3f in time, %.3f before", dead, well));
+                shortfalls.add(String.format(
+                        Locale.ROOT, "a dead collector costs service: %.3f in time, %.3f before", dead, well));
             }
             if (held > MOST_MB) {
                 shortfalls.add(String.format(Locale.ROOT, "a dead collector costs %.1f MB", held));
@@ -258,19 +318,37 @@
             SidecarProcess off = sidecar(world, null);
             SidecarProcess on = sidecar(world, World.tracesTable(collector, ""));
             SidecarProcess all = sidecar(world, World.tracesTable(collector, "ordinary_per_second = 1000\n"));
-            Way without = new Way("no traces", world, off.address(), false, off.process().toHandle());
-            Way with = new Way("traces, one a second", world, on.address(), false, on.process().toHandle());
-            Way every = new Way("traces, every request", world, all.address(), false, all.process().toHandle());
+            Way without = new Way(
+                    "no traces", world, off.address(), false, off.process().toHandle());
+            Way with = new Way(
+                    "traces, one a second",
+                    world,
+                    on.address(),
+                    false,
+                    on.process().toHandle());
+            Way every = new Way(
+                    "traces, every request",
+                    world,
+                    all.address(),
+                    false,
+                    all.process().toHandle());
             Way.play(List.of(without, with, every), 300, quick ? 2_000 : 4_000, 3, quick ? 1_000 : 8_000);
             List.of(without, with, every).forEach(w -> System.out.println("cost     " + w));
             double ratio = with.costUs() / without.costUs();
-            System.out.printf(Locale.ROOT, "cost     traces cost %.2f of the CPU without, every request kept %.2f; memory %.1f, %.1f, %.1f MB%n",
-                    ratio, every.costUs() / without.costUs(), residentMb(off), residentMb(on), residentMb(all));
+            System.out.printf(
+                    Locale.ROOT,
+                    "cost     traces cost %.2f of the CPU without, every request kept %.2f; memory %.1f, %.1f, %.1f MB%n",
+                    ratio,
+                    every.costUs() / without.costUs(),
+                    residentMb(off),
+                    residentMb(on),
+                    residentMb(all));
             if (ratio > MOST_RATIO) {
                 shortfalls.add(String.format(Locale.ROOT, "traces cost %.2f times the CPU without", ratio));
             }
             if (with.p50Us() - without.p50Us() > MOST_ADDED_US) {
-                shortfalls.add(String.format(Locale.ROOT, "traces add %.0f us at the median", with.p50Us() - without.p50Us()));
+                shortfalls.add(
+                        String.format(Locale.ROOT, "traces add %.0f us at the median", with.p50Us() - without.p50Us()));
             }
         }
     }
--- a/src/main/java/rushproxy/measure/Way.java
+++ b/src/main/java/rushproxy/measure/Way.java
@@ -21,6 +21,7 @@
     private final boolean grpc;
     /** Whose CPU counts; null for nobody's. */
     private final ProcessHandle process;
+
     private final List<Cost> rounds = new ArrayList<>();
 
     Way(String name, World world, InetSocketAddress to, boolean grpc, ProcessHandle process) {
@@ -47,11 +48,14 @@
         world.play(ms);
         clients.stop();
         world.play(150);
-        long[] sorted = clients.latenciesUs().stream().mapToLong(l -> l).sorted().toArray();
+        long[] sorted =
+                clients.latenciesUs().stream().mapToLong(l -> l).sorted().toArray();
         if (sorted.length == 0) {
             throw new IllegalStateException(name + ": nothing was served");
         }
-        rounds.add(new Cost((cpuUs() - before) / (double) sorted.length, sorted[sorted.length / 2],
+        rounds.add(new Cost(
+                (cpuUs() - before) / (double) sorted.length,
+                sorted[sorted.length / 2],
                 sorted[(int) (sorted.length * 0.99)]));
     }
 
@@ -63,7 +67,8 @@
         long nanos = 0;
         try (Stream<Path> tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
             for (Path task : tasks.toList()) {
-                nanos += Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]);
+                nanos += Long.parseLong(
+                        Files.readString(task.resolve("schedstat")).split(" ")[0]);
             }
             return nanos / 1_000;
         } catch (IOException | NumberFormatException e) {
@@ -81,8 +86,13 @@
 
     @Override
     public String toString() {
-        return String.format(java.util.Locale.ROOT, "%-22s %5.0f us of CPU a request, p50 %5.0f us, p99 %5.0f us", name, costUs(),
-                p50Us(), median(Cost::p99Us));
+        return String.format(
+                java.util.Locale.ROOT,
+                "%-22s %5.0f us of CPU a request, p50 %5.0f us, p99 %5.0f us",
+                name,
+                costUs(),
+                p50Us(),
+                median(Cost::p99Us));
     }
 
     /** CPU of one request, of the middle round. */
--- a/src/main/java/rushproxy/measure/ZonesMeasure.java
+++ b/src/main/java/rushproxy/measure/ZonesMeasure.java
@@ -54,7 +54,8 @@
         return new Options(tiers, Set.of(), over, 0.3, floor, doublingUs, 500_000, 15_000_000, 20_000, 60_000_000);
     }
 
-    private static final Function<String, Options> ZONES = z -> options(List.of(), 5, 2_000_000, 1.4), ALONE = z -> null,
+    private static final Function<String, Options> ZONES = z -> options(List.of(), 5, 2_000_000, 1.4),
+            ALONE = z -> null,
             HOME = z -> options(List.of(List.of(z)), 5, 2_000_000, 1.4),
             FAILOVER = z -> options(List.of(List.of(z)), 1_000, 100_000, 1_000);
 
@@ -103,17 +104,36 @@
             int s = d.secondsUntil(DARK_S, BACK_S, 0.9 * best(load));
             steady = Math.max(steady, s < 0 ? 99 : s);
         }
-        System.out.printf(Locale.ROOT, "%-12s load %.2f  %-14s dark %.3f of %.3f (confirmations %.3f), steady after %d s, back %.3f, then %.3f;"
-                + " survivors %.2f, cold %.2f (p99 %.2f); booked twice %d, rules %d%n", link.name().toLowerCase(Locale.ROOT), load, name,
-                dark, best(load), confirms, steady, back, home, peak, cold, p99, doubled, fouls);
+        System.out.printf(
+                Locale.ROOT,
+                "%-12s load %.2f  %-14s dark %.3f of %.3f (confirmations %.3f), steady after %d s, back %.3f, then %.3f;"
+                        + " survivors %.2f, cold %.2f (p99 %.2f); booked twice %d, rules %d%n",
+                link.name().toLowerCase(Locale.ROOT),
+                load,
+                name,
+                dark,
+                best(load),
+                confirms,
+                steady,
+                back,
+                home,
+                peak,
+                cold,
+                p99,
+                doubled,
+                fouls);
         if (!name.equals("zones")) {
             return;
         }
         String which = link.name().toLowerCase(Locale.ROOT) + " at " + load + ": ";
         check(doubled == 0 && fouls == 0, which + doubled + " double bookings, " + fouls + " rules broken");
         // Where more is asked than the survivors can do, what is offered is what they turn away.
-        check(load > 0.6 || peak <= MOST_PEAK, which + String.format(Locale.ROOT, "survivors were sent %.2f of their capacity", peak));
-        check(cold <= MOST_COLD && p99 <= MOST_COLD_P99, which + String.format(Locale.ROOT, "cold nodes were sent %.2f, p99 %.2f", cold, p99));
+        check(
+                load > 0.6 || peak <= MOST_PEAK,
+                which + String.format(Locale.ROOT, "survivors were sent %.2f of their capacity", peak));
+        check(
+                cold <= MOST_COLD && p99 <= MOST_COLD_P99,
+                which + String.format(Locale.ROOT, "cold nodes were sent %.2f, p99 %.2f", cold, p99));
         check(dark >= 0.9 * best(load), which + String.format(Locale.ROOT, "served %.3f of %.3f", dark, best(load)));
     }
 
@@ -154,10 +174,24 @@
             ZoneDay without = new ZoneDay(4, 8, 0.45, ZONES, true, 7).play(5);
             without.zone("west", Link.CUT, 99);
             out = without.play(185).served(5, 184);
-            System.out.printf(Locale.ROOT, "flapping every %d s for 180 s: %.3f served, module alone %.3f, the zone kept out %.3f; cold %.2f, booked"
-                    + " twice %d%n", period, served[0], served[1], out, cold, doubled);
-            check(served[0] >= out - 0.01, String.format(Locale.ROOT, "flapping every %d s serves %.3f, with the zone out %.3f", period,
-                    served[0], out));
+            System.out.printf(
+                    Locale.ROOT,
+                    "flapping every %d s for 180 s: %.3f served, module alone %.3f, the zone kept out %.3f; cold %.2f, booked"
+                            + " twice %d%n",
+                    period,
+                    served[0],
+                    served[1],
+                    out,
+                    cold,
+                    doubled);
+            check(
+                    served[0] >= out - 0.01,
+                    String.format(
+                            Locale.ROOT,
+                            "flapping every %d s serves %.3f, with the zone out %.3f",
+                            period,
+                            served[0],
+                            out));
             check(doubled == 0, "flapping books twice");
         }
     }
@@ -165,9 +199,14 @@
     /** With the own zone first nearly nothing crosses while all is well. */
     private void preference() {
         ZoneDay d = new ZoneDay(4, 9, 0.45, HOME, true, 3).play(30);
-        System.out.printf(Locale.ROOT, "own zone first: %.3f of all attempts cross zones while all is well, %.3f served%n", d.crossed(),
+        System.out.printf(
+                Locale.ROOT,
+                "own zone first: %.3f of all attempts cross zones while all is well, %.3f served%n",
+                d.crossed(),
                 d.served(2, 29));
-        check(d.crossed() < 0.1, String.format(Locale.ROOT, "%.2f of attempts cross zones though their own is well", d.crossed()));
+        check(
+                d.crossed() < 0.1,
+                String.format(Locale.ROOT, "%.2f of attempts cross zones though their own is well", d.crossed()));
     }
 
     /** Real sidecars on real sockets: a zone stands still with what it holds, and goes on with it when it is back. */
@@ -175,7 +214,8 @@
         for (boolean with : new boolean[] {true, false}) {
             try (World world = new World(Shape.SMALL).nodes(6)) {
                 List<Clients> all = new ArrayList<>();
-                Map<String, Object> known = World.list(1, world.nodes().stream().map(Listed::of).toList());
+                Map<String, Object> known =
+                        World.list(1, world.nodes().stream().map(Listed::of).toList());
                 List<SidecarProcess> sidecars = new ArrayList<>();
                 for (int i = 0; i < count; i++) {
                     sidecars.add(world.sidecar(count, known, with ? "[zones]\n" : null));
@@ -194,11 +234,22 @@
                 }
                 world.play(seconds * 1_000L - 1_500);
                 World.Verdict v = world.verdict();
-                long doubled = v.first().stream().filter(f -> f.what().contains("took effect")).count();
+                long doubled = v.first().stream()
+                        .filter(f -> f.what().contains("took effect"))
+                        .count();
                 Clients.Tally t = world.tally(0, seconds);
-                System.out.printf(Locale.ROOT, "sockets, %s: a zone stands still for %.1f s: %.3f served in time, %d refused, %d failed; booked twice"
-                        + " %d, rules broken %d times in %d tries%n", with ? "zones" : "alone", seconds * 0.5, t.inTimeShare(), t.refused(),
-                        t.failed(), doubled, v.fouls(), v.tries());
+                System.out.printf(
+                        Locale.ROOT,
+                        "sockets, %s: a zone stands still for %.1f s: %.3f served in time, %d refused, %d failed; booked twice"
+                                + " %d, rules broken %d times in %d tries%n",
+                        with ? "zones" : "alone",
+                        seconds * 0.5,
+                        t.inTimeShare(),
+                        t.refused(),
+                        t.failed(),
+                        doubled,
+                        v.fouls(),
+                        v.tries());
                 v.first().stream().limit(3).forEach(f -> System.out.println("    " + f));
                 check(!with || v.fouls() == 0, "sockets: rules broken " + v.fouls() + " times");
             }
--- a/src/main/java/rushproxy/membership/Membership.java
+++ b/src/main/java/rushproxy/membership/Membership.java
@@ -35,7 +35,11 @@
     /** Sidecars find out at different times that nobody listens; they share a cold node's room by turns that are counted from there. */
     private static final long ALIKE_US = 500_000;
 
-    private enum Standing { LISTED, USED, SUSPECT }
+    private enum Standing {
+        LISTED,
+        USED,
+        SUSPECT
+    }
 
     private static final class Entry {
         Member member;
@@ -44,6 +48,7 @@
         long coldSinceUs;
         /** When nobody listened there last; 0 for never. */
         long goneAtUs;
+
         boolean trying;
         long tryAtUs;
         long pauseUs = AGAIN_US;
@@ -56,7 +61,6 @@
         boolean used() {
             return standing != Standing.SUSPECT;
         }
-
     }
 
     private final Trust trust;
@@ -67,6 +71,7 @@
     private boolean confirmed;
     /** Discovery is being listened to: it will tell of restarts. */
     private boolean current;
+
     private double tokens;
     private long tokensAtUs;
     private int trying;
@@ -127,11 +132,13 @@
             if (m.upstream().state() == UpstreamState.GONE) {
                 continue;
             }
-            Entry e = new Entry(m, switch (grade) {
-                case BLIND -> Standing.LISTED;
-                case FRESH -> Standing.USED;
-                default -> Standing.SUSPECT;
-            });
+            Entry e = new Entry(
+                    m,
+                    switch (grade) {
+                        case BLIND -> Standing.LISTED;
+                        case FRESH -> Standing.USED;
+                        default -> Standing.SUSPECT;
+                    });
             e.coldSinceUs = grade == Trust.Grade.FRESH ? now : 0;
             entries.put(m.id(), e);
         }
@@ -148,7 +155,10 @@
         if (l.asOfUs() > 0) {
             return l.asOfUs();
         }
-        return l.members().stream().mapToLong(m -> m.upstream().startedUs()).max().orElse(0);
+        return l.members().stream()
+                .mapToLong(m -> m.upstream().startedUs())
+                .max()
+                .orElse(0);
     }
 
     /** Versions order lists of one registry; the time decides among equals, and a list that knows its time wins. */
@@ -160,7 +170,10 @@
     private static List<Member> onePerAddress(List<Member> members) {
         Map<String, Member> holders = new HashMap<>();
         for (Member m : members) {
-            holders.merge(m.address(), m, (a, b) -> b.upstream().startedUs() >= a.upstream().startedUs() ? b : a);
+            holders.merge(
+                    m.address(),
+                    m,
+                    (a, b) -> b.upstream().startedUs() >= a.upstream().startedUs() ? b : a);
         }
         return members.stream().filter(m -> holders.get(m.address()) == m).toList();
     }
@@ -175,7 +188,8 @@
             return new Change(false, List.of(), List.of("discovery answers an empty list: not believed"));
         }
         List<String> notes = new ArrayList<>();
-        if (told.whole() && confirmed && told.generation() < generation || !confirmed && told.generation() < generation) {
+        if (told.whole() && confirmed && told.generation() < generation
+                || !confirmed && told.generation() < generation) {
             notes.add("discovery's list is older (" + told.generation() + ") than the one at hand (" + generation
                     + "): discovery's holds");
         }
@@ -195,8 +209,8 @@
             entries.keySet().retainAll(named);
         }
         if (settles) {
-            notes.add("discovery has spoken: " + entries.size() + " upstreams confirmed, "
-                    + (before - entries.size()) + " are gone");
+            notes.add("discovery has spoken: " + entries.size() + " upstreams confirmed, " + (before - entries.size())
+                    + " are gone");
         }
         for (Entry e : entries.values()) {
             e.standing = Standing.LISTED;
@@ -210,8 +224,14 @@
         current = true;
         bans.listed(now, entries.keySet());
         boolean whole = told.whole() || settles;
-        return new Change(whole, whole ? usable() : told.members().stream().map(m -> entries.containsKey(m.id())
-                ? told(entries.get(m.id())) : m).toList(), notes);
+        return new Change(
+                whole,
+                whole
+                        ? usable()
+                        : told.members().stream()
+                                .map(m -> entries.containsKey(m.id()) ? told(entries.get(m.id())) : m)
+                                .toList(),
+                notes);
     }
 
     /**
@@ -230,7 +250,10 @@
         }
         List<Entry> due = new ArrayList<>();
         for (Entry e : entries.values()) {
-            if (!e.used() && !e.trying && e.tryAtUs <= now && e.member.upstream().state() == UpstreamState.READY) {
+            if (!e.used()
+                    && !e.trying
+                    && e.tryAtUs <= now
+                    && e.member.upstream().state() == UpstreamState.READY) {
                 due.add(e);
             }
         }
@@ -294,8 +317,12 @@
      */
     public Change refused(long now, String id, boolean nobodyListens) {
         Entry e = entries.get(id);
-        if (trust.blind() || current && !nobodyListens || e == null || !e.used()
-                || now - e.coldSinceUs < RESTART_US || alike(now) == e.goneAtUs) {
+        if (trust.blind()
+                || current && !nobodyListens
+                || e == null
+                || !e.used()
+                || now - e.coldSinceUs < RESTART_US
+                || alike(now) == e.goneAtUs) {
             return Change.NONE;
         }
         if (nobodyListens) {
@@ -320,8 +347,16 @@
     private Member told(Entry e) {
         Upstream u = e.member.upstream();
         boolean out = u.state() == UpstreamState.READY && bans.out(u.id());
-        return e.member.with(new Upstream(u.id(), u.zone(), u.kind(), u.cell(), u.startedUs(), u.weight(),
-                out ? UpstreamState.DRAINING : u.state(), e.doubt, Math.max(Math.max(e.coldSinceUs, e.goneAtUs), bans.backAtUs(u.id())),
+        return e.member.with(new Upstream(
+                u.id(),
+                u.zone(),
+                u.kind(),
+                u.cell(),
+                u.startedUs(),
+                u.weight(),
+                out ? UpstreamState.DRAINING : u.state(),
+                e.doubt,
+                Math.max(Math.max(e.coldSinceUs, e.goneAtUs), bans.backAtUs(u.id())),
                 u.speaks()));
     }
 
@@ -348,7 +383,12 @@
 
     /** What another process of this sidecar knows of upstreams out by hand. */
     public Change bans(Bans.Kept kept) {
-        return bans.take(kept) ? new Change(true, usable(), List.of("upstreams out by hand: " + bans.kept().out().keySet())) : Change.NONE;
+        return bans.take(kept)
+                ? new Change(
+                        true,
+                        usable(),
+                        List.of("upstreams out by hand: " + bans.kept().out().keySet()))
+                : Change.NONE;
     }
 
     public Bans.Kept bans() {
@@ -356,7 +396,9 @@
     }
 
     private Change changed(boolean changed, String id) {
-        return changed ? new Change(true, usable(), List.of(id + (bans.out(id) ? " is out by hand" : " is back, and cold"))) : Change.NONE;
+        return changed
+                ? new Change(true, usable(), List.of(id + (bans.out(id) ? " is out by hand" : " is back, and cold")))
+                : Change.NONE;
     }
 
     private static String name(Listing l) {
@@ -368,7 +410,10 @@
         if (asOfUs <= 0 || seconds < 0) {
             return "of unknown age, perhaps long";
         }
-        return seconds < 120 ? seconds + " s" : seconds < 7_200 ? seconds / 60 + " min"
-                : seconds < 172_800 ? seconds / 3_600 + " h" : seconds / 86_400 + " days";
+        return seconds < 120
+                ? seconds + " s"
+                : seconds < 7_200
+                        ? seconds / 60 + " min"
+                        : seconds < 172_800 ? seconds / 3_600 + " h" : seconds / 86_400 + " days";
     }
 }
--- a/src/main/java/rushproxy/membership/Trust.java
+++ b/src/main/java/rushproxy/membership/Trust.java
@@ -16,7 +16,12 @@
     /** Without judgement: every list is taken as it is. */
     public static final Trust BLIND = new Trust(Long.MAX_VALUE, Long.MAX_VALUE, 0, 1, 1);
 
-    enum Grade { BLIND, FRESH, OLD, EXPIRED }
+    enum Grade {
+        BLIND,
+        FRESH,
+        OLD,
+        EXPIRED
+    }
 
     public Trust {
         if (freshUs < 0 || oldestUs < freshUs || !(trialsPerSecond > 0) || trialsAtOnce <= 0) {
--- a/src/main/java/rushproxy/membership/disk/ListFile.java
+++ b/src/main/java/rushproxy/membership/disk/ListFile.java
@@ -20,8 +20,8 @@
  */
 public record ListFile(long number, Listing list) {
     private static final int VERSION = 1;
-    private static final Pattern HEAD =
-            Pattern.compile("bridgecleat-list ([0-9]{1,4}) number=([0-9]{1,18}) length=([0-9]{1,9}) crc32c=([0-9a-f]{8})");
+    private static final Pattern HEAD = Pattern.compile(
+            "bridgecleat-list ([0-9]{1,4}) number=([0-9]{1,18}) length=([0-9]{1,9}) crc32c=([0-9a-f]{8})");
     private static final int MAX_HEAD = 120;
 
     /** An exception says what is wrong with the bytes; nothing of them is to be used then. */
@@ -48,7 +48,8 @@
         if (!json.text("fleet").equals(fleet)) {
             throw new IOException("it belongs to the fleet '" + json.text("fleet") + "', not to '" + fleet + "'");
         }
-        return new ListFile(Long.parseLong(head.group(2)), RegistryList.read(json, Origin.DISK, json.number("asOfMs") * 1000));
+        return new ListFile(
+                Long.parseLong(head.group(2)), RegistryList.read(json, Origin.DISK, json.number("asOfMs") * 1000));
     }
 
     public byte[] bytes(String fleet) {
@@ -60,7 +61,8 @@
         json.put("instances", list.members().stream().map(RegistryList::write).toList());
         byte[] body = Json.write(json);
         byte[] head = ("bridgecleat-list " + VERSION + " number=" + number + " length=" + body.length + " crc32c="
-                + crc(body) + "\n").getBytes(StandardCharsets.US_ASCII);
+                        + crc(body) + "\n")
+                .getBytes(StandardCharsets.US_ASCII);
         byte[] all = Arrays.copyOf(head, head.length + body.length);
         System.arraycopy(body, 0, all, head.length, body.length);
         return all;
--- a/src/main/java/rushproxy/membership/disk/ListStore.java
+++ b/src/main/java/rushproxy/membership/disk/ListStore.java
@@ -93,7 +93,7 @@
             throw new IOException("another sidecar keeps its list in " + folder);
         }
         // What the other file holds decides which of the two is overwritten next.
-        read(note -> { });
+        read(note -> {});
     }
 
     /** Writes the list to the file that is not the newest. Takes the folder first, and again if it vanished. */
@@ -105,14 +105,15 @@
             throw new IOException("a list of " + file.length + " bytes is too long to be kept");
         }
         Path temporary = folder.resolve("list.new");
-        try (FileChannel out = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel out = FileChannel.open(
+                temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             for (ByteBuffer left = ByteBuffer.wrap(file); left.hasRemaining(); ) {
                 out.write(left);
             }
             out.force(true);
         }
-        Files.move(temporary, slot((int) (next % 2)), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(
+                temporary, slot((int) (next % 2)), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
         try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
             directory.force(true);
         }
--- a/src/main/java/rushproxy/membership/registry/RegistryHttp.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryHttp.java
@@ -21,6 +21,7 @@
 public final class RegistryHttp implements RegistryCalls {
     /** A list of some thousand upstreams; more is no list. */
     private static final int MAX_ANSWER = 1 << 20;
+
     private static final int CONNECT_MS = 1_000;
 
     private final Bootstrap bootstrap;
@@ -99,8 +100,10 @@
             Result result = out;
             out = null;
             // What can't be read as HTTP has no status at all.
-            result.answered(response.decoderResult().isSuccess() ? response.status().code() : 0,
-                    ByteBufUtil.getBytes(response.content()), HttpUtil.isKeepAlive(response));
+            result.answered(
+                    response.decoderResult().isSuccess() ? response.status().code() : 0,
+                    ByteBufUtil.getBytes(response.content()),
+                    HttpUtil.isKeepAlive(response));
         }
 
         @Override
--- a/src/main/java/rushproxy/membership/registry/RegistryList.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryList.java
@@ -22,23 +22,37 @@
     public static Listing read(Json json, Origin origin, long asOfUs) {
         List<Member> members = new ArrayList<>();
         for (Json e : json.objects("instances")) {
-            UpstreamState state = switch (e.text("lifecycle")) {
-                case "Ready" -> UpstreamState.READY;
-                case "Terminating" -> UpstreamState.DRAINING;
-                case "Gone" -> UpstreamState.GONE;
-                default -> throw new IllegalArgumentException("lifecycle '" + e.text("lifecycle") + "' is unknown");
-            };
+            UpstreamState state =
+                    switch (e.text("lifecycle")) {
+                        case "Ready" -> UpstreamState.READY;
+                        case "Terminating" -> UpstreamState.DRAINING;
+                        case "Gone" -> UpstreamState.GONE;
+                        default -> throw new IllegalArgumentException(
+                                "lifecycle '" + e.text("lifecycle") + "' is unknown");
+                    };
             String address = e.text("hostPort");
             Addresses.parse(address);
             // Not in the platform's form: other installations name a second port of the same node.
             String grpc = e.has("grpcPort")
-                    ? address.substring(0, address.lastIndexOf(':') + 1) + e.number("grpcPort") : null;
+                    ? address.substring(0, address.lastIndexOf(':') + 1) + e.number("grpcPort")
+                    : null;
             if (grpc != null) {
                 Addresses.parse(grpc);
             }
-            members.add(new Member(new Upstream(e.text("instanceId"), e.textOr("zone", ""), e.textOr("machineType", ""),
-                    (int) e.numberOr("cell", -1), e.numberOr("startedAtMs", 0) * 1000, e.realOr("weight", 1), state,
-                    Doubt.NONE, 0, grpc == null ? Balancer.HTTP1 : Balancer.HTTP1 | Balancer.GRPC), address, grpc));
+            members.add(new Member(
+                    new Upstream(
+                            e.text("instanceId"),
+                            e.textOr("zone", ""),
+                            e.textOr("machineType", ""),
+                            (int) e.numberOr("cell", -1),
+                            e.numberOr("startedAtMs", 0) * 1000,
+                            e.realOr("weight", 1),
+                            state,
+                            Doubt.NONE,
+                            0,
+                            grpc == null ? Balancer.HTTP1 : Balancer.HTTP1 | Balancer.GRPC),
+                    address,
+                    grpc));
         }
         return new Listing(origin, json.number("generation"), json.flag("reset"), asOfUs, members);
     }
@@ -52,15 +66,19 @@
         e.put("zone", u.zone());
         e.put("machineType", u.kind());
         e.put("cell", u.cell());
-        e.put("lifecycle", switch (u.state()) {
-            case READY -> "Ready";
-            case DRAINING -> "Terminating";
-            case GONE -> "Gone";
-        });
+        e.put(
+                "lifecycle",
+                switch (u.state()) {
+                    case READY -> "Ready";
+                    case DRAINING -> "Terminating";
+                    case GONE -> "Gone";
+                });
         e.put("weight", u.weight());
         e.put("startedAtMs", u.startedUs() / 1000);
         if (m.grpcAddress() != null) {
-            e.put("grpcPort", Integer.parseInt(m.grpcAddress().substring(m.grpcAddress().lastIndexOf(':') + 1)));
+            e.put(
+                    "grpcPort",
+                    Integer.parseInt(m.grpcAddress().substring(m.grpcAddress().lastIndexOf(':') + 1)));
         }
         return e;
     }
--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -48,6 +48,7 @@
     private boolean doubt;
     /** The module has asked and waits for an answer, be it one without changes. */
     private boolean asked;
+
     private Timers.Timer timeout;
     /** Calls in a row that were made anew at once. */
     private int lost;
@@ -57,6 +58,7 @@
     private boolean moved;
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
     private long call;
+
     private long made;
     private long begunUs;
     /** Where lists are pushed the module asks for nothing: the watch is this class's own. */
@@ -67,8 +69,16 @@
      * @param unconfirmed the list that it goes on from is in doubt: the first call waits for no change, so that discovery's
      *                    word, be it that nothing changed, is heard at once
      */
-    public RegistryWatch(Timers timers, Clock clock, Listener listener, RegistryCalls calls, long generation,
-                         long askEveryUs, boolean pushed, boolean unconfirmed, long seed) {
+    public RegistryWatch(
+            Timers timers,
+            Clock clock,
+            Listener listener,
+            RegistryCalls calls,
+            long generation,
+            long askEveryUs,
+            boolean pushed,
+            boolean unconfirmed,
+            long seed) {
         this.pushed = pushed;
         this.unconfirmed = unconfirmed;
         this.timers = timers;
@@ -171,7 +181,8 @@
             return;
         }
         if (moved && lost == 0) {
-            // All that have moved may have asked at once; a pause would outlast the time in which what is new there counts as told.
+            // All that have moved may have asked at once; a pause would outlast the time in which what is new there
+            // counts as told.
             anew(why);
             return;
         }
--- a/src/main/java/rushproxy/operator/Operator.java
+++ b/src/main/java/rushproxy/operator/Operator.java
@@ -19,14 +19,25 @@
  * @param accord     how changes of policy are decided in common; null where each sidecar goes by its own file
  * @param membership how lists are judged; null where they are taken as they are
  */
-public record Operator(MembershipOptions membership, GrpcOptions grpc, TraceOptions traces,
-                       rushproxy.zones.Options zones, rushproxy.subset.Options subset, boolean jsonLog, rushproxy.accord.Options accord) {
+public record Operator(
+        MembershipOptions membership,
+        GrpcOptions grpc,
+        TraceOptions traces,
+        rushproxy.zones.Options zones,
+        rushproxy.subset.Options subset,
+        boolean jsonLog,
+        rushproxy.accord.Options accord) {
     /** Without a file: nothing is on that the platform has not asked for. */
     public static final Operator NONE = new Operator(null, null, null, null, null, false);
 
     /** Where nothing is decided in common. */
-    public Operator(MembershipOptions membership, GrpcOptions grpc, TraceOptions traces, rushproxy.zones.Options zones, rushproxy.subset.Options subset,
-                    boolean jsonLog) {
+    public Operator(
+            MembershipOptions membership,
+            GrpcOptions grpc,
+            TraceOptions traces,
+            rushproxy.zones.Options zones,
+            rushproxy.subset.Options subset,
+            boolean jsonLog) {
         this(membership, grpc, traces, zones, subset, jsonLog, null);
     }
 
@@ -50,9 +61,18 @@
      * @param tenantHeader   metadata key that names the tenant, or empty
      * @param customerHeader metadata key that tells what a call is about, or empty
      */
-    public record GrpcOptions(InetSocketAddress listen, int connections, int streams, int nodeConnections,
-                              int nodeStreams, long nodePingUs, long streamDrainUs, String tenantHeader,
-                              String customerHeader, Routes table, List<Route> routes) {
+    public record GrpcOptions(
+            InetSocketAddress listen,
+            int connections,
+            int streams,
+            int nodeConnections,
+            int nodeStreams,
+            long nodePingUs,
+            long streamDrainUs,
+            String tenantHeader,
+            String customerHeader,
+            Routes table,
+            List<Route> routes) {
         /** Null where the path is none of a call. */
         public Route route(CharSequence path) {
             return table.of(path);
@@ -66,8 +86,13 @@
      * @param file     null where none is written
      * @param collector null where none is told
      */
-    public record TraceOptions(Sampling sampling, String service, int waiting, long giveUpUs, TraceFileOptions file,
-                               CollectorOptions collector) {}
+    public record TraceOptions(
+            Sampling sampling,
+            String service,
+            int waiting,
+            long giveUpUs,
+            TraceFileOptions file,
+            CollectorOptions collector) {}
 
     /** @param files how many take turns, of {@code largestBytes} each */
     public record TraceFileOptions(Path folder, int largestBytes, int files) {}
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -7,12 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import rushproxy.membership.Trust;
 import rushproxy.grpc.mapping.Route;
 import rushproxy.grpc.mapping.Routes;
+import rushproxy.membership.Trust;
+import rushproxy.operator.Operator.CollectorOptions;
 import rushproxy.operator.Operator.DiskOptions;
 import rushproxy.operator.Operator.GrpcOptions;
-import rushproxy.operator.Operator.CollectorOptions;
 import rushproxy.operator.Operator.MembershipOptions;
 import rushproxy.operator.Operator.TraceFileOptions;
 import rushproxy.operator.Operator.TraceOptions;
@@ -31,8 +31,13 @@
 
     /** The same from a table, which another file may hold. */
     public static Operator read(Table root) throws Broken {
-        Operator operator = new Operator(membership(root.table("membership")), grpc(root.table("grpc")),
-                traces(root.table("traces")), zones(root.table("zones")), subset(root.table("subset")), jsonLog(root.table("log")),
+        Operator operator = new Operator(
+                membership(root.table("membership")),
+                grpc(root.table("grpc")),
+                traces(root.table("traces")),
+                zones(root.table("zones")),
+                subset(root.table("subset")),
+                jsonLog(root.table("log")),
                 accord(root.table("accord"), root));
         root.done();
         return operator;
@@ -47,10 +52,14 @@
         if (oldest < fresh) {
             throw t.broken("oldest", "a duration no shorter than membership.fresh");
         }
-        Trust trust = new Trust(fresh, oldest, t.duration("known_age", "unknown", "0s", "365d", "unknown"),
-                t.whole("trials_per_second", 4, 1, 100), t.whole("trials_at_once", 8, 1, 64));
-        MembershipOptions options = new MembershipOptions(trust,
-                t.duration("registry_spread", "0ms", "0ms", "30s", null), disk(t.table("disk")));
+        Trust trust = new Trust(
+                fresh,
+                oldest,
+                t.duration("known_age", "unknown", "0s", "365d", "unknown"),
+                t.whole("trials_per_second", 4, 1, 100),
+                t.whole("trials_at_once", 8, 1, 64));
+        MembershipOptions options = new MembershipOptions(
+                trust, t.duration("registry_spread", "0ms", "0ms", "30s", null), disk(t.table("disk")));
         t.done();
         return options;
     }
@@ -83,12 +92,23 @@
         if (other == null) {
             throw t.broken("other", "a table, [grpc.other], with the class of all methods that are not named");
         }
-        Route unknown = new Route(other.text("class", null), other.flag("streams", true), other.text("key", "idempotency-key"));
+        Route unknown =
+                new Route(other.text("class", null), other.flag("streams", true), other.text("key", "idempotency-key"));
         other.done();
         routes.add(unknown);
         t.done();
-        return new GrpcOptions(listen, connections, streams, nodeConnections, nodeStreams, ping, drain, tenant, customer,
-                new Routes(byName, unknown), List.copyOf(routes));
+        return new GrpcOptions(
+                listen,
+                connections,
+                streams,
+                nodeConnections,
+                nodeStreams,
+                ping,
+                drain,
+                tenant,
+                customer,
+                new Routes(byName, unknown),
+                List.copyOf(routes));
     }
 
     /** Zones in the order of preference; none twice. */
@@ -111,11 +131,17 @@
         if (t == null) {
             return null;
         }
-        Options options = new Options(tiers(t), Set.copyOf(t.texts("away")),
-                t.whole("overprovision_percent", 140, 100, 1_000) / 100.0, t.whole("panic_percent", 30, 0, 100) / 100.0,
-                t.whole("floor_per_second", 5, 1, 1_000), t.duration("doubling", "2s", "100ms", "10min", null),
-                t.duration("trickle", "500ms", "50ms", "1min", null), t.duration("half_life", "15s", "1s", "1h", null),
-                t.whole("remembered", 20_000, 100, 1_000_000), t.duration("remember", "60s", "1s", "1h", null));
+        Options options = new Options(
+                tiers(t),
+                Set.copyOf(t.texts("away")),
+                t.whole("overprovision_percent", 140, 100, 1_000) / 100.0,
+                t.whole("panic_percent", 30, 0, 100) / 100.0,
+                t.whole("floor_per_second", 5, 1, 1_000),
+                t.duration("doubling", "2s", "100ms", "10min", null),
+                t.duration("trickle", "500ms", "50ms", "1min", null),
+                t.duration("half_life", "15s", "1s", "1h", null),
+                t.whole("remembered", 20_000, 100, 1_000_000),
+                t.duration("remember", "60s", "1s", "1h", null));
         t.done();
         return options;
     }
@@ -124,16 +150,24 @@
         if (t == null) {
             return null;
         }
-        rushproxy.subset.Options options = new rushproxy.subset.Options(t.whole("least", 5, 2, 1_000), t.real("requests_per_node", 2, 0.01, 10_000),
-                t.duration("linger", "10s", "1s", "10min", null), t.whole("sidecars", 0, 0, 1_000_000));
+        rushproxy.subset.Options options = new rushproxy.subset.Options(
+                t.whole("least", 5, 2, 1_000),
+                t.real("requests_per_node", 2, 0.01, 10_000),
+                t.duration("linger", "10s", "1s", "10min", null),
+                t.whole("sidecars", 0, 0, 1_000_000));
         t.done();
         return options;
     }
 
     private static void explain(rushproxy.subset.Options s, List<String> lines) {
-        lines.add(s == null ? "subset: off; a sidecar keeps to all nodes" : "subset: a sidecar keeps to " + s.least()
-                + " nodes at least, one for each " + s.perNode() + " of its requests a second; what it leaves may end within "
-                + seconds(s.lingerUs()) + (s.sidecars() == 0 ? "" : "; there are " + s.sidecars() + " sidecars"));
+        lines.add(
+                s == null
+                        ? "subset: off; a sidecar keeps to all nodes"
+                        : "subset: a sidecar keeps to " + s.least()
+                                + " nodes at least, one for each " + s.perNode()
+                                + " of its requests a second; what it leaves may end within "
+                                + seconds(s.lingerUs())
+                                + (s.sidecars() == 0 ? "" : "; there are " + s.sidecars() + " sidecars"));
     }
 
     private static rushproxy.accord.Options accord(Table t, Table root) throws Broken {
@@ -147,7 +181,10 @@
         if (voters % 2 == 0) {
             throw t.broken("voters", "an odd number, so that there is a majority");
         }
-        rushproxy.accord.Options options = new rushproxy.accord.Options(t.text("fleet", null), voters, t.duration("lease", "3s", "500ms", "1min", null),
+        rushproxy.accord.Options options = new rushproxy.accord.Options(
+                t.text("fleet", null),
+                voters,
+                t.duration("lease", "3s", "500ms", "1min", null),
                 Path.of(t.text("file", null)));
         t.done();
         return options;
@@ -166,20 +203,29 @@
     }
 
     private static void explain(Options z, List<String> lines) {
-        lines.add(z == null ? "zones: off; upstreams are taken one by one, and a client's own retry as a new request"
-                : "zones: " + (z.tiers().isEmpty() ? "none is preferred" : "preferred in the order " + z.tiers())
-                + (z.away().isEmpty() ? "" : "; away: " + z.away()) + "; a lost one is tried every " + seconds(z.trickleUs())
-                + ", others take over at most twice as much in " + seconds(z.doublingUs()) + "; " + z.remembered()
-                + " keys are remembered for " + seconds(z.rememberUs()));
+        lines.add(
+                z == null
+                        ? "zones: off; upstreams are taken one by one, and a client's own retry as a new request"
+                        : "zones: "
+                                + (z.tiers().isEmpty() ? "none is preferred" : "preferred in the order " + z.tiers())
+                                + (z.away().isEmpty() ? "" : "; away: " + z.away()) + "; a lost one is tried every "
+                                + seconds(z.trickleUs())
+                                + ", others take over at most twice as much in " + seconds(z.doublingUs()) + "; "
+                                + z.remembered()
+                                + " keys are remembered for " + seconds(z.rememberUs()));
     }
 
     private static TraceOptions traces(Table t) throws Broken {
         if (t == null) {
             return null;
         }
-        Sampling sampling = new Sampling(t.whole("trouble_per_second", 50, 1, 1_000), t.whole("noted_per_second", 5, 0, 1_000),
-                t.whole("ordinary_per_second", 1, 0, 1_000), t.whole("slow_percent", 100, 1, 1_000) / 100.0,
-                Set.copyOf(t.texts("marked")), t.whole("remembered", 2_000, 0, 100_000),
+        Sampling sampling = new Sampling(
+                t.whole("trouble_per_second", 50, 1, 1_000),
+                t.whole("noted_per_second", 5, 0, 1_000),
+                t.whole("ordinary_per_second", 1, 0, 1_000),
+                t.whole("slow_percent", 100, 1, 1_000) / 100.0,
+                Set.copyOf(t.texts("marked")),
+                t.whole("remembered", 2_000, 0, 100_000),
                 t.duration("retry_window", "30s", "0s", "10min", null));
         String service = t.text("service", "bridgecleat");
         int waiting = t.whole("waiting", 1_000, 10, 100_000);
@@ -187,14 +233,18 @@
         Table f = t.table("file");
         TraceFileOptions file = null;
         if (f != null) {
-            file = new TraceFileOptions(Path.of(f.text("folder", null)), (int) f.size("largest", "16MiB", "64KiB", "512MiB"),
+            file = new TraceFileOptions(
+                    Path.of(f.text("folder", null)),
+                    (int) f.size("largest", "16MiB", "64KiB", "512MiB"),
                     f.whole("files", 4, 1, 100));
             f.done();
         }
         Table c = t.table("collector");
         CollectorOptions collector = null;
         if (c != null) {
-            collector = new CollectorOptions(c.address("address"), c.text("path", "/v1/traces"),
+            collector = new CollectorOptions(
+                    c.address("address"),
+                    c.text("path", "/v1/traces"),
                     c.duration("timeout", "3s", "10ms", "30s", null));
             if (!collector.path().matches("/[!-~]{0,200}")) {
                 throw c.broken("path", "a path that begins with '/'");
@@ -214,21 +264,32 @@
             return;
         }
         Sampling s = t.sampling();
-        lines.add("traces: at most " + (long) s.troublePerSecond() + " of requests in trouble a second, beside a few of each kind, "
+        lines.add("traces: at most " + (long) s.troublePerSecond()
+                + " of requests in trouble a second, beside a few of each kind, "
                 + (long) s.notedPerSecond() + " with second copies or kept by the client's side, "
-                + (long) s.ordinaryPerSecond() + " others; slow is beyond " + Math.round(s.slowShare() * 100) + " % of the aim");
+                + (long) s.ordinaryPerSecond() + " others; slow is beyond " + Math.round(s.slowShare() * 100)
+                + " % of the aim");
         lines.add("traces: " + t.waiting() + " may wait; "
-                + (t.file() == null ? "no file" : t.file().files() + " files of " + t.file().largestBytes() + " bytes in "
-                + t.file().folder()) + "; " + (t.collector() == null ? "no collector" : "to the collector at "
-                + t.collector().address() + ", given up after " + seconds(t.giveUpUs())));
+                + (t.file() == null
+                        ? "no file"
+                        : t.file().files() + " files of " + t.file().largestBytes() + " bytes in "
+                                + t.file().folder())
+                + "; "
+                + (t.collector() == null
+                        ? "no collector"
+                        : "to the collector at " + t.collector().address() + ", given up after "
+                                + seconds(t.giveUpUs())));
     }
 
     private static DiskOptions disk(Table t) throws Broken {
         if (t == null) {
             return null;
         }
-        DiskOptions options = new DiskOptions(Path.of(t.text("folder", null)), t.text("fleet", null),
-                t.whole("writes_per_minute", 6, 1, 60), t.duration("refresh", "30s", "1s", "1h", null),
+        DiskOptions options = new DiskOptions(
+                Path.of(t.text("folder", null)),
+                t.text("fleet", null),
+                t.whole("writes_per_minute", 6, 1, 60),
+                t.duration("refresh", "30s", "1s", "1h", null),
                 (int) t.size("largest", "4MiB", "4KiB", "64MiB"));
         t.done();
         return options;
@@ -244,8 +305,9 @@
         explain(operator.subset(), lines);
         if (operator.accord() != null) {
             rushproxy.accord.Options a = operator.accord();
-            lines.add("accord: changes of [zones] away and tiers are decided in common by fleet '" + a.fleet() + "', the first " + a.voters()
-                    + " sidecars vote; who hears nothing for " + seconds(a.leaseUs()) + " is careful; proposed from " + a.file());
+            lines.add("accord: changes of [zones] away and tiers are decided in common by fleet '" + a.fleet()
+                    + "', the first " + a.voters() + " sidecars vote; who hears nothing for " + seconds(a.leaseUs())
+                    + " is careful; proposed from " + a.file());
         }
         lines.add("log: " + (operator.jsonLog() ? "lines of JSON" : "lines of text"));
         return lines;
@@ -262,19 +324,30 @@
         lines.add("membership: the age of 'known' is taken to be "
                 + (trust.knownAgeUs() < 0 ? "unknown, perhaps long" : seconds(trust.knownAgeUs())));
         lines.add("membership: " + (long) trust.trialsPerSecond() + " trials a second without an answer, "
-                + trust.trialsAtOnce() + " at once; discovery is asked within " + seconds(m.spreadUs()) + " of the start");
+                + trust.trialsAtOnce() + " at once; discovery is asked within " + seconds(m.spreadUs())
+                + " of the start");
         DiskOptions d = m.disk();
-        lines.add(d == null ? "membership.disk: off; no list is kept" : "membership.disk: the list of fleet '" + d.fleet()
-                + "' is kept in " + d.folder() + ", at most " + d.writesPerMinute() + " writes a minute and "
-                + d.largestBytes() + " bytes, written again every " + seconds(d.refreshUs()));
+        lines.add(
+                d == null
+                        ? "membership.disk: off; no list is kept"
+                        : "membership.disk: the list of fleet '" + d.fleet()
+                                + "' is kept in " + d.folder() + ", at most " + d.writesPerMinute()
+                                + " writes a minute and "
+                                + d.largestBytes() + " bytes, written again every " + seconds(d.refreshUs()));
     }
 
     private static void explain(GrpcOptions g, List<String> lines) {
-        lines.add(g == null ? "grpc: off; no listener, no HTTP/2" : "grpc: listens on " + g.listen() + " for "
-                + g.connections() + " connections of " + g.streams() + " streams; " + (g.routes().size() - 1)
-                + " names have a class, all others have '" + g.routes().get(g.routes().size() - 1).requestClass()
-                + "'; a node gets " + g.nodeConnections() + " connections of " + g.nodeStreams()
-                + " calls, three quarters of them streams, which go on for " + seconds(g.streamDrainUs()) + " on a node that drains");
+        lines.add(
+                g == null
+                        ? "grpc: off; no listener, no HTTP/2"
+                        : "grpc: listens on " + g.listen() + " for "
+                                + g.connections() + " connections of " + g.streams() + " streams; "
+                                + (g.routes().size() - 1)
+                                + " names have a class, all others have '"
+                                + g.routes().get(g.routes().size() - 1).requestClass()
+                                + "'; a node gets " + g.nodeConnections() + " connections of " + g.nodeStreams()
+                                + " calls, three quarters of them streams, which go on for "
+                                + seconds(g.streamDrainUs()) + " on a node that drains");
     }
 
     private static String seconds(long us) {
--- a/src/main/java/rushproxy/operator/PolicyFile.java
+++ b/src/main/java/rushproxy/operator/PolicyFile.java
@@ -25,8 +25,17 @@
 
         /** What the operator's own file says, with this in its place. */
         public Options over(Options own) {
-            return new Options(tiers, Set.copyOf(away), own.overprovision(), own.panic(), own.floorPerSecond(), own.doublingUs(), own.trickleUs(), own.halfLifeUs(),
-                    own.remembered(), own.rememberUs());
+            return new Options(
+                    tiers,
+                    Set.copyOf(away),
+                    own.overprovision(),
+                    own.panic(),
+                    own.floorPerSecond(),
+                    own.doublingUs(),
+                    own.trickleUs(),
+                    own.halfLifeUs(),
+                    own.remembered(),
+                    own.rememberUs());
         }
     }
 
@@ -44,7 +53,8 @@
         policy.tiers.forEach(named::addAll);
         for (String zone : named) {
             if (!known.isEmpty() && !known.contains(zone)) {
-                throw new Broken("policy: [zones]: there is no zone '" + zone + "'; there are " + String.join(", ", known));
+                throw new Broken(
+                        "policy: [zones]: there is no zone '" + zone + "'; there are " + String.join(", ", known));
             }
         }
         t.done();
--- a/src/main/java/rushproxy/settings/LoadValues.java
+++ b/src/main/java/rushproxy/settings/LoadValues.java
@@ -14,7 +14,7 @@
             case "busy_reqs", "inflight" -> inFlight = value;
             case "pending", "queue" -> queued = value;
             case "cpu_share", "util" -> utilisation = value;
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/rushproxy/settings/SettingsReader.java
+++ b/src/main/java/rushproxy/settings/SettingsReader.java
@@ -39,33 +39,64 @@
             if (!names.add(word(p + "name"))) {
                 throw new SettingsException("setting '" + p + "name' is there twice: '" + word(p + "name") + "'");
             }
-            classes.add(new RequestClass(word(p + "name"), semantics(word(p + "semantics")),
-                    group(values.getOrDefault(p + "group", "all")), (long) real(p + "window_us", 0),
-                    (long) above0(p + "objective_us"), real(p + "aim_stretch", 0), (long) above0(p + "give_up_us"),
-                    real(p + "importance", 1), real(p + "late_worth", 0), flag(p + "stream", false)));
+            classes.add(new RequestClass(
+                    word(p + "name"),
+                    semantics(word(p + "semantics")),
+                    group(values.getOrDefault(p + "group", "all")),
+                    (long) real(p + "window_us", 0),
+                    (long) above0(p + "objective_us"),
+                    real(p + "aim_stretch", 0),
+                    (long) above0(p + "give_up_us"),
+                    real(p + "importance", 1),
+                    real(p + "late_worth", 0),
+                    flag(p + "stream", false)));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < (int) real("accounts.count", 0); i++) {
             String p = "accounts." + i + ".";
             tenants.add(new Tenant(word(p + "name"), real(p + "share", 0), real(p + "quota_rps", 0)));
         }
-        Limits limits = new Limits((int) (values.containsKey("limits.max_attempts") ? above0("limits.max_attempts") : 1), flag("limits.second_copies", false),
-                flag("limits.cancelling", false), flag("limits.probing", false), flag("limits.peers", false),
-                flag("limits.retry_after", false), (long) real("limits.max_retry_after_us", 0),
-                (long) real("limits.conn_idle_us", 15_000_000), real("limits.cpu_us_per_request", 0));
-        Rules rules = new Rules((long) need("rules.drain_grace_us"), need("rules.cold_share"),
-                (long) need("rules.ramp_time_us"), need("rules.fall_multiple"), Math.max(LEAST_WINDOW_US, (long) need("rules.fall_us")),
-                (long) real("rules.ask_every_us", 0), (long) real("rules.answer_slack_us", 0),
+        Limits limits = new Limits(
+                (int) (values.containsKey("limits.max_attempts") ? above0("limits.max_attempts") : 1),
+                flag("limits.second_copies", false),
+                flag("limits.cancelling", false),
+                flag("limits.probing", false),
+                flag("limits.peers", false),
+                flag("limits.retry_after", false),
+                (long) real("limits.max_retry_after_us", 0),
+                (long) real("limits.conn_idle_us", 15_000_000),
+                real("limits.cpu_us_per_request", 0));
+        Rules rules = new Rules(
+                (long) need("rules.drain_grace_us"),
+                need("rules.cold_share"),
+                (long) need("rules.ramp_time_us"),
+                need("rules.fall_multiple"),
+                Math.max(LEAST_WINDOW_US, (long) need("rules.fall_us")),
+                (long) real("rules.ask_every_us", 0),
+                (long) real("rules.answer_slack_us", 0),
                 (long) real("rules.close_on_drain_within_us", 0));
-        Prices prices = new Prices(real("tariffs.cross_zone", 0), real("tariffs.peer", 0), real("tariffs.probe", 0),
-                real("tariffs.connection", 0), real("tariffs.handshake", 0));
-        return new Settings((int) need("me"), (int) need("balancers"), word("zone"),
+        Prices prices = new Prices(
+                real("tariffs.cross_zone", 0),
+                real("tariffs.peer", 0),
+                real("tariffs.probe", 0),
+                real("tariffs.connection", 0),
+                real("tariffs.handshake", 0));
+        return new Settings(
+                (int) need("me"),
+                (int) need("balancers"),
+                word("zone"),
                 Arrays.asList(values.getOrDefault("azs", word("zone")).split(",")),
-                Arrays.asList(values.getOrDefault("kinds", "").split(",")), classes, tenants, limits, rules,
+                Arrays.asList(values.getOrDefault("kinds", "").split(",")),
+                classes,
+                tenants,
+                limits,
+                rules,
                 reports(values.getOrDefault("load_info.how", "off")),
                 values.getOrDefault("discovery", "pushed").equals("on_request"),
-                values.getOrDefault("counted_by", "request").equals("work"), real("over_share_worth", 1),
-                prices, (long) real("period_us", 1000));
+                values.getOrDefault("counted_by", "request").equals("work"),
+                real("over_share_worth", 1),
+                prices,
+                (long) real("period_us", 1000));
     }
 
     /** A connection that is not up within this time never comes up. */
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -21,9 +21,20 @@
 import rushproxy.settings.SettingsReader;
 
 /** What a sidecar is told at its start. {@code peerListen}, {@code peersAll} and {@code admin} are null where there are none. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress admin,
-              Listing known, Settings settings, long dialTimeoutUs, Map<String, String> keys) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        InetSocketAddress admin,
+        Listing known,
+        Settings settings,
+        long dialTimeoutUs,
+        Map<String, String> keys) {
 
     /** A configuration that no sidecar can start with; the message is one line and names the field. */
     static final class Broken extends Exception {
@@ -36,8 +47,10 @@
 
     /** The bounds that an operator compares with what a sidecar needs. */
     String limits() {
-        return sockets + " descriptors, " + settings.classes().stream().map(c -> c.name() + " wanted within "
-                + c.aimUs() / 1000 + " ms of " + c.deadlineUs() / 1000).collect(Collectors.joining(", "));
+        return sockets + " descriptors, "
+                + settings.classes().stream()
+                        .map(c -> c.name() + " wanted within " + c.aimUs() / 1000 + " ms of " + c.deadlineUs() / 1000)
+                        .collect(Collectors.joining(", "));
     }
 
     static Config read(Map<String, String> environment) throws Broken {
@@ -62,7 +75,8 @@
 
     /** The same settings for a sidecar on another stage, without peers. */
     Config elsewhere(InetSocketAddress listens, InetSocketAddress asks, Listing knows) {
-        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, null, knows, settings, dialTimeoutUs, keys);
+        return new Config(
+                name, listens, asks, seed, sockets, null, List.of(), null, null, knows, settings, dialTimeoutUs, keys);
     }
 
     /** All that the file says but the list of upstreams. */
@@ -96,10 +110,20 @@
             peers.add(address("peers", peer));
         }
         int sockets = (int) (json.has("limits") ? json.object("limits").numberOr("sockets", 1024) : 1024);
-        return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
-                told(json, environment, "discovery", "BALANCER_DISCOVERY"), seed(json.text("seed")), sockets,
-                optional(json, "peer_listen"), peers, optional(json, "peers_all"), admin(json, environment),
-                known(json), settings, reader.dialTimeoutUs(), keys(json));
+        return new Config(
+                name,
+                told(json, environment, "listen", "BALANCER_LISTEN"),
+                told(json, environment, "discovery", "BALANCER_DISCOVERY"),
+                seed(json.text("seed")),
+                sockets,
+                optional(json, "peer_listen"),
+                peers,
+                optional(json, "peers_all"),
+                admin(json, environment),
+                known(json),
+                settings,
+                reader.dialTimeoutUs(),
+                keys(json));
     }
 
     private static Listing known(Json json) {
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -71,6 +71,7 @@
     private final Operator operator;
     /** What the module is told: with subsets, of those sidecars alone that share its nodes. */
     private Settings told;
+
     private final long seed;
     private final Network network;
     private final Decisions decisions = new Decisions();
@@ -81,14 +82,17 @@
     private long firstCallUs;
     /** Null until the start, which knows the version to go on from. */
     private RegistryWatch discovery;
+
     private Balancer module;
     /** Null where sidecars do not tell each other what they hold; with subsets they do not know whom they share nodes with. */
     private Holdings holdings;
     /** A word is to be said, at the latest when this is due. */
     private Timers.Timer wordDue;
+
     private boolean changed;
     /** Null where sidecars do not tell each other what they met. */
     private Lessons lessons;
+
     private boolean lessonDue;
     /** Null where changes of policy are not decided in common: then none of its classes is loaded. */
     private Policies policies;
@@ -101,7 +105,12 @@
         this.settings = settings;
         this.operator = operator;
         told = settings;
-        members = new Members(timers, clock, decisions, this::listed, new Membership(operator.trust(), seed, clock.now()),
+        members = new Members(
+                timers,
+                clock,
+                decisions,
+                this::listed,
+                new Membership(operator.trust(), seed, clock.now()),
                 network::trial);
         requests = new Requests(timers, clock, decisions, settings.limits().maxAttempts(), new Ends(), figures);
         settings.classes().forEach(c -> figures.serves(c.name()));
@@ -114,9 +123,16 @@
 
     /** {@code also} stands before the guide that the module would have without it. */
     static Module module(Operator operator, BiFunction<Guide, Settings, Guide> also) {
-        return operator.zones() == null ? (s, others, seed, now, actions) -> new Policy(s, also.apply(Guide.NONE, s), others, seed, now, actions)
-                : (s, others, seed, now, actions) -> new Guided(operator.zones(), s, seed ^ 0x7a6f6e6573L, now, actions,
-                (guide, hands) -> new Policy(s, also.apply(guide, s), others, seed, now, hands));
+        return operator.zones() == null
+                ? (s, others, seed, now, actions) ->
+                        new Policy(s, also.apply(Guide.NONE, s), others, seed, now, actions)
+                : (s, others, seed, now, actions) -> new Guided(
+                        operator.zones(),
+                        s,
+                        seed ^ 0x7a6f6e6573L,
+                        now,
+                        actions,
+                        (guide, hands) -> new Policy(s, also.apply(guide, s), others, seed, now, hands));
     }
 
     /**
@@ -131,24 +147,53 @@
         if (operator.subset() != null) {
             int nodes = lists.stream().mapToInt(l -> l.members().size()).max().orElse(0);
             int sharers = Subset.sharers(operator.subset(), settings.balancers(), nodes);
-            told = new Settings(settings.me() % sharers, sharers, settings.zone(), settings.zones(), settings.kinds(), settings.classes(),
-                    settings.tenants(), settings.limits(), settings.rules(), settings.reports(), settings.discoveryOnRequest(),
-                    settings.worthByWork(), settings.overShareWorth(), settings.prices(), settings.tickUs());
+            told = new Settings(
+                    settings.me() % sharers,
+                    sharers,
+                    settings.zone(),
+                    settings.zones(),
+                    settings.kinds(),
+                    settings.classes(),
+                    settings.tenants(),
+                    settings.limits(),
+                    settings.rules(),
+                    settings.reports(),
+                    settings.discoveryOnRequest(),
+                    settings.worthByWork(),
+                    settings.overShareWorth(),
+                    settings.prices(),
+                    settings.tickUs());
             members.keepTo(new Subset(operator.subset(), settings.me(), settings.balancers(), clock.now()));
         }
         holdings = told == settings ? Holdings.of(settings) : null;
         lessons = told == settings ? Lessons.of(settings) : null;
         if (operator.accord() != null) {
-            policies = new Policies(timers, clock, operator.accord(), settings, seed ^ clock.now() * 31, network::tell, this::goBy);
+            policies = new Policies(
+                    timers, clock, operator.accord(), settings, seed ^ clock.now() * 31, network::tell, this::goBy);
         }
         List<Balancer.Upstream> first = members.start(lists);
-        discovery = new RegistryWatch(timers, clock, members, calls, members.generation(), settings.rules().askEveryUs(),
-                !settings.discoveryOnRequest(), judged, seed);
-        decisions.start(actions -> {
-            module = made.create(told, lessons != null ? new Hearsay() : holdings == null ? Others.SILENT : holdings, seed, clock.now(), actions);
-            module.onList(clock.now(), ListKind.CACHED, first);
-            return module;
-        }, new Hands());
+        discovery = new RegistryWatch(
+                timers,
+                clock,
+                members,
+                calls,
+                members.generation(),
+                settings.rules().askEveryUs(),
+                !settings.discoveryOnRequest(),
+                judged,
+                seed);
+        decisions.start(
+                actions -> {
+                    module = made.create(
+                            told,
+                            lessons != null ? new Hearsay() : holdings == null ? Others.SILENT : holdings,
+                            seed,
+                            clock.now(),
+                            actions);
+                    module.onList(clock.now(), ListKind.CACHED, first);
+                    return module;
+                },
+                new Hands());
         members.goOn();
         if (policies != null) {
             policies.start();
@@ -157,11 +202,13 @@
 
     /** What a fleet has agreed on stands in place of this sidecar's own file; null: it has agreed on nothing. */
     private void goBy(PolicyFile.Policy policy) {
-        decisions.call(m -> {
-            if (m instanceof Guided g) {
-                g.change(clock.now(), policy == null ? operator.zones() : policy.over(operator.zones()));
-            }
-        }, () -> { });
+        decisions.call(
+                m -> {
+                    if (m instanceof Guided g) {
+                        g.change(clock.now(), policy == null ? operator.zones() : policy.over(operator.zones()));
+                    }
+                },
+                () -> {});
     }
 
     /** Null where nothing is decided in common. */
@@ -200,8 +247,9 @@
             return;
         }
         // Those that the module knows of with subsets are so many, whoever they are; itself it would not believe.
-        int known = told == settings ? peer : (told.me() + 1 + peer % Math.max(1, told.balancers() - 1)) % told.balancers();
-        decisions.call(m -> m.onPeer(clock.now(), known, message), () -> { });
+        int known =
+                told == settings ? peer : (told.me() + 1 + peer % Math.max(1, told.balancers() - 1)) % told.balancers();
+        decisions.call(m -> m.onPeer(clock.now(), known, message), () -> {});
     }
 
     /** What is held has changed: the others hear of it as soon as the pace allows. */
@@ -288,7 +336,7 @@
         settings = settings.changed(next, maxAttempts);
         told = all ? settings : told.changed(next, maxAttempts);
         requests.maxAttempts(maxAttempts);
-        decisions.call(m -> m.onSettings(clock.now(), told), () -> { });
+        decisions.call(m -> m.onSettings(clock.now(), told), () -> {});
         return settings;
     }
 
@@ -322,7 +370,8 @@
         }
 
         @Override
-        public void ended(Balancer.Request request, Attempt attempt, Balancer.Outcome outcome, Balancer.LoadReport report) {
+        public void ended(
+                Balancer.Request request, Attempt attempt, Balancer.Outcome outcome, Balancer.LoadReport report) {
             if (holdings != null && !request.streams()) {
                 if (report != null && report.inFlight() >= 0) {
                     holdings.reported(clock.now(), attempt.upstream(), report.inFlight());
@@ -395,11 +444,14 @@
         @Override
         public void probe(String upstream) {
             network.probe(upstream, clock.now() + PROBE_US, (attempt, outcome, report, body) -> {
-                // A probe that nobody takes shows as much of a restart as an attempt; most sidecars of a fleet see no more of it.
+                // A probe that nobody takes shows as much of a restart as an attempt; most sidecars of a fleet see no
+                // more of it.
                 if (attempt.refused()) {
                     members.refused(attempt.upstream());
                 }
-                decisions.call(m -> m.onProbe(clock.now(), upstream, outcome, clock.now() - attempt.sentUs(), report), () -> { });
+                decisions.call(
+                        m -> m.onProbe(clock.now(), upstream, outcome, clock.now() - attempt.sentUs(), report),
+                        () -> {});
             });
         }
 
@@ -416,7 +468,9 @@
         @Override
         public void tell(int peer, byte[] message) {
             // The module knows of as many others as share its nodes; they are anybody.
-            network.tell(told == settings || peer < 0 ? peer : (peer + settings.me() + spread++) % settings.balancers(), message);
+            network.tell(
+                    told == settings || peer < 0 ? peer : (peer + settings.me() + spread++) % settings.balancers(),
+                    message);
         }
 
         @Override
--- a/src/main/java/rushproxy/sidecar/Handover.java
+++ b/src/main/java/rushproxy/sidecar/Handover.java
@@ -46,7 +46,8 @@
         } catch (InvalidPathException e) {
             // As one that is not there.
         }
-        Log.event("handover.none", "TMPDIR is no folder that can be written to: bans and upgrades end with this process");
+        Log.event(
+                "handover.none", "TMPDIR is no folder that can be written to: bans and upgrades end with this process");
         return null;
     }
 
--- a/src/main/java/rushproxy/sidecar/Members.java
+++ b/src/main/java/rushproxy/sidecar/Members.java
@@ -56,8 +56,13 @@
      * @param pool  told of each change before the module, which may send at once: the whole list, or what changed
      * @param trial tells once what is at an address
      */
-    public Members(Timers timers, Clock clock, Decisions decisions, BiConsumer<Boolean, List<Member>> pool, Membership membership,
-                   BiConsumer<InetSocketAddress, Consumer<Proof>> trial) {
+    public Members(
+            Timers timers,
+            Clock clock,
+            Decisions decisions,
+            BiConsumer<Boolean, List<Member>> pool,
+            Membership membership,
+            BiConsumer<InetSocketAddress, Consumer<Proof>> trial) {
         this.timers = timers;
         this.clock = clock;
         this.decisions = decisions;
@@ -116,7 +121,9 @@
         Map<String, Member> byId = new LinkedHashMap<>();
         membership.usable().forEach(m -> byId.put(m.upstream().id(), m));
         subset.listed(byId.values().stream().map(Member::upstream).toList());
-        List<Member> few = subset.told(clock.now()).stream().map(u -> byId.get(u.id()).with(u)).toList();
+        List<Member> few = subset.told(clock.now()).stream()
+                .map(u -> byId.get(u.id()).with(u))
+                .toList();
         return new Change(true, few, change.notes());
     }
 
@@ -179,7 +186,11 @@
 
     /** Those that take requests now, by id. */
     List<String> ready() {
-        return membership.usable().stream().map(Member::upstream).filter(u -> u.state() == UpstreamState.READY).map(Upstream::id).toList();
+        return membership.usable().stream()
+                .map(Member::upstream)
+                .filter(u -> u.state() == UpstreamState.READY)
+                .map(Upstream::id)
+                .toList();
     }
 
     /** How many upstreams the list has. */
@@ -190,14 +201,17 @@
     /** Of the listed upstreams, how many are out by hand or are avoided by the module now. */
     int unhealthy(Balancer module) {
         long now = clock.now();
-        return (int) membership.members().stream().map(m -> m.upstream().id())
-                .filter(id -> membership.out(id) || module.avoids(now, id)).count();
+        return (int) membership.members().stream()
+                .map(m -> m.upstream().id())
+                .filter(id -> membership.out(id) || module.avoids(now, id))
+                .count();
     }
 
     /** How an attempt ended. */
     public void ended(Attempt attempt, Outcome outcome) {
         if (subset != null) {
-            subset.ended(clock.now(), attempt.upstream(), outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT);
+            subset.ended(
+                    clock.now(), attempt.upstream(), outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT);
         }
         if (outcome == Outcome.OK) {
             tell(membership.answered(attempt.upstream()), ListKind.CACHED);
@@ -224,7 +238,7 @@
         if (!change.none()) {
             update(change);
             List<Upstream> told = module(change);
-            decisions.call(m -> m.onList(clock.now(), kind, told), () -> { });
+            decisions.call(m -> m.onList(clock.now(), kind, told), () -> {});
         }
     }
 
@@ -248,7 +262,7 @@
     public void listed(Listing list, boolean answersAsk) {
         Change change = membership.live(clock.now(), list);
         if (change.none() && answersAsk) {
-            decisions.call(m -> m.onList(clock.now(), ListKind.DELTA, List.of()), () -> { });
+            decisions.call(m -> m.onList(clock.now(), ListKind.DELTA, List.of()), () -> {});
         }
         tell(change, change.whole() ? ListKind.FULL : ListKind.DELTA);
         keep(!change.none());
--- a/src/main/java/rushproxy/sidecar/Operations.java
+++ b/src/main/java/rushproxy/sidecar/Operations.java
@@ -58,6 +58,8 @@
     @Override
     public void service(boolean out) {
         sidecar.clients().service(out);
-        Log.event(out ? "service.out" : "service.in", out ? "out of service: clients are asked to leave" : "back in service");
+        Log.event(
+                out ? "service.out" : "service.in",
+                out ? "out of service: clients are asked to leave" : "back in service");
     }
 }
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -38,8 +38,13 @@
 
     /** {@code shared}: another process of this sidecar may listen there too; each peer's words reach one of them. */
     void listen(EventLoop loop, InetSocketAddress address, boolean shared) throws InterruptedException {
-        channel = Listening.share(new Bootstrap(), shared).group(loop).channelFactory(NioDatagramChannel::new).handler(new Handler())
-                .bind(address).sync().channel();
+        channel = Listening.share(new Bootstrap(), shared)
+                .group(loop)
+                .channelFactory(NioDatagramChannel::new)
+                .handler(new Handler())
+                .bind(address)
+                .sync()
+                .channel();
     }
 
     /** To one peer, or to all where the number is -1. What can't be sent is lost, as any datagram may be. */
@@ -62,7 +67,6 @@
 
         /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
         @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        }
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
     }
 }
--- a/src/main/java/rushproxy/sidecar/Policies.java
+++ b/src/main/java/rushproxy/sidecar/Policies.java
@@ -37,13 +37,28 @@
     private boolean due;
 
     /** @param effect told what to go by from now on, null for what this sidecar's own file says, as at the begin */
-    Policies(Timers timers, Clock clock, Options options, Settings settings, long seed, BiConsumer<Integer, byte[]> network, Consumer<Policy> effect) {
+    Policies(
+            Timers timers,
+            Clock clock,
+            Options options,
+            Settings settings,
+            long seed,
+            BiConsumer<Integer, byte[]> network,
+            Consumer<Policy> effect) {
         this.timers = timers;
         this.clock = clock;
         this.network = network;
         this.effect = effect;
         zones = settings.zones();
-        accord = new Accord(options.fleet().hashCode(), options.voters(), settings.balancers(), settings.me(), seed, options.leaseUs(), clock.now(), this::wrong);
+        accord = new Accord(
+                options.fleet().hashCode(),
+                options.voters(),
+                settings.balancers(),
+                settings.me(),
+                seed,
+                options.leaseUs(),
+                clock.now(),
+                this::wrong);
         sinceUs = clock.now();
     }
 
@@ -120,10 +135,17 @@
         String to = name(now.to());
         if (!now.sure()) {
             // A process that stood still finds out late, and has decided nothing meanwhile.
-            say("policy.careful", "may have missed a change of policy: goes on by " + to + " until it hears a majority", now, "ago_ms",
+            say(
+                    "policy.careful",
+                    "may have missed a change of policy: goes on by " + to + " until it hears a majority",
+                    now,
+                    "ago_ms",
                     (clock.now() - accord.sureUntil()) / 1000);
         } else if (now.joint()) {
-            say("policy.joint", "policy " + name(now.from()) + " and " + to + " go together: the stricter of both", now);
+            say(
+                    "policy.joint",
+                    "policy " + name(now.from()) + " and " + to + " go together: the stricter of both",
+                    now);
         } else if (other) {
             say("policy.settled", "policy " + to + " is in force", now);
         } else {
@@ -133,7 +155,15 @@
 
     /** With what {@code policy audit} puts together. */
     private static void say(String event, String text, InForce now, Object... more) {
-        List<Object> fields = new ArrayList<>(List.of("era", Long.toHexString(now.era()), "index", now.index(), "from", name(now.from()), "version", name(now.to())));
+        List<Object> fields = new ArrayList<>(List.of(
+                "era",
+                Long.toHexString(now.era()),
+                "index",
+                now.index(),
+                "from",
+                name(now.from()),
+                "version",
+                name(now.to())));
         fields.addAll(List.of(more));
         Log.event(event, text, fields.toArray());
     }
@@ -159,7 +189,11 @@
             return "a change is under way: see its status, or take it back";
         }
         String wrong = accord.propose(clock.now(), content, network::accept);
-        Log.event("policy.proposed", wrong == null ? "a policy of " + content.length + " bytes is proposed" : "the policy can't be proposed: " + wrong);
+        Log.event(
+                "policy.proposed",
+                wrong == null
+                        ? "a policy of " + content.length + " bytes is proposed"
+                        : "the policy can't be proposed: " + wrong);
         told();
         return wrong;
     }
@@ -181,7 +215,9 @@
         m.put("since_ms", (clock.now() - sinceUs) / 1000);
         m.put("open", accord.open());
         m.put("refused", accord.refusal() == null ? "" : accord.refusal());
-        m.put("missing", accord.missing().stream().boxed().map(i -> (Object) (long) i).toList());
+        m.put(
+                "missing",
+                accord.missing().stream().boxed().map(i -> (Object) (long) i).toList());
         m.put("words_dropped", accord.dropped());
         return m;
     }
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -55,6 +55,7 @@
     private static final int CLOSING = 8;
     /** Clients that send at once: as many as keep the loop busy, and few enough to leave no upstream overrun. */
     private static final int CLIENTS = 3;
+
     private static final int UPSTREAMS = 6;
     private static final long LONGEST_MS = 1_000;
     private static final String LOAD = "TEXT inflight=0, queue=0, util=0.1";
@@ -77,7 +78,8 @@
     void play() {
         Sidecar second = null;
         try (Stage stage = new Stage()) {
-            second = new Sidecar(config.elsewhere(stage.here, stage.address(), list(stage.address())), Operator.NONE, module);
+            second = new Sidecar(
+                    config.elsewhere(stage.here, stage.address(), list(stage.address())), Operator.NONE, module);
             second.start();
             stage.play(second.listening());
         } catch (Exception e) {
@@ -100,10 +102,13 @@
 
     /** One request of the class, under an id that {@link Part} replaces. */
     private static FullHttpRequest request(RequestClass c) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                c.semantics() == Semantics.SAFE ? HttpMethod.GET : HttpMethod.POST, "/api");
-        request.headers().set(HttpHeaderNames.HOST, "api.internal").set(Headers.TXN, Part.ID)
-                .set(Headers.CLASS, c.name()).set(Headers.REMAINING, Math.max(1, c.deadlineUs() / 1000))
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, c.semantics() == Semantics.SAFE ? HttpMethod.GET : HttpMethod.POST, "/api");
+        request.headers()
+                .set(HttpHeaderNames.HOST, "api.internal")
+                .set(Headers.TXN, Part.ID)
+                .set(Headers.CLASS, c.name())
+                .set(Headers.REMAINING, Math.max(1, c.deadlineUs() / 1000))
                 .set(HttpHeaderNames.COOKIE, Headers.KEY_COOKIE + "=" + Part.ID)
                 .set(HttpHeaderNames.CONTENT_LENGTH, 0);
         if (c.semantics() == Semantics.KEYED) {
@@ -113,8 +118,8 @@
     }
 
     private static FullHttpResponse answer(boolean last) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                Unpooled.copiedBuffer(LOAD, StandardCharsets.US_ASCII));
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.copiedBuffer(LOAD, StandardCharsets.US_ASCII));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, LOAD.length()).set(Headers.LOAD, LOAD);
         if (last) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -160,7 +165,8 @@
     private final class Stage implements AutoCloseable {
         private final Selector selector = Selector.open();
         private final ServerSocketChannel listener = ServerSocketChannel.open();
-        private final InetSocketAddress here = new InetSocketAddress(config.listen().getAddress(), 0);
+        private final InetSocketAddress here =
+                new InetSocketAddress(config.listen().getAddress(), 0);
         private final ByteBuffer in = ByteBuffer.allocate(4096);
         private final ByteBuffer answer = encoded(new HttpResponseEncoder(), answer(false));
         private final ByteBuffer lastAnswer = encoded(new HttpResponseEncoder(), answer(true));
@@ -189,13 +195,15 @@
             }
             long endNanos = System.nanoTime() + LONGEST_MS * 1_000_000;
             for (long left; !cut && answered < REQUESTS && (left = endNanos - System.nanoTime()) > 0; ) {
-                selector.select(key -> {
-                    try {
-                        take(key);
-                    } catch (IOException e) {
-                        key.cancel();
-                    }
-                }, Math.min(20, left / 1_000_000 + 1));
+                selector.select(
+                        key -> {
+                            try {
+                                take(key);
+                            } catch (IOException e) {
+                                key.cancel();
+                            }
+                        },
+                        Math.min(20, left / 1_000_000 + 1));
             }
         }
 
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -33,10 +33,10 @@
 import rushproxy.membership.disk.ListKeeper;
 import rushproxy.membership.disk.ListStore;
 import rushproxy.membership.registry.RegistryHttp;
-import rushproxy.toml.Broken;
 import rushproxy.operator.Operator;
 import rushproxy.operator.Operator.DiskOptions;
 import rushproxy.operator.Operator.TraceOptions;
+import rushproxy.toml.Broken;
 import rushproxy.zones.Guided;
 
 /** One sidecar: starts its parts on one event loop, which owns them all, and ends them in good order. */
@@ -48,6 +48,7 @@
 
     /** Two parts of one answer are never so far apart. */
     private static final long STALL_LEAST_US = 10_000;
+
     private static final long BEAT_MS = 50;
     private static final int BEATS = 200;
     /** A lag worth a line in the log: more than the margin by which answers precede their deadlines. */
@@ -57,6 +58,7 @@
     private Operator operator;
     /** As the file in force has them. */
     private Balancer.Settings settings;
+
     private final Classes classes;
     private final Engine.Module module;
     private final MultiThreadIoEventLoopGroup group = EventLoops.one();
@@ -71,11 +73,13 @@
     private final ClientServer clients;
     /** Null where it is off: then no class of HTTP/2 is loaded. */
     private final GrpcServer grpc;
+
     private InetSocketAddress listening;
     /** Null where operators have no address here. */
     private InetSocketAddress adminAt;
     /** Null until the start. */
     private RegistryHttp calls;
+
     private ListKeeper keeper;
     /** Null where requests are not traced: then none of its classes is loaded. */
     private Tracing tracing;
@@ -83,6 +87,7 @@
     private boolean stopping;
     /** Null where no other process can take over from this one. */
     private final Handover handover;
+
     private long beatAtUs;
     private long worstLagUs;
     private long beats;
@@ -103,17 +108,37 @@
         this.module = module;
         settings = config.settings();
         classes = new Classes(settings.classes());
-        int most = Math.max(32, config.sockets() - OWN_DESCRIPTORS - (config.admin() == null ? 0 : AdminServer.MOST + 2));
+        int most =
+                Math.max(32, config.sockets() - OWN_DESCRIPTORS - (config.admin() == null ? 0 : AdminServer.MOST + 2));
         // Clients may hold a third of all for their requests, and others come and say nothing.
         int fromClients = most * 5 / 8;
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
-                stallUs(settings), most - fromClients);
-        engine = new Engine(Timers.on(loop), clock, settings, operator, config.seed(),
+        upstreams = new Upstreams(
+                loop,
+                clock,
+                settings.limits().connIdleUs(),
+                config.dialTimeoutUs(),
+                stallUs(settings),
+                most - fromClients);
+        engine = new Engine(
+                Timers.on(loop),
+                clock,
+                settings,
+                operator,
+                config.seed(),
                 new Sockets(new Trial(loop, asks(settings), TRIAL_MS)));
         Requests requests = engine.requests();
         peers = new Peers(engine::word, config.peers(), config.peersAll());
-        grpc = operator.grpc() == null ? null : new GrpcServer(loop, clock, requests, classes, operator.grpc(),
-                settings.limits().connIdleUs(), config.dialTimeoutUs(), config.name());
+        grpc = operator.grpc() == null
+                ? null
+                : new GrpcServer(
+                        loop,
+                        clock,
+                        requests,
+                        classes,
+                        operator.grpc(),
+                        settings.limits().connIdleUs(),
+                        config.dialTimeoutUs(),
+                        config.name());
         if (grpc != null) {
             engine.members().tellToo(grpc::update);
         }
@@ -129,7 +154,10 @@
 
     /** Upstreams may write in small pieces, with pauses; what stands still for three quarters of the wanted time is not in time any more. */
     private static long stallUs(Balancer.Settings settings) {
-        long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElse(0);
+        long aim = settings.classes().stream()
+                .mapToLong(Balancer.RequestClass::aimUs)
+                .min()
+                .orElse(0);
         return Math.max(STALL_LEAST_US, aim * 3 / 4);
     }
 
@@ -155,7 +183,11 @@
         }
         Sidecar sidecar;
         try {
-            sidecar = new Sidecar(config, operator, handover == null ? Engine.module(operator) : Engine.module(operator, handover::guide), handover);
+            sidecar = new Sidecar(
+                    config,
+                    operator,
+                    handover == null ? Engine.module(operator) : Engine.module(operator, handover::guide),
+                    handover);
         } catch (IllegalArgumentException e) {
             // Each file is right by itself; together they are not.
             Log.event("start.refused", "operator's file: " + e.getMessage());
@@ -173,7 +205,9 @@
         if (sidecar.listening() != null) {
             sidecar.saysWhere();
         } else {
-            Log.event("handover.begun", config.name() + " takes over: it listens once it is ready, beside the process that serves");
+            Log.event(
+                    "handover.begun",
+                    config.name() + " takes over: it listens once it is ready, beside the process that serves");
         }
         reload.serving(sidecar, config);
         long begunUs = sidecar.clock.now();
@@ -186,8 +220,13 @@
         }
         long inAllMs = CpuTime.ms();
         // Beside each other they tell whether a slow start had too much to do or too little of a core.
-        Log.event("ready", "ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms" + (inAllMs < 0 ? ""
-                : "; CPU since the start " + inAllMs + " ms, of it " + (inAllMs - cpuMs) + " ms for the rehearsal"));
+        Log.event(
+                "ready",
+                "ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms"
+                        + (inAllMs < 0
+                                ? ""
+                                : "; CPU since the start " + inAllMs + " ms, of it " + (inAllMs - cpuMs)
+                                        + " ms for the rehearsal"));
         new CountDownLatch(1).await();
         return 0;
     }
@@ -195,25 +234,39 @@
     /** Why this sidecar can't decide in common with others; null where it can. */
     private static String alone(rushproxy.accord.Options accord, Config config, Handover handover) {
         int sidecars = config.settings().balancers();
-        return config.peerListen() == null || config.peers().size() < sidecars ? "wants words between all sidecars: peer_listen, and peers with " + sidecars + " addresses"
-                : handover != null ? "wants no second process of one sidecar beside it: TMPDIR is to be empty"
-                : accord.voters() > sidecars ? "voters: expected at most the " + sidecars + " sidecars that there are, found " + accord.voters() : null;
+        return config.peerListen() == null || config.peers().size() < sidecars
+                ? "wants words between all sidecars: peer_listen, and peers with " + sidecars + " addresses"
+                : handover != null
+                        ? "wants no second process of one sidecar beside it: TMPDIR is to be empty"
+                        : accord.voters() > sidecars
+                                ? "voters: expected at most the " + sidecars + " sidecars that there are, found "
+                                        + accord.voters()
+                                : null;
     }
 
     /** Netty throws what was not declared. */
     private static int cantStart(Exception e) {
         boolean taken = e instanceof BindException;
-        Log.event(taken ? "start.refused" : "start.failed", taken ? "an address can't be listened on: " + e.getMessage() : "can't start: " + e);
+        Log.event(
+                taken ? "start.refused" : "start.failed",
+                taken ? "an address can't be listened on: " + e.getMessage() : "can't start: " + e);
         return taken ? 2 : 1;
     }
 
     private void saysWhere() {
-        Log.event("serves", config.name() + " serves on " + listening + ", " + config.limits(), "name", config.name(), "address", listening);
+        Log.event(
+                "serves",
+                config.name() + " serves on " + listening + ", " + config.limits(),
+                "name",
+                config.name(),
+                "address",
+                listening);
     }
 
     void start() throws InterruptedException {
         List<Listing> lists = new ArrayList<>(List.of(config.known()));
-        DiskOptions disk = operator.membership() == null ? null : operator.membership().disk();
+        DiskOptions disk =
+                operator.membership() == null ? null : operator.membership().disk();
         ListStore store = disk == null ? null : store(disk);
         Listing kept = store == null ? null : store.read(n -> Log.event("disk", n));
         if (kept != null) {
@@ -221,19 +274,26 @@
         }
         Tracing traces = operator.traces() == null ? null : tracing(operator.traces());
         loop.submit(() -> {
-            if (traces != null) {
-                trace(traces);
-            }
-            if (disk != null) {
-                keepWith(store, disk);
-            }
-            calls = new RegistryHttp(loop, config.discovery());
-            if (handover != null) {
-                handover.start(loop, clock, engine.members());
-            }
-            engine.start(lists, calls, operator.membership() != null,
-                    operator.membership() == null ? 0 : operator.membership().spreadUs(), module);
-        }).sync();
+                    if (traces != null) {
+                        trace(traces);
+                    }
+                    if (disk != null) {
+                        keepWith(store, disk);
+                    }
+                    calls = new RegistryHttp(loop, config.discovery());
+                    if (handover != null) {
+                        handover.start(loop, clock, engine.members());
+                    }
+                    engine.start(
+                            lists,
+                            calls,
+                            operator.membership() != null,
+                            operator.membership() == null
+                                    ? 0
+                                    : operator.membership().spreadUs(),
+                            module);
+                })
+                .sync();
         if (config.admin() != null) {
             adminAt = new AdminServer(loop, new Operations(this, handover)).listen(config.admin());
             Log.event("admin.listens", "operators call at " + adminAt, "address", adminAt);
@@ -265,17 +325,20 @@
             Log.event("reload.traces", "keeps no traces from now on");
             return;
         }
-        new Thread(() -> {
-            Tracing made = tracing(options);
-            loop.execute(() -> {
-                if (options.equals(operator.traces()) && !stopping) {
-                    trace(made);
-                    Log.event("reload.traces", "keeps traces as its file says now");
-                } else {
-                    made.close(() -> { });
-                }
-            });
-        }, "traces-start").start();
+        new Thread(
+                        () -> {
+                            Tracing made = tracing(options);
+                            loop.execute(() -> {
+                                if (options.equals(operator.traces()) && !stopping) {
+                                    trace(made);
+                                    Log.event("reload.traces", "keeps traces as its file says now");
+                                } else {
+                                    made.close(() -> {});
+                                }
+                            });
+                        },
+                        "traces-start")
+                .start();
     }
 
     /** Reads the policy file, which may take as long as the disk does: not on the loop. Tells on the loop why not, or null. */
@@ -285,29 +348,39 @@
             return;
         }
         Path file = operator.accord().file();
-        new Thread(() -> {
-            try {
-                byte[] content = Files.readAllBytes(file);
-                loop.execute(() -> why.accept(engine.policies().propose(content)));
-            } catch (IOException e) {
-                loop.execute(() -> why.accept(file + ": can't be read: " + e));
-            }
-        }, "policy-file").start();
+        new Thread(
+                        () -> {
+                            try {
+                                byte[] content = Files.readAllBytes(file);
+                                loop.execute(() -> why.accept(engine.policies().propose(content)));
+                            } catch (IOException e) {
+                                loop.execute(() -> why.accept(file + ": can't be read: " + e));
+                            }
+                        },
+                        "policy-file")
+                .start();
     }
 
     private void rezone(rushproxy.zones.Options zones) {
         if (engine.policies() != null) {
-            Log.event("reload.later", "zones away and preferred are decided in common: propose them; the rest of [zones] holds from the next start on");
+            Log.event(
+                    "reload.later",
+                    "zones away and preferred are decided in common: propose them; the rest of [zones] holds from the next start on");
             return;
         }
-        engine.decisions().call(m -> {
-            if (m instanceof Guided g && zones != null) {
-                g.change(clock.now(), zones);
-                Log.event("reload.zones", "zones: those away and those preferred are as the file says now; the rest holds from the next start on");
-            } else {
-                Log.event("reload.later", "what changed under [zones] holds from the next start on");
-            }
-        }, () -> { });
+        engine.decisions()
+                .call(
+                        m -> {
+                            if (m instanceof Guided g && zones != null) {
+                                g.change(clock.now(), zones);
+                                Log.event(
+                                        "reload.zones",
+                                        "zones: those away and those preferred are as the file says now; the rest holds from the next start on");
+                            } else {
+                                Log.event("reload.later", "what changed under [zones] holds from the next start on");
+                            }
+                        },
+                        () -> {});
     }
 
     /** Null turns it off. What is under way keeps its trace, and its place on the old shelf. */
@@ -316,7 +389,7 @@
         tracing = made;
         engine.requests().traceWith(tracing == null ? null : tracing.tracer(), turns -> EventLoops.watch(loop, turns));
         if (old != null) {
-            old.close(() -> { });
+            old.close(() -> {});
         }
     }
 
@@ -336,10 +409,13 @@
         if (old == null) {
             then.run();
         } else {
-            new Thread(() -> {
-                old.close();
-                then.run();
-            }, "list-keeper-end").start();
+            new Thread(
+                            () -> {
+                                old.close();
+                                then.run();
+                            },
+                            "list-keeper-end")
+                    .start();
         }
     }
 
@@ -350,7 +426,11 @@
         beatAtUs = now;
         if (++beats % BEATS == 0) {
             if (worstLagUs >= LAG_US) {
-                Log.event("loop.late", "the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000 + " s", "ms",
+                Log.event(
+                        "loop.late",
+                        "the event loop was late by up to " + worstLagUs / 1000 + " ms in " + BEATS * BEAT_MS / 1000
+                                + " s",
+                        "ms",
                         worstLagUs / 1000);
             }
             worstLagUs = 0;
@@ -392,11 +472,12 @@
             saysWhere();
         }
         loop.submit(() -> {
-            clients.rehearsed();
-            if (handover != null) {
-                handover.ready(clock.now());
-            }
-        }).sync();
+                    clients.rehearsed();
+                    if (handover != null) {
+                        handover.ready(clock.now());
+                    }
+                })
+                .sync();
     }
 
     /** Whoever comes back learns what is in force before it says that it is ready; nobody waits for a fleet that can't tell. */
@@ -426,20 +507,27 @@
                 settings = fresh.settings();
                 classes.change(clock.now(), settings.classes());
                 engine.change(settings);
-                Log.event("reload.settings", "settings are as the file says now: " + fresh.limits() + ", " + settings.limits().maxAttempts()
-                        + " attempts");
+                Log.event(
+                        "reload.settings",
+                        "settings are as the file says now: " + fresh.limits() + ", "
+                                + settings.limits().maxAttempts() + " attempts");
             }
             if (calls.moveTo(fresh.discovery())) {
                 engine.discovery().moved();
             }
             if (!told.equals(operator)) {
-                DiskOptions before = operator.membership() == null ? null : operator.membership().disk();
-                DiskOptions after = told.membership() == null ? null : told.membership().disk();
+                DiskOptions before = operator.membership() == null
+                        ? null
+                        : operator.membership().disk();
+                DiskOptions after =
+                        told.membership() == null ? null : told.membership().disk();
                 if (!Objects.equals(operator.grpc(), told.grpc())) {
                     Log.event("reload.later", "what changed under [grpc] holds from the next start on");
                 }
                 if (!Objects.equals(operator.accord(), told.accord())) {
-                    Log.event("reload.later", "what changed under [accord] holds from the next start on, but for its file");
+                    Log.event(
+                            "reload.later",
+                            "what changed under [accord] holds from the next start on, but for its file");
                 }
                 if (!Objects.equals(operator.subset(), told.subset())) {
                     Log.event("reload.later", "what changed under [subset] holds from the next start on");
@@ -461,7 +549,9 @@
                             keepWith(store(after), after);
                         }
                     }));
-                    Log.event("reload.disk", after == null ? "keeps no list from now on" : "keeps its list in " + after.folder());
+                    Log.event(
+                            "reload.disk",
+                            after == null ? "keeps no list from now on" : "keeps its list in " + after.folder());
                 }
             }
         });
@@ -514,9 +604,9 @@
                 engine.discovery().stop();
             }
             if (tracing != null) {
-                tracing.close(() -> { });
+                tracing.close(() -> {});
             }
-            letGo(() -> { });
+            letGo(() -> {});
             if (handover != null) {
                 handover.close();
             }
--- a/src/main/java/rushproxy/sidecar/Tracing.java
+++ b/src/main/java/rushproxy/sidecar/Tracing.java
@@ -17,11 +17,16 @@
 
     Tracing(TraceOptions options, String instance, Clock clock, long seed) {
         exports = TraceExport.of(options, instance, clock, seed, text -> Log.event("traces", text));
-        tracer = new Tracer(options.sampling(), clock::now, seed ^ 0x7472616365L, (trace, verdict) -> {
-            for (TraceExport e : exports) {
-                e.hand(trace, verdict);
-            }
-        }, e -> Log.trouble("tracing failed and is off, service goes on", e));
+        tracer = new Tracer(
+                options.sampling(),
+                clock::now,
+                seed ^ 0x7472616365L,
+                (trace, verdict) -> {
+                    for (TraceExport e : exports) {
+                        e.hand(trace, verdict);
+                    }
+                },
+                e -> Log.trouble("tracing failed and is off, service goes on", e));
     }
 
     Tracer tracer() {
@@ -31,21 +36,30 @@
     /** The receivers may take their time: not on the loop. {@code then} runs on any thread. */
     void close(Runnable then) {
         exports.forEach(TraceExport::close);
-        Thread end = new Thread(() -> {
-            try {
-                for (TraceExport e : exports) {
-                    e.join(LAST_MS / exports.size());
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            } finally {
-                Tracer.Counts c = tracer.counts();
-                Log.event("traces.counts", "traces: " + c.begun() + " begun, " + c.kept() + " kept, "
-                        + exports.stream().mapToLong(e -> e.counts().sent()).max().orElse(0) + " handed on, "
-                        + exports.stream().mapToLong(e -> e.counts().lost()).sum() + " lost, " + c.dropped() + " over the rates");
-                then.run();
-            }
-        }, "traces-end");
+        Thread end = new Thread(
+                () -> {
+                    try {
+                        for (TraceExport e : exports) {
+                            e.join(LAST_MS / exports.size());
+                        }
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    } finally {
+                        Tracer.Counts c = tracer.counts();
+                        Log.event(
+                                "traces.counts",
+                                "traces: " + c.begun() + " begun, " + c.kept() + " kept, "
+                                        + exports.stream()
+                                                .mapToLong(e -> e.counts().sent())
+                                                .max()
+                                                .orElse(0) + " handed on, "
+                                        + exports.stream()
+                                                .mapToLong(e -> e.counts().lost())
+                                                .sum() + " lost, " + c.dropped() + " over the rates");
+                        then.run();
+                    }
+                },
+                "traces-end");
         end.setDaemon(true);
         end.start();
     }
--- a/src/main/java/rushproxy/standin/Burst.java
+++ b/src/main/java/rushproxy/standin/Burst.java
@@ -59,14 +59,17 @@
     /** Makes so many calls and waits for a word on each, no longer than {@code ms}. */
     public Result make(InetSocketAddress to, int wanted, long ms) throws InterruptedException {
         left = new CountDownLatch(wanted);
-        Bootstrap bootstrap = Dialling.tcp(loop, 1_000, channel -> channel.pipeline().addLast(
-                Http2FrameCodecBuilder.forClient().initialSettings(new Http2Settings().pushEnabled(false)).build(),
-                new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel pushed) {
-                        pushed.close();
-                    }
-                })));
+        Bootstrap bootstrap = Dialling.tcp(loop, 1_000, channel -> channel.pipeline()
+                .addLast(
+                        Http2FrameCodecBuilder.forClient()
+                                .initialSettings(new Http2Settings().pushEnabled(false))
+                                .build(),
+                        new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel pushed) {
+                                pushed.close();
+                            }
+                        })));
         // All connections first, so that the calls come together.
         for (int i = 0; i * PER_CONNECTION < wanted; i++) {
             connections.add(bootstrap.connect(to).sync().channel());
@@ -78,21 +81,28 @@
             }
         });
         left.await(ms, TimeUnit.MILLISECONDS);
-        return loop.submit(() -> new Result(served, refused, failed, (lastUs - startUs) / 1000.0)).sync().getNow();
+        return loop.submit(() -> new Result(served, refused, failed, (lastUs - startUs) / 1000.0))
+                .sync()
+                .getNow();
     }
 
     /** Says one more word on each open stream and half-closes it; how many then ended with OK. */
     public int finish(long ms) throws InterruptedException {
         loop.submit(() -> {
-            List<One> open = calls.stream().filter(c -> c.answered && !c.ended).toList();
-            left = new CountDownLatch(open.size());
-            open.forEach(c -> c.channel.writeAndFlush(new DefaultHttp2DataFrame(GrpcFace.message("last"), true)));
-        }).sync();
+                    List<One> open =
+                            calls.stream().filter(c -> c.answered && !c.ended).toList();
+                    left = new CountDownLatch(open.size());
+                    open.forEach(
+                            c -> c.channel.writeAndFlush(new DefaultHttp2DataFrame(GrpcFace.message("last"), true)));
+                })
+                .sync();
         left.await(ms, TimeUnit.MILLISECONDS);
         return loop.submit(() -> {
-            connections.forEach(Channel::close);
-            return endedWell;
-        }).sync().getNow();
+                    connections.forEach(Channel::close);
+                    return endedWell;
+                })
+                .sync()
+                .getNow();
     }
 
     private void one(Channel connection) {
@@ -101,8 +111,13 @@
             if (f.isSuccess()) {
                 call.channel = (Channel) f.getNow();
                 calls.add(call);
-                Http2Headers head = new DefaultHttp2Headers().method("POST").scheme("http").authority("api.internal")
-                        .path(path).set("content-type", "application/grpc").set("te", "trailers")
+                Http2Headers head = new DefaultHttp2Headers()
+                        .method("POST")
+                        .scheme("http")
+                        .authority("api.internal")
+                        .path(path)
+                        .set("content-type", "application/grpc")
+                        .set("te", "trailers")
                         .set("idempotency-key", "b" + calls.size() + "-" + startUs);
                 if (timeout != null) {
                     head.set("grpc-timeout", timeout);
--- a/src/main/java/rushproxy/standin/Clients.java
+++ b/src/main/java/rushproxy/standin/Clients.java
@@ -20,12 +20,14 @@
 public abstract class Clients {
     /** A class of requests; the settings that the stage gives a sidecar name them. */
     enum Kind {
-        LOOKUP("slot-lookup", "Lookup", Semantics.SAFE, 0.6), NOTE("note-change", "Note", Semantics.UNSAFE, 0.2),
+        LOOKUP("slot-lookup", "Lookup", Semantics.SAFE, 0.6),
+        NOTE("note-change", "Note", Semantics.UNSAFE, 0.2),
         CONFIRM("booking-confirm", "Confirm", Semantics.KEYED, 0.2);
 
         final String lane;
         /** Its name as a gRPC method. */
         final String method;
+
         final Semantics semantics;
         /** Part of all requests. */
         final double share;
@@ -40,13 +42,19 @@
 
     /** Of a world without patience. */
     static final long AIM_MS = 200, GIVE_UP_MS = 600;
+
     private static final int MOST_LATENCIES = 1 << 20;
     private static final long AGAIN_MS = 50;
 
     /** How the requests of one span of time ended. Those unreachable found no sidecar that took their connection. */
     public record Tally(int sent, int inTime, int late, int refused, int failed, int unreachable) {
         public Tally plus(Tally o) {
-            return new Tally(sent + o.sent, inTime + o.inTime, late + o.late, refused + o.refused, failed + o.failed,
+            return new Tally(
+                    sent + o.sent,
+                    inTime + o.inTime,
+                    late + o.late,
+                    refused + o.refused,
+                    failed + o.failed,
                     unreachable + o.unreachable);
         }
 
@@ -70,6 +78,7 @@
     private int begun;
     /** Asked for and not ended yet, all tries of one as one. */
     private volatile int out;
+
     private int numbers;
     private long firstServedUs;
     private volatile boolean mayLose;
@@ -94,6 +103,7 @@
         String id;
         /** The traceparent that its application gives it; null where that knows of no traces. */
         String parent;
+
         long untilUs;
         boolean over;
         /** A close has crossed it once. */
@@ -102,6 +112,7 @@
         boolean left;
         /** It has its time anew. */
         boolean longer;
+
         Future<?> timeout;
         Channel on;
         long sentUs;
@@ -197,7 +208,9 @@
         while (begun < due) {
             begun++;
             double draw = random.nextDouble();
-            Kind kind = draw < Kind.LOOKUP.share ? Kind.LOOKUP : draw < Kind.LOOKUP.share + Kind.NOTE.share ? Kind.NOTE : Kind.CONFIRM;
+            Kind kind = draw < Kind.LOOKUP.share
+                    ? Kind.LOOKUP
+                    : draw < Kind.LOOKUP.share + Kind.NOTE.share ? Kind.NOTE : Kind.CONFIRM;
             tally(now)[0]++;
             out++;
             Asked a = new Asked(kind, sidecar + "-i" + begun + "-" + startUs % 1_000_000, now, false);
@@ -316,12 +329,14 @@
     /** What became of the requests first sent in [from, to) seconds after the start. */
     public Tally tally(int from, int to) {
         return loop.submit(() -> {
-            Tally sum = new Tally(0, 0, 0, 0, 0, 0);
-            for (int[] t : seconds.subMap(from, to).values()) {
-                sum = sum.plus(new Tally(t[0], t[1], t[2], t[3], t[4], t[5]));
-            }
-            return sum;
-        }).syncUninterruptibly().getNow();
+                    Tally sum = new Tally(0, 0, 0, 0, 0, 0);
+                    for (int[] t : seconds.subMap(from, to).values()) {
+                        sum = sum.plus(new Tally(t[0], t[1], t[2], t[3], t[4], t[5]));
+                    }
+                    return sum;
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /** Module time of the first request served; 0 where none was. */
--- a/src/main/java/rushproxy/standin/Collector.java
+++ b/src/main/java/rushproxy/standin/Collector.java
@@ -51,8 +51,19 @@
     }
 
     /** One span; ids in hexadecimal digits, times in nanoseconds of Unix time, attributes as texts, events by name. */
-    public record Seen(String trace, String span, String parent, String name, int kind, String state, int flags, long start, long end,
-                       Map<String, String> attributes, Map<String, Long> events, List<String> links) {
+    public record Seen(
+            String trace,
+            String span,
+            String parent,
+            String name,
+            int kind,
+            String state,
+            int flags,
+            long start,
+            long end,
+            Map<String, String> attributes,
+            Map<String, Long> events,
+            List<String> links) {
         public String text(String key) {
             return attributes.getOrDefault(key, "");
         }
@@ -63,6 +74,7 @@
     private final EventLoop loop;
     /** Null where it plays on a stage's loop. */
     private EventLoopGroup own;
+
     private final Set<Channel> connections = new HashSet<>();
     private final Queue<Seen> seen = new ConcurrentLinkedQueue<>();
     private Channel listener;
@@ -82,15 +94,21 @@
     }
 
     Collector listen() throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channelFactory(NioServerSocketChannel::new)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         connections.add(channel);
                         channel.closeFuture().addListener(f -> connections.remove(channel));
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BATCH), new Handler());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BATCH), new Handler());
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).sync().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .sync()
+                .channel();
         return this;
     }
 
@@ -130,7 +148,7 @@
                 }
                 case BUSY -> answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE);
                 case REFUSES -> answer(ctx, HttpResponseStatus.BAD_REQUEST);
-                case SILENT -> { }
+                case SILENT -> {}
                 case RESETS -> {
                     ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
                     ctx.close();
--- a/src/main/java/rushproxy/standin/FalseWords.java
+++ b/src/main/java/rushproxy/standin/FalseWords.java
@@ -10,6 +10,7 @@
 public final class FalseWords {
     /** Words of what is held begin so, then a turn, then two bytes for each attempt; others pass unchanged. */
     private static final byte TAG = 'H';
+
     private static final int HEAD = 2, MOST = 256;
 
     /** What it makes others believe. */
@@ -40,11 +41,12 @@
         if (first == null) {
             first = word;
         }
-        byte[] said = switch (lie) {
-            case IDLE -> new byte[HEAD];
-            case REPLAYED -> first.clone();
-            case FULL -> full();
-        };
+        byte[] said =
+                switch (lie) {
+                    case IDLE -> new byte[HEAD];
+                    case REPLAYED -> first.clone();
+                    case FULL -> full();
+                };
         said[0] = TAG;
         said[1] = word[1];
         return said;
--- a/src/main/java/rushproxy/standin/GrpcClients.java
+++ b/src/main/java/rushproxy/standin/GrpcClients.java
@@ -40,29 +40,32 @@
 
     GrpcClients(EventLoop loop, Clock clock, Referee referee, String sidecar, long seed, int patience) {
         super(loop, clock, referee, sidecar, seed, patience);
-        bootstrap = Dialling.tcp(loop, 500, channel -> channel.pipeline().addLast(
-                Http2FrameCodecBuilder.forClient().initialSettings(new Http2Settings().pushEnabled(false)).build(),
-                new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel pushed) {
-                        pushed.close();
-                    }
-                }),
-                new ChannelInboundHandlerAdapter() {
-                    @Override
-                    public void channelRead(ChannelHandlerContext ctx, Object frame) {
-                        if (frame instanceof Http2GoAwayFrame && ctx.channel() == connection) {
-                            // What is on it goes on; new calls take another.
-                            connection = null;
-                        }
-                        ReferenceCountUtil.release(frame);
-                    }
-
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        ctx.close();
-                    }
-                }));
+        bootstrap = Dialling.tcp(loop, 500, channel -> channel.pipeline()
+                .addLast(
+                        Http2FrameCodecBuilder.forClient()
+                                .initialSettings(new Http2Settings().pushEnabled(false))
+                                .build(),
+                        new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel pushed) {
+                                pushed.close();
+                            }
+                        }),
+                        new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext ctx, Object frame) {
+                                if (frame instanceof Http2GoAwayFrame && ctx.channel() == connection) {
+                                    // What is on it goes on; new calls take another.
+                                    connection = null;
+                                }
+                                ReferenceCountUtil.release(frame);
+                            }
+
+                            @Override
+                            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                ctx.close();
+                            }
+                        }));
     }
 
     @Override
@@ -121,9 +124,15 @@
             Channel stream = (Channel) f.getNow();
             a.on = stream;
             long at = clock.now();
-            Http2Headers h = new DefaultHttp2Headers().method("POST").scheme("http").authority("api.internal")
-                    .path("/stage.Booking/" + a.kind.method).set("content-type", "application/grpc").set("te", "trailers")
-                    .set("x-txn", a.id).set("grpc-timeout", Math.max(1, (a.untilUs - at) / 1000) + "m");
+            Http2Headers h = new DefaultHttp2Headers()
+                    .method("POST")
+                    .scheme("http")
+                    .authority("api.internal")
+                    .path("/stage.Booking/" + a.kind.method)
+                    .set("content-type", "application/grpc")
+                    .set("te", "trailers")
+                    .set("x-txn", a.id)
+                    .set("grpc-timeout", Math.max(1, (a.untilUs - at) / 1000) + "m");
             if (a.kind == Kind.CONFIRM) {
                 h.set("idempotency-key", a.intent);
             }
@@ -169,8 +178,14 @@
                     }
                 } else if (frame instanceof Http2HeadersFrame h && h.isEndStream()) {
                     CharSequence status = h.headers().get("grpc-status");
-                    done(status == null ? Referee.Ending.FAILED : "0".contentEquals(status) ? Referee.Ending.SERVED
-                            : "14".contentEquals(status) ? Referee.Ending.REFUSED : Referee.Ending.FAILED);
+                    done(
+                            status == null
+                                    ? Referee.Ending.FAILED
+                                    : "0".contentEquals(status)
+                                            ? Referee.Ending.SERVED
+                                            : "14".contentEquals(status)
+                                                    ? Referee.Ending.REFUSED
+                                                    : Referee.Ending.FAILED);
                 } else if (frame instanceof Http2ResetFrame) {
                     gone();
                 }
--- a/src/main/java/rushproxy/standin/GrpcFace.java
+++ b/src/main/java/rushproxy/standin/GrpcFace.java
@@ -4,9 +4,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -100,6 +100,7 @@
     private volatile int streamsAtOnce = 100;
     /** Streams that are open now. */
     final AtomicInteger held = new AtomicInteger();
+
     final AtomicInteger opened = new AtomicInteger();
     final AtomicInteger calls = new AtomicInteger();
 
@@ -137,9 +138,10 @@
     /** The next {@code times} calls are cut so, from the moment at which this returns; not for the stage's own thread. */
     void cut(Cut how, int times) {
         loop.submit(() -> {
-            cut = how;
-            cuts = times;
-        }).syncUninterruptibly();
+                    cut = how;
+                    cuts = times;
+                })
+                .syncUninterruptibly();
     }
 
     /** Connections from now on take no more streams at a time. */
@@ -152,11 +154,14 @@
         loop.execute(() -> {
             listener.close();
             connections.forEach(c -> goodbye(c, Integer.MAX_VALUE));
-            loop.schedule(() -> Set.copyOf(connections).forEach(c -> {
-                goodbye(c, 0);
-                leaving.add(c);
-                closeIfDone(c);
-            }), GOODBYE_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> Set.copyOf(connections).forEach(c -> {
+                        goodbye(c, 0);
+                        leaving.add(c);
+                        closeIfDone(c);
+                    }),
+                    GOODBYE_MS,
+                    TimeUnit.MILLISECONDS);
         });
     }
 
@@ -173,7 +178,10 @@
     }
 
     private ServerBootstrap bind(InetSocketAddress to) {
-        return new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new).localAddress(to)
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(NioServerSocketChannel::new)
+                .localAddress(to)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -185,14 +193,18 @@
                             connections.remove(channel);
                             leaving.remove(channel);
                         });
-                        channel.pipeline().addLast(Http2FrameCodecBuilder.forServer()
-                                        .initialSettings(new Http2Settings().maxConcurrentStreams(streamsAtOnce)).build(),
-                                new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(Channel stream) {
-                                        stream.pipeline().addLast(new Call(channel));
-                                    }
-                                }));
+                        channel.pipeline()
+                                .addLast(
+                                        Http2FrameCodecBuilder.forServer()
+                                                .initialSettings(
+                                                        new Http2Settings().maxConcurrentStreams(streamsAtOnce))
+                                                .build(),
+                                        new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                                            @Override
+                                            protected void initChannel(Channel stream) {
+                                                stream.pipeline().addLast(new Call(channel));
+                                            }
+                                        }));
                     }
                 });
     }
@@ -233,15 +245,20 @@
             String path = String.valueOf(head.path());
             echo = path.endsWith("Echo");
             if (head.get("grpc-timeout") != null) {
-                timeout = loop.schedule(() -> reset(ctx, Http2Error.CANCEL), Timeouts.parse(head.get("grpc-timeout")),
+                timeout = loop.schedule(
+                        () -> reset(ctx, Http2Error.CANCEL),
+                        Timeouts.parse(head.get("grpc-timeout")),
                         TimeUnit.MICROSECONDS);
             }
             if (path.endsWith("LateEcho")) {
                 ctx.channel().config().setAutoRead(false);
-                loop.schedule(() -> {
-                    ctx.writeAndFlush(new DefaultHttp2HeadersFrame(head(), false));
-                    ctx.channel().config().setAutoRead(true);
-                }, LATE_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(
+                        () -> {
+                            ctx.writeAndFlush(new DefaultHttp2HeadersFrame(head(), false));
+                            ctx.channel().config().setAutoRead(true);
+                        },
+                        LATE_MS,
+                        TimeUnit.MILLISECONDS);
             } else if (echo) {
                 ctx.writeAndFlush(new DefaultHttp2HeadersFrame(head(), false));
             }
@@ -278,7 +295,13 @@
                 if (echo) {
                     trailers(ctx, 0);
                 } else {
-                    work.take(id, head.get("traceparent") == null ? null : head.get("traceparent").toString(), body -> served(ctx, body), () -> turnedAway(ctx),
+                    work.take(
+                            id,
+                            head.get("traceparent") == null
+                                    ? null
+                                    : head.get("traceparent").toString(),
+                            body -> served(ctx, body),
+                            () -> turnedAway(ctx),
                             () -> reset(ctx, Http2Error.INTERNAL_ERROR));
                 }
                 return;
@@ -314,14 +337,14 @@
                     ctx.write(new DefaultHttp2HeadersFrame(head(), false));
                     trailers(ctx, 13);
                 }
-                case ERROR_ALONE -> ctx.writeAndFlush(new DefaultHttp2HeadersFrame(head().set("grpc-status", "13")
-                        .set("x-pressure", load.get()), true));
+                case ERROR_ALONE -> ctx.writeAndFlush(new DefaultHttp2HeadersFrame(
+                        head().set("grpc-status", "13").set("x-pressure", load.get()), true));
                 case GO_AWAY -> {
                     goodbye(connection, 0);
                     reset(ctx, Http2Error.REFUSED_STREAM);
                 }
                 case DROPPED -> connection.close();
-                default -> { }
+                default -> {}
             }
             message.release();
         }
@@ -336,13 +359,13 @@
         }
 
         private void turnedAway(ChannelHandlerContext ctx) {
-            ctx.writeAndFlush(new DefaultHttp2HeadersFrame(head().set("grpc-status", "14").set("x-turned-away", "1")
-                    .set("x-pressure", load.get()), true));
+            ctx.writeAndFlush(new DefaultHttp2HeadersFrame(
+                    head().set("grpc-status", "14").set("x-turned-away", "1").set("x-pressure", load.get()), true));
         }
 
         private void trailers(ChannelHandlerContext ctx, int status) {
-            ctx.writeAndFlush(new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().set("grpc-status", "" + status)
-                    .set("x-pressure", load.get()), true));
+            ctx.writeAndFlush(new DefaultHttp2HeadersFrame(
+                    new DefaultHttp2Headers().set("grpc-status", "" + status).set("x-pressure", load.get()), true));
         }
 
         private void reset(ChannelHandlerContext ctx, Http2Error code) {
@@ -362,6 +385,9 @@
     /** One message in gRPC's framing: a flag, its length, its bytes. */
     static ByteBuf message(String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        return Unpooled.buffer(5 + bytes.length).writeByte(0).writeInt(bytes.length).writeBytes(bytes);
+        return Unpooled.buffer(5 + bytes.length)
+                .writeByte(0)
+                .writeInt(bytes.length)
+                .writeBytes(bytes);
     }
 }
--- a/src/main/java/rushproxy/standin/HttpClients.java
+++ b/src/main/java/rushproxy/standin/HttpClients.java
@@ -81,10 +81,14 @@
             end(a, 5);
             return;
         }
-        FullHttpRequest m = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                a.kind == Kind.LOOKUP ? HttpMethod.GET : HttpMethod.POST, "/api/" + a.kind.lane);
-        m.headers().set(HttpHeaderNames.HOST, "api.internal").set("X-Txn", a.id).set("X-Lane", a.kind.lane)
-                .set("X-Remaining-Ms", Math.max(1, (a.untilUs - now) / 1000)).set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        FullHttpRequest m = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, a.kind == Kind.LOOKUP ? HttpMethod.GET : HttpMethod.POST, "/api/" + a.kind.lane);
+        m.headers()
+                .set(HttpHeaderNames.HOST, "api.internal")
+                .set("X-Txn", a.id)
+                .set("X-Lane", a.kind.lane)
+                .set("X-Remaining-Ms", Math.max(1, (a.untilUs - now) / 1000))
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0);
         if (a.kind == Kind.CONFIRM) {
             m.headers().set("Idempotency-Key", a.intent);
         }
@@ -131,8 +135,12 @@
                 ctx.close();
             }
             int code = answer.status().code();
-            answered(a, code == 200 ? Referee.Ending.SERVED : code == 429 || code == 503 ? Referee.Ending.REFUSED
-                    : Referee.Ending.FAILED, answer.content().toString(StandardCharsets.UTF_8));
+            answered(
+                    a,
+                    code == 200
+                            ? Referee.Ending.SERVED
+                            : code == 429 || code == 503 ? Referee.Ending.REFUSED : Referee.Ending.FAILED,
+                    answer.content().toString(StandardCharsets.UTF_8));
         }
 
         @Override
@@ -140,7 +148,8 @@
             Asked a = asked;
             asked = null;
             if (a != null && kept && !a.over && !a.crossed) {
-                // The protocol: where a close crosses a request that was not read, it is sent once more, on a new connection.
+                // The protocol: where a close crosses a request that was not read, it is sent once more, on a new
+                // connection.
                 a.crossed = true;
                 List.copyOf(idle).forEach(Channel::close);
                 unsent(a);
--- a/src/main/java/rushproxy/standin/Impostor.java
+++ b/src/main/java/rushproxy/standin/Impostor.java
@@ -16,7 +16,11 @@
 /** Something that has taken a dead node's address and is no booking node. */
 public final class Impostor {
     /** What it does with whatever it is sent. */
-    public enum Manner { SILENT, NOT_FOUND, NOISE }
+    public enum Manner {
+        SILENT,
+        NOT_FOUND,
+        NOISE
+    }
 
     private static final String NOT_FOUND = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
     private static final String NOISE = "220 mail ready\r\n\u0001\u0002\r\n\r\n";
@@ -25,13 +29,18 @@
     private final AtomicInteger requests = new AtomicInteger();
 
     Impostor(EventLoop loop, Manner manner) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channelFactory(NioServerSocketChannel::new)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new Handler(manner, requests));
                     }
-                }).bind("127.0.0.1", 0).sync().channel();
+                })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
     }
 
     public String address() {
@@ -58,8 +67,8 @@
                 requests.incrementAndGet();
             }
             if (manner != Manner.SILENT) {
-                ctx.writeAndFlush(Unpooled.copiedBuffer(manner == Manner.NOISE ? NOISE : NOT_FOUND,
-                        StandardCharsets.ISO_8859_1));
+                ctx.writeAndFlush(
+                        Unpooled.copiedBuffer(manner == Manner.NOISE ? NOISE : NOT_FOUND, StandardCharsets.ISO_8859_1));
             }
         }
 
--- a/src/main/java/rushproxy/standin/Node.java
+++ b/src/main/java/rushproxy/standin/Node.java
@@ -59,6 +59,7 @@
     private final Shape shape;
     /** Coefficient of variation of the work. */
     private final double spread;
+
     private final Set<Channel> connections = new HashSet<>();
     private final ArrayDeque<Job> waiting = new ArrayDeque<>();
     private Channel listener;
@@ -72,6 +73,7 @@
     private final Queue<Ran> ran = new ConcurrentLinkedQueue<>();
     /** Counts the lives of the process: work of an earlier one ends nowhere. */
     private int life;
+
     private volatile int served;
     private volatile GrpcFace grpc;
 
@@ -93,14 +95,18 @@
     }
 
     private ServerBootstrap bind(InetSocketAddress to) {
-        return new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new).localAddress(to)
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(NioServerSocketChannel::new)
+                .localAddress(to)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         connections.add(channel);
                         channel.closeFuture().addListener(f -> connections.remove(channel));
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), new Handler());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY), new Handler());
                     }
                 });
     }
@@ -202,11 +208,14 @@
         long now = clock.now();
         if (now < stalledUntilUs) {
             int before = life;
-            loop.schedule(() -> {
-                if (life == before) {
-                    begin();
-                }
-            }, stalledUntilUs - now, TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        if (life == before) {
+                            begin();
+                        }
+                    },
+                    stalledUntilUs - now,
+                    TimeUnit.MICROSECONDS);
             return;
         }
         while (working < shape.cores() && !waiting.isEmpty()) {
@@ -223,27 +232,33 @@
             return shape.workMs();
         }
         double variance = Math.log(1 + spread * spread);
-        return shape.workMs() * Math.exp(Math.sqrt(variance) * new SplittableRandom(txn.hashCode() * 0x9e3779b97f4a7c15L).nextGaussian() - variance / 2);
+        return shape.workMs()
+                * Math.exp(
+                        Math.sqrt(variance) * new SplittableRandom(txn.hashCode() * 0x9e3779b97f4a7c15L).nextGaussian()
+                                - variance / 2);
     }
 
     private void finishIn(Job job, long begunUs, long us, int ofLife) {
-        loop.schedule(() -> {
-            if (life != ofLife) {
-                return;
-            }
-            long now = clock.now();
-            if (now < stalledUntilUs) {
-                finishIn(job, begunUs, stalledUntilUs - now, ofLife);
-                return;
-            }
-            working--;
-            served++;
-            if (ran.size() < MOST_RAN) {
-                ran.add(new Ran(job.id, job.parent, begunUs, now));
-            }
-            job.served.accept("{\"node\":\"" + id + "\",\"txn\":\"" + job.id + "\"}");
-            begin();
-        }, us, TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    if (life != ofLife) {
+                        return;
+                    }
+                    long now = clock.now();
+                    if (now < stalledUntilUs) {
+                        finishIn(job, begunUs, stalledUntilUs - now, ofLife);
+                        return;
+                    }
+                    working--;
+                    served++;
+                    if (ran.size() < MOST_RAN) {
+                        ran.add(new Ran(job.id, job.parent, begunUs, now));
+                    }
+                    job.served.accept("{\"node\":\"" + id + "\",\"txn\":\"" + job.id + "\"}");
+                    begin();
+                },
+                us,
+                TimeUnit.MICROSECONDS);
     }
 
     /** A request has come whole, by whichever protocol; one of the three runs, or none where the process dies. */
@@ -269,19 +284,23 @@
 
     /** From now on the node speaks gRPC too, on a port of its own. */
     Node speakGrpc() throws InterruptedException {
-        GrpcFace made = new GrpcFace(loop, new GrpcFace.Work() {
-            @Override
-            public void take(String txn, String parent, Consumer<String> served, Runnable turnedAway, Runnable reset) {
-                Node.this.take(txn, parent, served, turnedAway, reset);
-            }
+        GrpcFace made = new GrpcFace(
+                loop,
+                new GrpcFace.Work() {
+                    @Override
+                    public void take(
+                            String txn, String parent, Consumer<String> served, Runnable turnedAway, Runnable reset) {
+                        Node.this.take(txn, parent, served, turnedAway, reset);
+                    }
 
-            @Override
-            public void ran(String txn) {
-                long now = clock.now();
-                referee.attempted(now, World.sidecarOf(txn), id, txn);
-                referee.ran(now, id, zone, txn);
-            }
-        }, this::load);
+                    @Override
+                    public void ran(String txn) {
+                        long now = clock.now();
+                        referee.attempted(now, World.sidecarOf(txn), id, txn);
+                        referee.ran(now, id, zone, txn);
+                    }
+                },
+                this::load);
         made.listen();
         grpc = made;
         return this;
@@ -297,8 +316,12 @@
     }
 
     private String load() {
-        return String.format(Locale.ROOT, "TEXT inflight=%d, queue=%d, util=%.2f", working + waiting.size(),
-                waiting.size(), (double) working / shape.cores());
+        return String.format(
+                Locale.ROOT,
+                "TEXT inflight=%d, queue=%d, util=%.2f",
+                working + waiting.size(),
+                waiting.size(),
+                (double) working / shape.cores());
     }
 
     /** Who asks for {@code ?mb=N} is answered with so much. */
@@ -306,7 +329,9 @@
         int at = uri.indexOf("?mb=");
         ByteBuf[] parts = new ByteBuf[at < 0 ? 0 : Math.min(32, Integer.parseInt(uri.substring(at + 4)))];
         Arrays.setAll(parts, i -> Unpooled.wrappedBuffer(MB));
-        return at < 0 ? Unpooled.copiedBuffer(body, StandardCharsets.UTF_8) : Unpooled.wrappedBuffer(parts.length, parts);
+        return at < 0
+                ? Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)
+                : Unpooled.wrappedBuffer(parts.length, parts);
     }
 
     private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body, boolean turnedAway) {
@@ -314,9 +339,10 @@
     }
 
     private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, ByteBuf body, boolean turnedAway) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                body);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes()).set("X-Pressure", load());
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+                .set("X-Pressure", load());
         if (turnedAway) {
             response.headers().set("X-Turned-Away", "1");
         }
@@ -342,8 +368,12 @@
                 answer(ctx, HttpResponseStatus.NOT_FOUND, "", false);
                 return;
             }
-            take(txn, request.headers().get("traceparent"), body -> answer(ctx, HttpResponseStatus.OK, content(uri, body), false),
-                    () -> answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true), () -> {
+            take(
+                    txn,
+                    request.headers().get("traceparent"),
+                    body -> answer(ctx, HttpResponseStatus.OK, content(uri, body), false),
+                    () -> answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true),
+                    () -> {
                         ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
                         ctx.close();
                     });
--- a/src/main/java/rushproxy/standin/NodeModel.java
+++ b/src/main/java/rushproxy/standin/NodeModel.java
@@ -16,6 +16,7 @@
     private final Shape shape;
     /** When it started cold; 0 for one that is warm. */
     private final long coldSinceUs;
+
     private final ArrayDeque<Push> lately = new ArrayDeque<>();
     private double latelyMs;
     private boolean fallen;
--- a/src/main/java/rushproxy/standin/Otlp.java
+++ b/src/main/java/rushproxy/standin/Otlp.java
@@ -43,12 +43,13 @@
         CodedInputStream in = CodedInputStream.newInstance(message);
         for (int tag; (tag = in.readTag()) != 0; ) {
             int number = WireFormat.getTagFieldNumber(tag);
-            Field f = switch (WireFormat.getTagWireType(tag)) {
-                case WireFormat.WIRETYPE_LENGTH_DELIMITED -> new Field(number, 0, in.readByteArray());
-                case WireFormat.WIRETYPE_FIXED64 -> new Field(number, in.readFixed64(), null);
-                case WireFormat.WIRETYPE_FIXED32 -> new Field(number, in.readFixed32(), null);
-                default -> new Field(number, in.readInt64(), null);
-            };
+            Field f =
+                    switch (WireFormat.getTagWireType(tag)) {
+                        case WireFormat.WIRETYPE_LENGTH_DELIMITED -> new Field(number, 0, in.readByteArray());
+                        case WireFormat.WIRETYPE_FIXED64 -> new Field(number, in.readFixed64(), null);
+                        case WireFormat.WIRETYPE_FIXED32 -> new Field(number, in.readFixed32(), null);
+                        default -> new Field(number, in.readInt64(), null);
+                    };
             if (only == 0 || number == only) {
                 fields.add(f);
             }
@@ -81,9 +82,10 @@
                 case 8 -> end = f.value;
                 case 9 -> attribute(f.bytes, attributes);
                 case 11 -> event(f.bytes, events);
-                case 13 -> links.add(fields(f.bytes, 1).get(0).hex() + " " + fields(f.bytes, 2).get(0).hex());
+                case 13 -> links.add(fields(f.bytes, 1).get(0).hex() + " "
+                        + fields(f.bytes, 2).get(0).hex());
                 case 16 -> flags = f.value;
-                default -> { }
+                default -> {}
             }
         }
         return new Seen(trace, id, parent, name, (int) kind, state, (int) flags, start, end, attributes, events, links);
@@ -125,7 +127,7 @@
                     }
                     return String.join(",", all);
                 }
-                default -> { }
+                default -> {}
             }
         }
         return "";
--- a/src/main/java/rushproxy/standin/Referee.java
+++ b/src/main/java/rushproxy/standin/Referee.java
@@ -16,10 +16,19 @@
  */
 public final class Referee {
     /** How a try ended for its client. */
-    public enum Ending { SERVED, REFUSED, FAILED }
+    public enum Ending {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /** The rules, in the order of the brief. */
-    public enum Rule { ONE_ANSWER, NO_SECOND_EFFECT, DRAINS_KEPT, COLD_SPARED }
+    public enum Rule {
+        ONE_ANSWER,
+        NO_SECOND_EFFECT,
+        DRAINS_KEPT,
+        COLD_SPARED
+    }
 
     /** One break of a rule. */
     public record Foul(Rule rule, long atUs, String what) {
@@ -33,6 +42,7 @@
     private static final long SLACK_US = 50_000;
     /** An answer may be late by so much: the stage shares its core with all it judges. */
     private long lateUs = SLACK_US;
+
     private static final int MOST_FOULS = 100;
 
     private static final class Try {
@@ -62,6 +72,7 @@
     private final Map<String, List<Effect>> effects = new HashMap<>();
     /** When a sidecar was told that a node takes nothing new: by sidecar and node. */
     private final Map<String, Long> toldUs = new HashMap<>();
+
     private final Map<String, Double> coldPeak = new HashMap<>();
     private final List<Foul> fouls = new ArrayList<>();
     private int fouled;
@@ -102,7 +113,10 @@
         }
         t.ending = ending;
         if (atUs > t.untilUs + lateUs) {
-            foul(Rule.ONE_ANSWER, atUs, "the answer to " + id + " came " + (atUs - t.untilUs) / 1000 + " ms after its time");
+            foul(
+                    Rule.ONE_ANSWER,
+                    atUs,
+                    "the answer to " + id + " came " + (atUs - t.untilUs) / 1000 + " ms after its time");
         }
         if (ending == Ending.SERVED && !madeForIt) {
             foul(Rule.ONE_ANSWER, atUs, id + " was served what no node made for it");
@@ -129,8 +143,10 @@
     public void attempted(long atUs, String sidecar, String node, String id) {
         Long told = toldUs.get(sidecar + " " + node);
         if (told != null && atUs > told + graceUs + SLACK_US) {
-            foul(Rule.DRAINS_KEPT, atUs, sidecar + " sent " + id + " to " + node + " " + (atUs - told) / 1000
-                    + " ms after it was told");
+            foul(
+                    Rule.DRAINS_KEPT,
+                    atUs,
+                    sidecar + " sent " + id + " to " + node + " " + (atUs - told) / 1000 + " ms after it was told");
         }
     }
 
@@ -151,13 +167,15 @@
             foul(Rule.NO_SECOND_EFFECT, atUs, id + " ran on " + node + " after it was refused");
         }
         List<Effect> before = effects.computeIfAbsent(t.intent, i -> new ArrayList<>(1));
-        boolean dropped = t.semantics == Semantics.KEYED && before.stream()
-                .anyMatch(e -> e.group.equals(group) && atUs - e.atUs < memoryUs);
+        boolean dropped = t.semantics == Semantics.KEYED
+                && before.stream().anyMatch(e -> e.group.equals(group) && atUs - e.atUs < memoryUs);
         if (!dropped) {
             before.add(new Effect(group, atUs));
             if (before.size() > 1) {
-                foul(Rule.NO_SECOND_EFFECT, atUs, t.intent + " took effect " + before.size() + " times, the last on " + node
-                        + " as " + id);
+                foul(
+                        Rule.NO_SECOND_EFFECT,
+                        atUs,
+                        t.intent + " took effect " + before.size() + " times, the last on " + node + " as " + id);
             }
         }
     }
@@ -175,7 +193,10 @@
     public void pushed(long atUs, String node, double multiple) {
         double before = coldPeak.merge(node, multiple, Math::max);
         if (multiple > fallMultiple && before == multiple) {
-            foul(Rule.COLD_SPARED, atUs, node + " was sent " + Math.round(multiple * 10) / 10.0 + " times what it could do");
+            foul(
+                    Rule.COLD_SPARED,
+                    atUs,
+                    node + " was sent " + Math.round(multiple * 10) / 10.0 + " times what it could do");
         }
     }
 
--- a/src/main/java/rushproxy/standin/Registry.java
+++ b/src/main/java/rushproxy/standin/Registry.java
@@ -69,7 +69,9 @@
 
     /** An address for this sidecar alone: whoever calls there is told in its name. */
     public String addressFor(String sidecar) throws InterruptedException {
-        Channel listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
+        Channel listener = new ServerBootstrap()
+                .group(loop)
+                .channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -80,9 +82,13 @@
                             connections.remove(channel);
                             watches.removeIf(w -> w.from.channel() == channel);
                         });
-                        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(4096), new Handler());
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(4096), new Handler());
                     }
-                }).bind("127.0.0.1", 0).sync().channel();
+                })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
         listeners.add(listener);
         return "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
     }
@@ -139,8 +145,13 @@
 
     /** The most calls in any one second from that one on, in Unix time. */
     public int callsPeakSince(long second) {
-        return loop.submit(() -> callsInSecond.entrySet().stream().filter(e -> e.getKey() >= second)
-                .mapToInt(Map.Entry::getValue).max().orElse(0)).syncUninterruptibly().getNow();
+        return loop.submit(() -> callsInSecond.entrySet().stream()
+                        .filter(e -> e.getKey() >= second)
+                        .mapToInt(Map.Entry::getValue)
+                        .max()
+                        .orElse(0))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     private void call(ChannelHandlerContext ctx, String uri) {
@@ -156,7 +167,8 @@
             return;
         }
         long index = Long.parseLong(query.parameters().get("index").get(0));
-        long waitMs = Long.parseLong(query.parameters().getOrDefault("wait", List.of("0")).get(0));
+        long waitMs = Long.parseLong(
+                query.parameters().getOrDefault("wait", List.of("0")).get(0));
         if (index != version || empty) {
             // What was missed goes back further than is remembered, or it is of another history: all of it.
             tell(ctx, index, index > version || index < BASE);
@@ -164,11 +176,14 @@
         }
         Watch watch = new Watch(ctx, index);
         watches.add(watch);
-        loop.schedule(() -> {
-            if (watches.remove(watch)) {
-                tell(ctx, index, false);
-            }
-        }, waitMs, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    if (watches.remove(watch)) {
+                        tell(ctx, index, false);
+                    }
+                },
+                waitMs,
+                TimeUnit.MILLISECONDS);
     }
 
     private void tell(ChannelHandlerContext ctx, long index, boolean whole) {
@@ -215,7 +230,8 @@
     }
 
     private static void answer(ChannelHandlerContext ctx, HttpResponseStatus status, byte[] body) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         ctx.writeAndFlush(response);
     }
--- a/src/main/java/rushproxy/standin/SidecarProcess.java
+++ b/src/main/java/rushproxy/standin/SidecarProcess.java
@@ -25,11 +25,27 @@
     private static final Pattern ADMIN = Pattern.compile(".*operators call at [^/]*/([0-9.]+):([0-9]+)(?:[^0-9].*)?");
     private static final Pattern GRPC = Pattern.compile(".* takes gRPC on [^/]*/([0-9.]+):([0-9]+)");
     /** Like those of the line {@code run}; a class archive beside the jar is used where there is one. */
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData",
-            "-XX:C1MaxInlineSize=12", "-XX:Tier0InvokeNotifyFreqLog=5", "-XX:Tier3InvocationThreshold=64",
-            "-XX:Tier3MinInvocationThreshold=32", "-XX:Tier3CompileThreshold=640", "-Xshare:auto", "-Xlog:disable", "-Xlog:all=off", "-Xms24m", "-Xmx72m", "-Xss512k",
-            "-Dio.netty.allocator.type=pooled", "-Dio.netty.allocator.numDirectArenas=1", "-Dio.netty.allocator.numHeapArenas=1",
-            "-Dio.netty.allocator.maxOrder=3", "-Dio.netty.leakDetection.level=disabled", "-Dio.netty.jfr.enabled=false");
+    private static final List<String> FLAGS = List.of(
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData",
+            "-XX:C1MaxInlineSize=12",
+            "-XX:Tier0InvokeNotifyFreqLog=5",
+            "-XX:Tier3InvocationThreshold=64",
+            "-XX:Tier3MinInvocationThreshold=32",
+            "-XX:Tier3CompileThreshold=640",
+            "-Xshare:auto",
+            "-Xlog:disable",
+            "-Xlog:all=off",
+            "-Xms24m",
+            "-Xmx72m",
+            "-Xss512k",
+            "-Dio.netty.allocator.type=pooled",
+            "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.numHeapArenas=1",
+            "-Dio.netty.allocator.maxOrder=3",
+            "-Dio.netty.leakDetection.level=disabled",
+            "-Dio.netty.jfr.enabled=false");
 
     private record Awaited(Predicate<String> line, CompletableFuture<String> came) {}
 
@@ -50,7 +66,8 @@
     }
 
     /** {@code environment}: more variables that it is started with. */
-    SidecarProcess(String name, Path config, Path operator, List<String> wrapper, Map<String, String> environment) throws IOException {
+    SidecarProcess(String name, Path config, Path operator, List<String> wrapper, Map<String, String> environment)
+            throws IOException {
         this.name = name;
         List<String> command = new ArrayList<>(wrapper);
         command.addAll(java());
@@ -84,11 +101,13 @@
     }
 
     private void read() {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line; (line = in.readLine()) != null; ) {
                 Matcher m = SERVES.matcher(line);
                 if (m.matches()) {
-                    listening.complete(new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2))));
+                    listening.complete(
+                            new InetSocketAddress(InetAddress.getByName(m.group(1)), Integer.parseInt(m.group(2))));
                 }
                 synchronized (log) {
                     log.add(line);
@@ -143,7 +162,9 @@
     }
 
     private void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                .start()
+                .waitFor();
     }
 
     /** Where its gRPC clients connect. */
--- a/src/main/java/rushproxy/standin/World.java
+++ b/src/main/java/rushproxy/standin/World.java
@@ -97,12 +97,16 @@
     public static String grpcTable() {
         StringBuilder t = new StringBuilder("[grpc]\nlisten = \"127.0.0.1:0\"\n");
         for (Clients.Kind k : Clients.Kind.values()) {
-            t.append("[[grpc.method]]\nname = \"stage.Booking/").append(k.method).append("\"\nclass = \"").append(k.lane)
+            t.append("[[grpc.method]]\nname = \"stage.Booking/")
+                    .append(k.method)
+                    .append("\"\nclass = \"")
+                    .append(k.lane)
                     .append("\"\n");
         }
         return t.append("[[grpc.method]]\nname = \"stage.Booking/Echo\"\nclass = \"note-change\"\nstreams = true\n")
                 .append("[[grpc.method]]\nname = \"stage.Booking/LateEcho\"\nclass = \"note-change\"\nstreams = true\n")
-                .append("[grpc.other]\nclass = \"note-change\"\n").toString();
+                .append("[grpc.other]\nclass = \"note-change\"\n")
+                .toString();
     }
 
     static String sidecarOf(String id) {
@@ -147,7 +151,8 @@
 
     public Node node() throws InterruptedException {
         int number = nodes.size();
-        Node node = new Node(loop, clock, referee, "n" + number, ZONES.get(number % ZONES.size()), shape, spread).listen();
+        Node node =
+                new Node(loop, clock, referee, "n" + number, ZONES.get(number % ZONES.size()), shape, spread).listen();
         if (grpc) {
             node.speakGrpc();
         }
@@ -212,7 +217,9 @@
         int number = sidecars.size();
         String name = "s" + number;
         Path file = config(name);
-        Files.write(file, Json.write(configuration(name, Long.toHexString(0x5eedL + number), known, settings(number % of, of))));
+        Files.write(
+                file,
+                Json.write(configuration(name, Long.toHexString(0x5eedL + number), known, settings(number % of, of))));
         Path operatorFile = null;
         if (operator != null) {
             operatorFile = Files.writeString(operatorFile(name), operator);
@@ -227,12 +234,14 @@
      *
      * @param peers what its configuration says of peers
      */
-    public SidecarProcess peered(int of, Map<String, Object> known, Map<String, Object> peers) throws IOException, InterruptedException {
+    public SidecarProcess peered(int of, Map<String, Object> known, Map<String, Object> peers)
+            throws IOException, InterruptedException {
         return peered(of, known, peers, null);
     }
 
     /** The same with an operator's file, null for none, and an address for operators. */
-    public SidecarProcess peered(int of, Map<String, Object> known, Map<String, Object> peers, String operator) throws IOException, InterruptedException {
+    public SidecarProcess peered(int of, Map<String, Object> known, Map<String, Object> peers, String operator)
+            throws IOException, InterruptedException {
         int number = sidecars.size();
         String name = "s" + number;
         Map<String, Object> settings = settings(number % of, of, !peers.isEmpty());
@@ -256,7 +265,8 @@
     /** Of its files; with no folder that it would share with a second process of its own. */
     private SidecarProcess alone(String name) throws IOException {
         Path operator = operatorFile(name);
-        return new SidecarProcess(name, config(name), Files.exists(operator) ? operator : null, List.of(), Map.of("TMPDIR", ""));
+        return new SidecarProcess(
+                name, config(name), Files.exists(operator) ? operator : null, List.of(), Map.of("TMPDIR", ""));
     }
 
     /** Another process under the name of one that has ended, with the same configuration. */
@@ -287,8 +297,11 @@
     public SidecarProcess beside(SidecarProcess old) throws Exception {
         String text = Files.readString(config(old.name()));
         InetSocketAddress at = old.address();
-        Files.writeString(config(old.name()), text.replaceFirst("\"listen\":\"[^\"]*\"",
-                "\"listen\":\"" + at.getAddress().getHostAddress() + ":" + at.getPort() + "\""));
+        Files.writeString(
+                config(old.name()),
+                text.replaceFirst(
+                        "\"listen\":\"[^\"]*\"",
+                        "\"listen\":\"" + at.getAddress().getHostAddress() + ":" + at.getPort() + "\""));
         return started(old.name());
     }
 
@@ -299,13 +312,19 @@
     }
 
     private SidecarProcess started(String name) throws IOException {
-        SidecarProcess process = new SidecarProcess(name, config(name), null, List.of(), Map.of("TMPDIR", folder.resolve(name + "-tmp").toString()));
+        SidecarProcess process = new SidecarProcess(
+                name,
+                config(name),
+                null,
+                List.of(),
+                Map.of("TMPDIR", folder.resolve(name + "-tmp").toString()));
         sidecars.add(process);
         return process;
     }
 
     /** What all sidecars of this stage are told. */
-    private Map<String, Object> configuration(String name, String seed, Map<String, Object> known, Map<String, Object> settings)
+    private Map<String, Object> configuration(
+            String name, String seed, Map<String, Object> known, Map<String, Object> settings)
             throws InterruptedException {
         Map<String, Object> config = new LinkedHashMap<>();
         config.put("name", name);
@@ -343,11 +362,40 @@
         s.put("kinds", List.of("stand-in"));
         s.put("discovery", "on_request");
         s.put("profiles", profiles);
-        s.put("rules", Map.of("drain_grace_us", GRACE_US, "cold_share", shape.coldShare(), "ramp_time_us",
-                shape.rampMs() * 1000, "fall_multiple", NodeModel.FALL_MULTIPLE, "fall_us", NodeModel.FALL_US,
-                "ask_every_us", 10_000_000));
-        s.put("limits", Map.of("max_attempts", 4, "dial_timeout_us", 250_000, "conn_idle_us", 15_000_000, "probing", true,
-                "retry_after", true, "max_retry_after_us", 1_000_000, "cancelling", true, "peers", peers));
+        s.put(
+                "rules",
+                Map.of(
+                        "drain_grace_us",
+                        GRACE_US,
+                        "cold_share",
+                        shape.coldShare(),
+                        "ramp_time_us",
+                        shape.rampMs() * 1000,
+                        "fall_multiple",
+                        NodeModel.FALL_MULTIPLE,
+                        "fall_us",
+                        NodeModel.FALL_US,
+                        "ask_every_us",
+                        10_000_000));
+        s.put(
+                "limits",
+                Map.of(
+                        "max_attempts",
+                        4,
+                        "dial_timeout_us",
+                        250_000,
+                        "conn_idle_us",
+                        15_000_000,
+                        "probing",
+                        true,
+                        "retry_after",
+                        true,
+                        "max_retry_after_us",
+                        1_000_000,
+                        "cancelling",
+                        true,
+                        "peers",
+                        peers));
         s.put("load_info", Map.of("how", "inline", "fields", List.of("inflight", "queue", "util")));
         return s;
     }
@@ -373,7 +421,8 @@
         Bootstrap bootstrap = Dialling.http(loop, 500, 4096, () -> new SimpleChannelInboundHandler<FullHttpResponse>() {
             @Override
             public void channelActive(ChannelHandlerContext ctx) {
-                DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/health/ready");
+                DefaultFullHttpRequest ask =
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/health/ready");
                 ask.headers().set(HttpHeaderNames.HOST, "api.internal");
                 ctx.writeAndFlush(ask);
             }
@@ -423,7 +472,7 @@
 
     /** Waits on the stage's loop for so long: for measurements, which have a length. */
     public void play(long ms) {
-        loop.schedule(() -> { }, ms, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        loop.schedule(() -> {}, ms, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
     /** What all clients together saw of the requests sent in [from, to) seconds after each began. */
@@ -452,9 +501,11 @@
         // What comes now comes after an answer.
         play(200);
         return loop.submit(() -> {
-            referee.end(clock.now());
-            return new Verdict(referee.count(), referee.fouls(), referee.coldPeak(), referee.tries());
-        }).syncUninterruptibly().getNow();
+                    referee.end(clock.now());
+                    return new Verdict(referee.count(), referee.fouls(), referee.coldPeak(), referee.tries());
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     @Override
--- a/src/main/java/rushproxy/standin/fleet/Links.java
+++ b/src/main/java/rushproxy/standin/fleet/Links.java
@@ -21,6 +21,7 @@
     private final Set<Long> cut = new HashSet<>();
     /** What each has said, for the day on which it lies. */
     private final Map<Integer, FalseWords> falsehoods = new HashMap<>();
+
     private final Map<Integer, FalseWords.Lie> lies = new HashMap<>();
     private long delayUs;
     private double loss;
