--- a/src/main/java/rushproxy/standin/fleet/Pipes.java
+++ b/src/main/java/rushproxy/standin/fleet/Pipes.java
@@ -70,13 +70,19 @@
         if (known == null) {
             known = new Relay(to);
             Relay made = known;
-            made.listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new).childOption(ChannelOption.AUTO_READ, false)
+            made.listener = new ServerBootstrap()
+                    .group(loop)
+                    .channelFactory(NioServerSocketChannel::new)
+                    .childOption(ChannelOption.AUTO_READ, false)
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel client) {
                             new Pipe(made, client);
                         }
-                    }).bind("127.0.0.1", 0).syncUninterruptibly().channel();
+                    })
+                    .bind("127.0.0.1", 0)
+                    .syncUninterruptibly()
+                    .channel();
             relays.put(new Key(of, upstream), made);
         }
         return "127.0.0.1:" + ((InetSocketAddress) known.listener.localAddress()).getPort();
@@ -91,11 +97,12 @@
             }
         });
         loop.submit(() -> {
-            for (Relay r : met) {
-                r.way = way;
-                List.copyOf(r.pipes).forEach(Pipe::changed);
-            }
-        }).syncUninterruptibly();
+                    for (Relay r : met) {
+                        r.way = way;
+                        List.copyOf(r.pipes).forEach(Pipe::changed);
+                    }
+                })
+                .syncUninterruptibly();
     }
 
     /** Reads that were lost on a cut way. */
@@ -120,8 +127,13 @@
                 return;
             }
             client.pipeline().addLast(new Half(true));
-            new Bootstrap().group(loop).channelFactory(NioSocketChannel::new).option(ChannelOption.AUTO_READ, false).handler(new Half(false))
-                    .connect(relay.to).addListener((io.netty.channel.ChannelFuture f) -> {
+            new Bootstrap()
+                    .group(loop)
+                    .channelFactory(NioSocketChannel::new)
+                    .option(ChannelOption.AUTO_READ, false)
+                    .handler(new Half(false))
+                    .connect(relay.to)
+                    .addListener((io.netty.channel.ChannelFuture f) -> {
                         if (!f.isSuccess() || !client.isActive()) {
                             f.channel().close();
                             reset();
--- a/src/main/java/rushproxy/standin/fleet/Processes.java
+++ b/src/main/java/rushproxy/standin/fleet/Processes.java
@@ -36,9 +36,11 @@
 public final class Processes implements AutoCloseable {
     /** 34 MB each, and 0.66 s of a core to start. */
     public static final int MOST = 300;
+
     private static final long MOST_LENGTH_US = 600_000_000;
     /** Started at the same time: a machine has so many cores. */
     private static final int AT_ONCE = 16;
+
     private static final long SETTLE_MS = 1_500;
     /** Before the scenario's own time: this process, like theirs, is slow until it has run for a while; and theirs share the cores while they are. */
     private static final int WARM_S = 3, WARM_EACH_S = 8;
@@ -49,15 +51,35 @@
      * @param busiest the busiest node's time at work over the mean node's, in the worst second
      * @param words   that were said, each to one, and their bytes
      */
-    public record Played(Clients.Tally all, List<Double> bySecond, double busiest, World.Verdict verdict, long words, long bytes, long lost) {
+    public record Played(
+            Clients.Tally all,
+            List<Double> bySecond,
+            double busiest,
+            World.Verdict verdict,
+            long words,
+            long bytes,
+            long lost) {
         public double served() {
             return all.inTimeShare();
         }
 
         public String line() {
-            return String.format(Locale.ROOT, "processes  served %.3f  of %d: late %d, refused %d, failed %d, unreachable %d  busiest node %.2f of the mean  "
-                    + "%d words (%d bytes a word, %d lost)  rules broken %d %s", served(), all.sent(), all.late(), all.refused(), all.failed(),
-                    all.unreachable(), busiest, words, words == 0 ? 0 : bytes / words, lost, verdict.fouls(), verdict.first().stream().limit(3).toList());
+            return String.format(
+                    Locale.ROOT,
+                    "processes  served %.3f  of %d: late %d, refused %d, failed %d, unreachable %d  busiest node %.2f of the mean  "
+                            + "%d words (%d bytes a word, %d lost)  rules broken %d %s",
+                    served(),
+                    all.sent(),
+                    all.late(),
+                    all.refused(),
+                    all.failed(),
+                    all.unreachable(),
+                    busiest,
+                    words,
+                    words == 0 ? 0 : bytes / words,
+                    lost,
+                    verdict.fouls(),
+                    verdict.first().stream().limit(3).toList());
         }
     }
 
@@ -68,11 +90,13 @@
     private final Pipes pipes;
     /** The group of each sidecar, by its number: those of one group share their ways. */
     private final IntUnaryOperator groups;
+
     private final List<SidecarProcess> sidecars = new ArrayList<>();
     private final Function<Path, String> operator;
     private final List<Clients> clients = new ArrayList<>();
     /** When the clients of each began, seconds after the first could. */
     private final List<Integer> begunS = new ArrayList<>();
+
     private final SplittableRandom draws;
     private final Queue<CompletableFuture<Void>> troubles = new ConcurrentLinkedQueue<>();
     private final Thread hook = new Thread(this::killAll);
@@ -93,7 +117,8 @@
     }
 
     /** {@code operator}: the text of each sidecar's operator's file, made of the play's folder; null for none. */
-    public Processes(Scenario scenario, boolean patient, IntUnaryOperator groups, Function<Path, String> operator) throws Exception {
+    public Processes(Scenario scenario, boolean patient, IntUnaryOperator groups, Function<Path, String> operator)
+            throws Exception {
         this.operator = operator;
         check(scenario);
         this.groups = groups;
@@ -102,7 +127,12 @@
         draws = new SplittableRandom(scenario.seed());
         Scenario.Machine m = scenario.machines().get(0);
         Scenario.Nodes n = scenario.nodes();
-        world = new World(new Shape(m.cores(), scenario.classes().get(0).workUs() / 1000, n.waiting(), n.coldShare(), n.rampUs() / 1000))
+        world = new World(new Shape(
+                        m.cores(),
+                        scenario.classes().get(0).workUs() / 1000,
+                        n.waiting(),
+                        n.coldShare(),
+                        n.rampUs() / 1000))
                 .spread(scenario.classes().get(0).spread());
         if (patient) {
             world.patient();
@@ -110,7 +140,8 @@
         Links links = new Links(scenario.seed());
         links.delay(scenario.net().peerUs());
         links.trouble(scenario.net().peerLoss(), 0, 0);
-        words = new WordSwitch(Math.max(scenario.fleet().told(), scenario.fleet().sidecars()), links);
+        words = new WordSwitch(
+                Math.max(scenario.fleet().told(), scenario.fleet().sidecars()), links);
         Runtime.getRuntime().addShutdownHook(hook);
         try {
             start();
@@ -132,17 +163,29 @@
         for (int i = 0; same && i < lanes.size(); i++) {
             Scenario.Kind k = s.classes().get(i);
             World.Lane l = lanes.get(i);
-            same = k.spec().name().equals(l.name()) && k.spec().semantics() == l.semantics() && Math.abs(k.share() - l.share()) < 1e-9
-                    && k.spec().aimUs() == l.aimMs() * 1000 && k.spec().deadlineUs() == l.giveUpMs() * 1000
-                    && k.workUs() == s.classes().get(0).workUs() && k.spread() == s.classes().get(0).spread();
+            same = k.spec().name().equals(l.name())
+                    && k.spec().semantics() == l.semantics()
+                    && Math.abs(k.share() - l.share()) < 1e-9
+                    && k.spec().aimUs() == l.aimMs() * 1000
+                    && k.spec().deadlineUs() == l.giveUpMs() * 1000
+                    && k.workUs() == s.classes().get(0).workUs()
+                    && k.spread() == s.classes().get(0).spread();
         }
         wanted(s, same, "class", "the stage's, of equal work: " + lanes);
         for (int i = 0; i < s.faults().size(); i++) {
             Fault f = s.faults().get(i);
-            boolean can = switch (f.kind()) {
-                case CRASH, STALL, RESTART, REGISTRY_DOWN, PEERS_LOST, PEERS_GARBLED, PEERS_LATE, PEERS_FALSE -> true;
-                default -> false;
-            };
+            boolean can =
+                    switch (f.kind()) {
+                        case CRASH,
+                                STALL,
+                                RESTART,
+                                REGISTRY_DOWN,
+                                PEERS_LOST,
+                                PEERS_GARBLED,
+                                PEERS_LATE,
+                                PEERS_FALSE -> true;
+                        default -> false;
+                    };
             wanted(s, can, "event " + (i + 1) + ", '" + f + "'", "something that processes can play");
         }
     }
@@ -164,8 +207,15 @@
             List<SidecarProcess> batch = new ArrayList<>();
             for (int i = from; i < Math.min(count, from + AT_ONCE); i++) {
                 int number = i;
-                Map<String, Object> known = World.list(40, world.nodes().stream().map(n -> World.Listed.of(n, found(number, n))).toList());
-                batch.add(world.peered(told, known, scenario.sidecar().limits().peers() ? words.config(i) : Map.of(),
+                Map<String, Object> known = World.list(
+                        40,
+                        world.nodes().stream()
+                                .map(n -> World.Listed.of(n, found(number, n)))
+                                .toList());
+                batch.add(world.peered(
+                        told,
+                        known,
+                        scenario.sidecar().limits().peers() ? words.config(i) : Map.of(),
                         operator == null ? null : operator.apply(world.folder())));
                 clients.add(world.clients("s" + i));
             }
@@ -177,7 +227,9 @@
     }
 
     private String found(int sidecar, Node node) {
-        return pipes == null ? node.address() : pipes.address(groups.applyAsInt(sidecar), node.id(), node.socketAddress());
+        return pipes == null
+                ? node.address()
+                : pipes.address(groups.applyAsInt(sidecar), node.id(), node.socketAddress());
     }
 
     /** From now on between this group of sidecars and such nodes. */
@@ -290,7 +342,10 @@
             }
             case PEERS_LOST, PEERS_GARBLED -> {
                 boolean lost = f.kind() == Fault.Kind.PEERS_LOST;
-                at(f.atUs(), () -> inBackground(() -> trouble(lost ? 1 : scenario.net().peerLoss(), 0, lost ? 0 : 1)));
+                at(
+                        f.atUs(),
+                        () -> inBackground(
+                                () -> trouble(lost ? 1 : scenario.net().peerLoss(), 0, lost ? 0 : 1)));
                 after(f, () -> inBackground(() -> trouble(scenario.net().peerLoss(), 0, 0)));
             }
             case PEERS_LATE -> {
@@ -363,8 +418,14 @@
         for (int s = from; s < to; s++) {
             bySecond.add(tally(s, s + 1).inTimeShare());
         }
-        return new Played(tally(from, to), bySecond, busiest(begunUs, from, to), verdict, words.links(Links::words),
-                words.links(Links::bytes), words.links(Links::lost));
+        return new Played(
+                tally(from, to),
+                bySecond,
+                busiest(begunUs, from, to),
+                verdict,
+                words.links(Links::words),
+                words.links(Links::bytes),
+                words.links(Links::lost));
     }
 
     /** The last second is of ending. */
@@ -376,7 +437,8 @@
                 for (long t = r.begunUs(); t < r.endedUs(); ) {
                     int second = (int) ((t - begunUs) / 1_000_000);
                     long until = Math.min(r.endedUs(), begunUs + (second + 1) * 1_000_000L);
-                    at.computeIfAbsent(second, s -> new LinkedHashMap<>()).merge(n.id(), (double) (until - t), Double::sum);
+                    at.computeIfAbsent(second, s -> new LinkedHashMap<>())
+                            .merge(n.id(), (double) (until - t), Double::sum);
                     t = until;
                 }
             }
--- a/src/main/java/rushproxy/standin/fleet/WordSwitch.java
+++ b/src/main/java/rushproxy/standin/fleet/WordSwitch.java
@@ -48,17 +48,22 @@
     }
 
     private Channel open(int of) throws InterruptedException {
-        return new Bootstrap().group(loop).channelFactory(NioDatagramChannel::new).handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                heard(packet, of);
-            }
+        return new Bootstrap()
+                .group(loop)
+                .channelFactory(NioDatagramChannel::new)
+                .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                        heard(packet, of);
+                    }
 
-            /** One that has died takes no words: no reason to stop. */
-            @Override
-            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            }
-        }).bind("127.0.0.1", 0).sync().channel();
+                    /** One that has died takes no words: no reason to stop. */
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
+                })
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
     }
 
     private static String own(int sidecar) {
--- a/src/main/java/rushproxy/subset/Ring.java
+++ b/src/main/java/rushproxy/subset/Ring.java
@@ -38,18 +38,23 @@
     static List<Upstream> order(List<Upstream> nodes, int ring) {
         Map<List<String>, List<Upstream>> strata = new LinkedHashMap<>();
         for (Upstream u : nodes) {
-            strata.computeIfAbsent(List.of(u.zone(), u.kind()), k -> new ArrayList<>()).add(u);
+            strata.computeIfAbsent(List.of(u.zone(), u.kind()), k -> new ArrayList<>())
+                    .add(u);
         }
         record Dealt(Upstream node, double at, int hash) {}
         List<Dealt> dealt = new ArrayList<>(nodes.size());
         strata.forEach((stratum, of) -> {
-            of.sort(Comparator.comparingInt((Upstream u) -> mix(u.id().hashCode(), ring)).thenComparing(Upstream::id));
+            of.sort(Comparator.comparingInt((Upstream u) -> mix(u.id().hashCode(), ring))
+                    .thenComparing(Upstream::id));
             double offset = (mix(stratum.hashCode(), ring) & 0xffff) / 65536.0;
             for (int i = 0; i < of.size(); i++) {
-                dealt.add(new Dealt(of.get(i), (i + offset) / of.size(), mix(of.get(i).id().hashCode(), ring)));
+                dealt.add(new Dealt(
+                        of.get(i), (i + offset) / of.size(), mix(of.get(i).id().hashCode(), ring)));
             }
         });
-        dealt.sort(Comparator.comparingDouble(Dealt::at).thenComparingInt(Dealt::hash).thenComparing(d -> d.node.id()));
+        dealt.sort(Comparator.comparingDouble(Dealt::at)
+                .thenComparingInt(Dealt::hash)
+                .thenComparing(d -> d.node.id()));
         return dealt.stream().map(Dealt::node).toList();
     }
 
--- a/src/main/java/rushproxy/subset/Subset.java
+++ b/src/main/java/rushproxy/subset/Subset.java
@@ -39,6 +39,7 @@
     private List<String> chosen = List.of();
     /** Nodes that were left, until when they are still told of. */
     private final Map<String, Long> leaving = new LinkedHashMap<>();
+
     private final Map<String, Doubt> doubts = new HashMap<>();
     private double perSecond;
     private long rateAtUs;
@@ -57,7 +58,9 @@
     /** Of so many sidecars, those that share one's nodes: what the module is told, whose rates and turns are of its nodes alone. */
     public static int sharers(Options options, int sidecars, int nodes) {
         int fleet = options.sidecars() > 0 ? options.sidecars() : sidecars;
-        return nodes <= options.least() ? fleet : Math.max(1, (int) Math.round((double) fleet * options.least() / nodes));
+        return nodes <= options.least()
+                ? fleet
+                : Math.max(1, (int) Math.round((double) fleet * options.least() / nodes));
     }
 
     /** How an attempt ended: {@code lost} where the node was silent or not to be reached. */
@@ -82,7 +85,8 @@
     /** The list is this now, each with its state. */
     public void listed(List<Upstream> nodes) {
         all = List.copyOf(nodes);
-        ordered = Ring.order(all.stream().filter(u -> u.state() == UpstreamState.READY).toList(), me % rings);
+        ordered = Ring.order(
+                all.stream().filter(u -> u.state() == UpstreamState.READY).toList(), me % rings);
         listed = all.stream().map(Upstream::id).collect(Collectors.toSet());
         doubts.keySet().retainAll(listed);
         leaving.keySet().retainAll(listed);
@@ -144,8 +148,17 @@
             if (chosen.contains(u.id())) {
                 told.add(u);
             } else if (leaving.containsKey(u.id())) {
-                told.add(new Upstream(u.id(), u.zone(), u.kind(), u.cell(), u.startedUs(), u.weight(), UpstreamState.DRAINING, u.doubt(),
-                        u.coldSinceUs(), u.speaks()));
+                told.add(new Upstream(
+                        u.id(),
+                        u.zone(),
+                        u.kind(),
+                        u.cell(),
+                        u.startedUs(),
+                        u.weight(),
+                        UpstreamState.DRAINING,
+                        u.doubt(),
+                        u.coldSinceUs(),
+                        u.speaks()));
             }
         }
         return told;
--- a/src/main/java/rushproxy/toml/Table.java
+++ b/src/main/java/rushproxy/toml/Table.java
@@ -27,8 +27,8 @@
  */
 public final class Table {
     private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|min|h|d)");
-    private static final Map<String, Long> DURATION_US = Map.of("ms", 1_000L, "s", 1_000_000L, "min", 60_000_000L,
-            "h", 3_600_000_000L, "d", 86_400_000_000L);
+    private static final Map<String, Long> DURATION_US =
+            Map.of("ms", 1_000L, "s", 1_000_000L, "min", 60_000_000L, "h", 3_600_000_000L, "d", 86_400_000_000L);
     private static final Pattern SIZE = Pattern.compile("([0-9]{1,9})(B|KiB|MiB)");
     private static final Map<String, Long> SIZE_BYTES = Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20);
 
@@ -44,6 +44,7 @@
 
     /** Values that stand in for what the file says, by their whole names, and those of them that were asked for. */
     private final Map<String, Object> instead;
+
     private final Set<String> taken;
 
     private Table(String file, String path, TomlTable table, int line, Map<String, Object> instead, Set<String> taken) {
@@ -80,7 +81,8 @@
         if (value == null) {
             String inside = name(key) + ".";
             // A table of which other values alone speak.
-            return instead.keySet().stream().noneMatch(k -> k.startsWith(inside)) ? null
+            return instead.keySet().stream().noneMatch(k -> k.startsWith(inside))
+                    ? null
                     : new Table(file, name(key), Toml.parse(""), line, instead, taken);
         }
         if (!(value instanceof TomlTable t)) {
@@ -108,7 +110,8 @@
     /** Bytes. */
     public long size(String key, String absent, String least, String most) throws Broken {
         Object value = value(key);
-        long bytes = value == null ? scaled(SIZE, SIZE_BYTES, absent)
+        long bytes = value == null
+                ? scaled(SIZE, SIZE_BYTES, absent)
                 : value instanceof String s ? scaled(SIZE, SIZE_BYTES, s) : -1;
         if (bytes < scaled(SIZE, SIZE_BYTES, least) || bytes > scaled(SIZE, SIZE_BYTES, most)) {
             throw broken(key, "a size from \"" + least + "\" to \"" + most + "\" with its unit (B, KiB, MiB)", value);
@@ -177,7 +180,8 @@
         if (value instanceof TomlArray array) {
             for (int i = 0; i < array.size(); i++) {
                 if (array.get(i) instanceof TomlTable t) {
-                    tables.add(new Table(file, name(key), t, array.inputPositionOf(i).line(), Map.of(), taken));
+                    tables.add(new Table(
+                            file, name(key), t, array.inputPositionOf(i).line(), Map.of(), taken));
                 }
             }
         }
@@ -253,7 +257,10 @@
 
     /** For the whole of a file, when all of it has been read: names that stand in for nothing; none where all is well. */
     public List<String> untaken() {
-        return instead.keySet().stream().filter(k -> !taken.contains(k)).sorted().toList();
+        return instead.keySet().stream()
+                .filter(k -> !taken.contains(k))
+                .sorted()
+                .toList();
     }
 
     /** All keys of the table with their values, which may be of any kind; it asks no more of them. */
@@ -270,8 +277,11 @@
     }
 
     private Broken broken(String key, String expected, Object found) {
-        String what = found == null ? "nothing" : found instanceof String s ? "\"" + s + "\""
-                : found instanceof TomlTable ? "a table" : String.valueOf(found);
+        String what = found == null
+                ? "nothing"
+                : found instanceof String s
+                        ? "\"" + s + "\""
+                        : found instanceof TomlTable ? "a table" : String.valueOf(found);
         return new Broken(file + ":" + line(key) + ": " + name(key) + ": expected " + expected + ", found " + what);
     }
 
--- a/src/main/java/rushproxy/trace/Randomness.java
+++ b/src/main/java/rushproxy/trace/Randomness.java
@@ -15,7 +15,8 @@
     static long of(long low, String state) {
         String told = state.isEmpty() ? null : TraceState.field(state, "rv");
         return told != null && told.length() == BITS / 4 && SpanContext.allHex(told, 0, told.length())
-                ? SpanContext.hex(told, 0, told.length()) : low & RANGE - 1;
+                ? SpanContext.hex(told, 0, told.length())
+                : low & RANGE - 1;
     }
 
     /** What a trace's randomness must reach to be chosen with this probability; {@link Long#MAX_VALUE} for never. */
--- a/src/main/java/rushproxy/trace/Reason.java
+++ b/src/main/java/rushproxy/trace/Reason.java
@@ -22,7 +22,11 @@
     ORDINARY(Pool.ORDINARY);
 
     /** What shares one rate, the one that gives way last first. */
-    public enum Pool { TROUBLE, NOTED, ORDINARY }
+    public enum Pool {
+        TROUBLE,
+        NOTED,
+        ORDINARY
+    }
 
     final Pool pool;
 
--- a/src/main/java/rushproxy/trace/Sampler.java
+++ b/src/main/java/rushproxy/trace/Sampler.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import rushproxy.Balancer.Outcome;
 import rushproxy.trace.Reason.Pool;
-import rushproxy.trace.Trace.How;
 import rushproxy.trace.Trace.Step;
 
 /**
@@ -47,9 +46,11 @@
         Thinner thinner = thinners.get(pool);
         if (pool == Pool.ORDINARY) {
             // Its lot was drawn at its start, so that the upstreams know of it too.
-            return new Verdict(reasons, pool, t.lot() >= 0 && thinner.take(nowUs) ? 1 / Randomness.probability(t.lot()) : 0);
+            return new Verdict(
+                    reasons, pool, t.lot() >= 0 && thinner.take(nowUs) ? 1 / Randomness.probability(t.lot()) : 0);
         }
-        boolean passes = thinner.passes(nowUs, Randomness.of(t.context().low(), t.context().state()));
+        boolean passes = thinner.passes(
+                nowUs, Randomness.of(t.context().low(), t.context().state()));
         return new Verdict(reasons, pool, passes && thinner.take(nowUs) ? thinner.weight() : 0);
     }
 
@@ -60,7 +61,7 @@
             case FAILED -> reasons.add(Reason.FAILED);
             case REFUSED -> reasons.add(Reason.REFUSED);
             case LEFT -> reasons.add(Reason.LEFT);
-            case SERVED -> { }
+            case SERVED -> {}
         }
         boolean bad = false;
         for (Step s : t.steps()) {
@@ -75,7 +76,8 @@
         if (t.start().resent() || t.link() != null) {
             reasons.add(Reason.RESENT);
         }
-        long tookUs = (firstWordUs(t) == 0 ? t.answeredUs() : firstWordUs(t)) - t.start().sentUs()
+        long tookUs = (firstWordUs(t) == 0 ? t.answeredUs() : firstWordUs(t))
+                - t.start().sentUs()
                 + t.start().unreadUs();
         if (tookUs > t.start().aimUs() * how.slowShare()) {
             reasons.add(Reason.SLOW);
--- a/src/main/java/rushproxy/trace/Sampling.java
+++ b/src/main/java/rushproxy/trace/Sampling.java
@@ -13,5 +13,11 @@
  * @param remembered        keyed requests that are remembered, so that the client's own retry joins their trace
  * @param retryWindowUs     for how long they are
  */
-public record Sampling(double troublePerSecond, double notedPerSecond, double ordinaryPerSecond, double slowShare,
-                       Set<String> marked, int remembered, long retryWindowUs) {}
+public record Sampling(
+        double troublePerSecond,
+        double notedPerSecond,
+        double ordinaryPerSecond,
+        double slowShare,
+        Set<String> marked,
+        int remembered,
+        long retryWindowUs) {}
--- a/src/main/java/rushproxy/trace/SpanContext.java
+++ b/src/main/java/rushproxy/trace/SpanContext.java
@@ -16,6 +16,7 @@
     public static final int SAMPLED = 1;
     /** The trace's id was drawn at random, at least its last seven bytes. */
     public static final int RANDOM = 2;
+
     private static final int LENGTH = 55, HIGH = 3, LOW = 19, SPAN = 36, FLAGS = 53;
 
     /**
@@ -28,7 +29,11 @@
         }
         CharSequence p = parents.get(0);
         int version = p.length() < LENGTH ? -1 : (int) hex(p, 0, 2);
-        boolean form = version >= 0 && version != 0xff && p.charAt(2) == '-' && p.charAt(35) == '-' && p.charAt(52) == '-'
+        boolean form = version >= 0
+                && version != 0xff
+                && p.charAt(2) == '-'
+                && p.charAt(35) == '-'
+                && p.charAt(52) == '-'
                 && (p.length() == LENGTH || version > 0 && p.charAt(LENGTH) == '-');
         if (!form || !allHex(p, HIGH, 35) || !allHex(p, SPAN, 52) || !allHex(p, FLAGS, LENGTH)) {
             return null;
@@ -39,7 +44,8 @@
         if ((high | low) == 0 || span == 0) {
             return null;
         }
-        return new SpanContext(high, low, span, (int) hex(p, FLAGS, LENGTH) & (SAMPLED | RANDOM), TraceState.read(states));
+        return new SpanContext(
+                high, low, span, (int) hex(p, FLAGS, LENGTH) & (SAMPLED | RANDOM), TraceState.read(states));
     }
 
     /** The header's value, as the next hop gets it. */
--- a/src/main/java/rushproxy/trace/Trace.java
+++ b/src/main/java/rushproxy/trace/Trace.java
@@ -14,7 +14,12 @@
  */
 public final class Trace {
     /** The one final answer, or that nobody was there to hear it. */
-    public enum How { SERVED, REFUSED, FAILED, LEFT }
+    public enum How {
+        SERVED,
+        REFUSED,
+        FAILED,
+        LEFT
+    }
 
     /** More attempts are none that the settings allow; they would be as many spans. */
     private static final int MOST_STEPS = 16;
@@ -27,6 +32,7 @@
         public final long beganUs;
         /** An earlier attempt was still out. */
         public final boolean secondCopy;
+
         final SpanContext context;
         long cancelledUs;
         long writtenUs;
@@ -96,13 +102,21 @@
     private Trace earlier;
     /** The probability with which its mark was set by lot, as a threshold; negative where it was not by lot. */
     private final long lot;
+
     private How how;
     private long answeredUs;
     private long retryAfterUs;
     private boolean closed;
     boolean handedOn;
 
-    Trace(Tracer tracer, LongSupplier clock, SpanContext parent, SpanContext context, long lot, Tracer.Start start, Trace earlier) {
+    Trace(
+            Tracer tracer,
+            LongSupplier clock,
+            SpanContext parent,
+            SpanContext context,
+            long lot,
+            Tracer.Start start,
+            Trace earlier) {
         this.tracer = tracer;
         this.clock = clock;
         this.parent = parent;
--- a/src/main/java/rushproxy/trace/Tracer.java
+++ b/src/main/java/rushproxy/trace/Tracer.java
@@ -23,8 +23,15 @@
      * @param sentUs   when its first byte was read
      * @param unreadUs for how long it may have lain there before, at the most
      */
-    public record Start(Request request, Semantics semantics, String protocol, String key, boolean resent, long aimUs,
-                        long sentUs, long unreadUs) {}
+    public record Start(
+            Request request,
+            Semantics semantics,
+            String protocol,
+            String key,
+            boolean resent,
+            long aimUs,
+            long sentUs,
+            long unreadUs) {}
 
     /** Since the start; {@code dropped} passed by lot and met an empty bucket. */
     public record Counts(long begun, long judged, long kept, long rescued, long dropped) {}
@@ -45,8 +52,12 @@
      * @param kept   takes each trace that is kept, which nobody changes any more
      * @param broken is told, once, what went wrong in here
      */
-    public Tracer(Sampling how, LongSupplier clock, long seed, BiConsumer<Trace, Verdict> kept,
-                  Consumer<RuntimeException> broken) {
+    public Tracer(
+            Sampling how,
+            LongSupplier clock,
+            long seed,
+            BiConsumer<Trace, Verdict> kept,
+            Consumer<RuntimeException> broken) {
         this.clock = clock;
         random = new SplittableRandom(seed);
         this.kept = kept;
@@ -97,7 +108,8 @@
             state = TraceState.withThreshold(state, Randomness.format(lot));
             flags |= SpanContext.SAMPLED;
         }
-        Trace trace = new Trace(this, clock, parent, new SpanContext(high, low, id(), flags, state), lot, start, earlier);
+        Trace trace =
+                new Trace(this, clock, parent, new SpanContext(high, low, id(), flags, state), lot, start, earlier);
         if (keyed) {
             kin.last(now, key, trace);
         }
@@ -119,7 +131,11 @@
     SpanContext below(Trace t, boolean again) {
         SpanContext own = t.context();
         boolean marked = !own.sampled() && (again || sampler.marked(t.request().requestClass()));
-        return new SpanContext(own.high(), own.low(), id(), marked ? own.flags() | SpanContext.SAMPLED : own.flags(),
+        return new SpanContext(
+                own.high(),
+                own.low(),
+                id(),
+                marked ? own.flags() | SpanContext.SAMPLED : own.flags(),
                 marked ? TraceState.withThreshold(own.state(), null) : own.state());
     }
 
--- a/src/main/java/rushproxy/trace/export/CollectorSink.java
+++ b/src/main/java/rushproxy/trace/export/CollectorSink.java
@@ -33,7 +33,11 @@
         Marshaler body = TraceRequestMarshaler.create(spans);
         HttpURLConnection c = null;
         try {
-            URL url = new URL("http", options.address().getAddress().getHostAddress(), options.address().getPort(), options.path());
+            URL url = new URL(
+                    "http",
+                    options.address().getAddress().getHostAddress(),
+                    options.address().getPort(),
+                    options.path());
             c = (HttpURLConnection) url.openConnection(Proxy.NO_PROXY);
             int ms = (int) TimeUnit.MICROSECONDS.toMillis(options.timeoutUs());
             c.setConnectTimeout(ms);
@@ -53,7 +57,9 @@
             }
             return switch (code) {
                 case 200, 202 -> Sent.TAKEN;
-                case 429, 502, 503, 504 -> new Sent(Delivery.End.LATER, seconds(c.getHeaderField("Retry-After")) * 1_000_000L,
+                case 429, 502, 503, 504 -> new Sent(
+                        Delivery.End.LATER,
+                        seconds(c.getHeaderField("Retry-After")) * 1_000_000L,
                         "it answers " + code);
                 default -> new Sent(Delivery.End.NEVER, 0, "it answers " + code);
             };
@@ -82,7 +88,9 @@
     }
 
     private static int seconds(String retryAfter) {
-        return retryAfter != null && retryAfter.matches("[0-9]{1,4}") ? Math.min(MOST_SECONDS, Integer.parseInt(retryAfter)) : 0;
+        return retryAfter != null && retryAfter.matches("[0-9]{1,4}")
+                ? Math.min(MOST_SECONDS, Integer.parseInt(retryAfter))
+                : 0;
     }
 
     @Override
--- a/src/main/java/rushproxy/trace/export/Delivery.java
+++ b/src/main/java/rushproxy/trace/export/Delivery.java
@@ -17,7 +17,11 @@
     }
 
     /** What to do with the batch. */
-    enum Next { DONE, AGAIN, GIVE_UP }
+    enum Next {
+        DONE,
+        AGAIN,
+        GIVE_UP
+    }
 
     /** No receiver makes this side wait for longer. */
     static final long MOST_PAUSE_US = 60_000_000;
--- a/src/main/java/rushproxy/trace/export/FileSink.java
+++ b/src/main/java/rushproxy/trace/export/FileSink.java
@@ -73,7 +73,8 @@
                 Files.move(path(age - 1), path(age), StandardCopyOption.REPLACE_EXISTING);
             }
         }
-        file = FileChannel.open(path(0), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING);
+        file = FileChannel.open(
+                path(0), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING);
     }
 
     @Override
--- a/src/main/java/rushproxy/trace/export/Spans.java
+++ b/src/main/java/rushproxy/trace/export/Spans.java
@@ -33,8 +33,11 @@
     private final Resource resource;
 
     Spans(String service, String instance) {
-        resource = Resource.create(Attributes.of(AttributeKey.stringKey("service.name"), service,
-                AttributeKey.stringKey("service.instance.id"), instance));
+        resource = Resource.create(Attributes.of(
+                AttributeKey.stringKey("service.name"),
+                service,
+                AttributeKey.stringKey("service.instance.id"),
+                instance));
     }
 
     void add(Trace t, Verdict verdict, List<SpanData> to) {
@@ -45,11 +48,20 @@
     }
 
     private SpanData request(Trace t, Verdict verdict) {
-        AttributesBuilder a = Attributes.builder().put(Names.REQUEST, t.request().id())
-                .put(Names.CLASS, t.request().requestClass()).put(Names.PROTOCOL, t.start().protocol())
-                .put(Names.ANSWER, t.how().name().toLowerCase(java.util.Locale.ROOT)).put(Names.WEIGHT, verdict.weight())
-                .put(REASONS, verdict.reasons().stream().map(Reason::name).map(n -> n.toLowerCase(java.util.Locale.ROOT)).toList())
-                .put(Names.AIM_MS, t.start().aimUs() / 1000).put(Names.ATTEMPTS, t.steps().size());
+        AttributesBuilder a = Attributes.builder()
+                .put(Names.REQUEST, t.request().id())
+                .put(Names.CLASS, t.request().requestClass())
+                .put(Names.PROTOCOL, t.start().protocol())
+                .put(Names.ANSWER, t.how().name().toLowerCase(java.util.Locale.ROOT))
+                .put(Names.WEIGHT, verdict.weight())
+                .put(
+                        REASONS,
+                        verdict.reasons().stream()
+                                .map(Reason::name)
+                                .map(n -> n.toLowerCase(java.util.Locale.ROOT))
+                                .toList())
+                .put(Names.AIM_MS, t.start().aimUs() / 1000)
+                .put(Names.ATTEMPTS, t.steps().size());
         if (t.request().tenant() != null && !t.request().tenant().isEmpty()) {
             a.put(Names.TENANT, t.request().tenant());
         }
@@ -61,23 +73,41 @@
         if (t.retryAfterUs() > 0) {
             a.put(Names.RETRY_AFTER_MS, t.retryAfterUs() / 1000);
         }
-        List<LinkData> links = t.link() == null ? List.of() : List.of(LinkData.create(context(t.link(), t.link().span())));
-        StatusData status = t.how() == How.SERVED ? StatusData.unset()
+        List<LinkData> links = t.link() == null
+                ? List.of()
+                : List.of(LinkData.create(context(t.link(), t.link().span())));
+        StatusData status = t.how() == How.SERVED
+                ? StatusData.unset()
                 : StatusData.create(StatusCode.ERROR, t.how().name().toLowerCase(java.util.Locale.ROOT));
-        return new Span(t.request().requestClass(), SpanKind.SERVER, context(t.context(), t.context().span()),
-                t.parent() == null ? SpanContext.getInvalid() : context(t.parent(), t.parent().span()), status,
-                t.start().sentUs() * 1000, t.answeredUs() * 1000, a.build(), events, links, resource);
+        return new Span(
+                t.request().requestClass(),
+                SpanKind.SERVER,
+                context(t.context(), t.context().span()),
+                t.parent() == null
+                        ? SpanContext.getInvalid()
+                        : context(t.parent(), t.parent().span()),
+                status,
+                t.start().sentUs() * 1000,
+                t.answeredUs() * 1000,
+                a.build(),
+                events,
+                links,
+                resource);
     }
 
     private SpanData attempt(Trace t, Step s) {
-        AttributesBuilder a = Attributes.builder().put(Names.UPSTREAM, s.upstream).put(Names.ATTEMPT, s.number)
+        AttributesBuilder a = Attributes.builder()
+                .put(Names.UPSTREAM, s.upstream)
+                .put(Names.ATTEMPT, s.number)
                 .put(Names.OUTCOME, s.outcome().name().toLowerCase(java.util.Locale.ROOT))
-                .put(Names.MAY_HAVE_RUN, s.mayHaveRun()).put(Names.DIALLED, s.dialled());
+                .put(Names.MAY_HAVE_RUN, s.mayHaveRun())
+                .put(Names.DIALLED, s.dialled());
         if (s.secondCopy) {
             a.put(Names.SECOND_COPY, true);
         }
         if (s.report() != null) {
-            a.put(Names.NODE_IN_FLIGHT, s.report().inFlight()).put(Names.NODE_QUEUED, s.report().queued())
+            a.put(Names.NODE_IN_FLIGHT, s.report().inFlight())
+                    .put(Names.NODE_QUEUED, s.report().queued())
                     .put(Names.NODE_UTILISATION, s.report().utilisation());
         }
         List<EventData> events = new ArrayList<>(2);
@@ -90,10 +120,21 @@
         if (s.cancelledUs() > 0) {
             events.add(event(Names.CANCELLED, s.cancelledUs()));
         }
-        StatusData status = s.outcome() == Outcome.OK || s.outcome() == Outcome.CANCELLED ? StatusData.unset()
+        StatusData status = s.outcome() == Outcome.OK || s.outcome() == Outcome.CANCELLED
+                ? StatusData.unset()
                 : StatusData.create(StatusCode.ERROR, s.outcome().name().toLowerCase(java.util.Locale.ROOT));
-        return new Span("attempt", SpanKind.CLIENT, context(t.context(), s.span), context(t.context(), t.context().span()),
-                status, s.beganUs * 1000, Math.max(s.beganUs, s.endedUs()) * 1000, a.build(), events, List.of(), resource);
+        return new Span(
+                "attempt",
+                SpanKind.CLIENT,
+                context(t.context(), s.span),
+                context(t.context(), t.context().span()),
+                status,
+                s.beganUs * 1000,
+                Math.max(s.beganUs, s.endedUs()) * 1000,
+                a.build(),
+                events,
+                List.of(),
+                resource);
     }
 
     private static EventData event(String name, long us) {
@@ -112,14 +153,24 @@
             }
             state = b.build();
         }
-        return SpanContext.create(of.traceId(), rushproxy.trace.SpanContext.spanId(span), TraceFlags.fromByte((byte) of.flags()),
-                state);
+        return SpanContext.create(
+                of.traceId(), rushproxy.trace.SpanContext.spanId(span), TraceFlags.fromByte((byte) of.flags()), state);
     }
 
     /** The one implementation that the marshaler needs: a value. */
-    private record Span(String name, SpanKind kind, SpanContext context, SpanContext parent, StatusData status, long startNanos,
-                        long endNanos, Attributes attributes, List<EventData> events, List<LinkData> links,
-                        Resource resource) implements SpanData {
+    private record Span(
+            String name,
+            SpanKind kind,
+            SpanContext context,
+            SpanContext parent,
+            StatusData status,
+            long startNanos,
+            long endNanos,
+            Attributes attributes,
+            List<EventData> events,
+            List<LinkData> links,
+            Resource resource)
+            implements SpanData {
         @Override
         public String getName() {
             return name;
--- a/src/main/java/rushproxy/trace/export/TraceExport.java
+++ b/src/main/java/rushproxy/trace/export/TraceExport.java
@@ -20,6 +20,7 @@
     private static final int BATCH = 64;
     /** So long a batch may grow: spans are for people, who are not faster. */
     private static final long LINGER_MS = 200;
+
     private static final long FIRST_PAUSE_US = 500_000;
 
     private record Kept(Trace trace, Verdict verdict) {}
@@ -41,7 +42,14 @@
     private volatile long sent;
     private volatile long givenUp;
 
-    private TraceExport(Sink sink, String where, TraceOptions options, String instance, Clock clock, long seed, Consumer<String> log) {
+    private TraceExport(
+            Sink sink,
+            String where,
+            TraceOptions options,
+            String instance,
+            Clock clock,
+            long seed,
+            Consumer<String> log) {
         this.sink = sink;
         this.where = where;
         this.clock = clock;
@@ -55,13 +63,16 @@
     }
 
     /** One for each receiver that the operator's file names. */
-    public static List<TraceExport> of(TraceOptions options, String instance, Clock clock, long seed, Consumer<String> log) {
+    public static List<TraceExport> of(
+            TraceOptions options, String instance, Clock clock, long seed, Consumer<String> log) {
         List<TraceExport> all = new ArrayList<>();
         if (options.file() != null) {
-            all.add(new TraceExport(new FileSink(options.file(), instance), "file", options, instance, clock, seed, log));
+            all.add(new TraceExport(
+                    new FileSink(options.file(), instance), "file", options, instance, clock, seed, log));
         }
         if (options.collector() != null) {
-            all.add(new TraceExport(new CollectorSink(options.collector()), "collector", options, instance, clock, seed, log));
+            all.add(new TraceExport(
+                    new CollectorSink(options.collector()), "collector", options, instance, clock, seed, log));
         }
         return all;
     }
@@ -121,8 +132,10 @@
             boolean before = delivery.failing();
             Delivery.Next next = delivery.ended(clock.now(), how.end(), how.askedUs());
             if (before != delivery.failing()) {
-                log.accept(before ? "the " + where + " takes traces again; " + lost() + " were lost so far"
-                        : "the " + where + " takes no traces, service goes on: " + how.why());
+                log.accept(
+                        before
+                                ? "the " + where + " takes traces again; " + lost() + " were lost so far"
+                                : "the " + where + " takes no traces, service goes on: " + how.why());
             }
             if (next == Delivery.Next.DONE) {
                 sent += batch.size();
--- a/src/main/java/rushproxy/trace/read/Causes.java
+++ b/src/main/java/rushproxy/trace/read/Causes.java
@@ -19,13 +19,29 @@
      * @param usualMs  the middle of it in ordinary traces; negative where there are none
      * @param example  a trace to look at, the one that took longest
      */
-    public record Cause(String requestClass, String reason, Phase phase, String where, double requests, int kept, double ms,
-                        double usualMs, String example) {
+    public record Cause(
+            String requestClass,
+            String reason,
+            Phase phase,
+            String where,
+            double requests,
+            int kept,
+            double ms,
+            double usualMs,
+            String example) {
         @Override
         public String toString() {
-            return String.format(java.util.Locale.ROOT, "%8.0f %-16s %-9s %6.0f ms %s%s%s  e.g. %s", requests, requestClass, reason, ms,
-                    phase.words, where.isEmpty() ? "" : " " + where,
-                    usualMs < 0 ? "" : String.format(java.util.Locale.ROOT, " (usually %.0f ms)", usualMs), example);
+            return String.format(
+                    java.util.Locale.ROOT,
+                    "%8.0f %-16s %-9s %6.0f ms %s%s%s  e.g. %s",
+                    requests,
+                    requestClass,
+                    reason,
+                    ms,
+                    phase.words,
+                    where.isEmpty() ? "" : " " + where,
+                    usualMs < 0 ? "" : String.format(java.util.Locale.ROOT, " (usually %.0f ms)", usualMs),
+                    example);
         }
     }
 
@@ -48,15 +64,29 @@
                 }
             } else {
                 Phase worst = s.worst();
-                groups.computeIfAbsent(new Key(requestClass, reason, worst, s.where(worst)), k -> new ArrayList<>()).add(s);
+                groups.computeIfAbsent(new Key(requestClass, reason, worst, s.where(worst)), k -> new ArrayList<>())
+                        .add(s);
             }
         }
         List<Cause> causes = new ArrayList<>();
-        groups.forEach((k, of) -> causes.add(new Cause(k.requestClass, k.reason, k.phase, k.where,
-                of.stream().mapToDouble(s -> s.request().real(Names.WEIGHT, 1)).sum(), of.size(),
-                middle(of.stream().map(s -> s.phases().getOrDefault(k.phase, 0L) / 1e6).toList()),
-                usual.containsKey(k.requestClass) ? middle(usual.get(k.requestClass).get(k.phase)) : -1,
-                of.stream().max(Comparator.comparingDouble(Story::ms)).orElseThrow().request().trace())));
+        groups.forEach((k, of) -> causes.add(new Cause(
+                k.requestClass,
+                k.reason,
+                k.phase,
+                k.where,
+                of.stream().mapToDouble(s -> s.request().real(Names.WEIGHT, 1)).sum(),
+                of.size(),
+                middle(of.stream()
+                        .map(s -> s.phases().getOrDefault(k.phase, 0L) / 1e6)
+                        .toList()),
+                usual.containsKey(k.requestClass)
+                        ? middle(usual.get(k.requestClass).get(k.phase))
+                        : -1,
+                of.stream()
+                        .max(Comparator.comparingDouble(Story::ms))
+                        .orElseThrow()
+                        .request()
+                        .trace())));
         causes.sort(Comparator.comparingDouble(Cause::requests).reversed());
         return causes;
     }
--- a/src/main/java/rushproxy/trace/read/Span.java
+++ b/src/main/java/rushproxy/trace/read/Span.java
@@ -7,8 +7,18 @@
  * One span as a file has it, whoever wrote it. Ids in hexadecimal digits, times in nanoseconds of Unix time; attributes as
  * texts, lists joined by commas; events by their name.
  */
-public record Span(String service, String trace, String id, String parent, String name, String kind, long start, long end,
-                   Map<String, String> attributes, Map<String, Long> events, List<String> links) {
+public record Span(
+        String service,
+        String trace,
+        String id,
+        String parent,
+        String name,
+        String kind,
+        long start,
+        long end,
+        Map<String, String> attributes,
+        Map<String, Long> events,
+        List<String> links) {
     public String text(String key) {
         return attributes.getOrDefault(key, "");
     }
@@ -22,7 +32,9 @@
     }
 
     Span movedBy(long nanos) {
-        return nanos == 0 ? this
-                : new Span(service, trace, id, parent, name, kind, start + nanos, end + nanos, attributes, events, links);
+        return nanos == 0
+                ? this
+                : new Span(
+                        service, trace, id, parent, name, kind, start + nanos, end + nanos, attributes, events, links);
     }
 }
--- a/src/main/java/rushproxy/trace/read/SpanFiles.java
+++ b/src/main/java/rushproxy/trace/read/SpanFiles.java
@@ -57,8 +57,10 @@
 
     private static void line(Json line, Consumer<Span> to) {
         for (Json resource : line.objects("resourceSpans")) {
-            String service = resource.has("resource") && resource.object("resource").has("attributes")
-                    ? attributes(resource.object("resource")).getOrDefault("service.name", "") : "";
+            String service =
+                    resource.has("resource") && resource.object("resource").has("attributes")
+                            ? attributes(resource.object("resource")).getOrDefault("service.name", "")
+                            : "";
             for (Json scope : resource.objects("scopeSpans")) {
                 for (Json s : scope.objects("spans")) {
                     to.accept(span(service, s));
@@ -74,14 +76,27 @@
                 events.put(e.text("name"), nanos(e.text("timeUnixNano")));
             }
         }
-        List<String> links = s.has("links") ? s.objects("links").stream().map(l -> l.text("traceId")).toList() : List.of();
-        String kind = switch ((int) s.numberOr("kind", 0)) {
-            case 2 -> "server";
-            case 3 -> "client";
-            default -> "";
-        };
-        return new Span(service, s.text("traceId"), s.text("spanId"), s.textOr("parentSpanId", ""), s.text("name"), kind,
-                nanos(s.text("startTimeUnixNano")), nanos(s.text("endTimeUnixNano")), attributes(s), events, links);
+        List<String> links = s.has("links")
+                ? s.objects("links").stream().map(l -> l.text("traceId")).toList()
+                : List.of();
+        String kind =
+                switch ((int) s.numberOr("kind", 0)) {
+                    case 2 -> "server";
+                    case 3 -> "client";
+                    default -> "";
+                };
+        return new Span(
+                service,
+                s.text("traceId"),
+                s.text("spanId"),
+                s.textOr("parentSpanId", ""),
+                s.text("name"),
+                kind,
+                nanos(s.text("startTimeUnixNano")),
+                nanos(s.text("endTimeUnixNano")),
+                attributes(s),
+                events,
+                links);
     }
 
     private static long nanos(String text) {
@@ -103,7 +118,9 @@
 
     private static String value(Json any) {
         if (any.has("arrayValue")) {
-            return any.object("arrayValue").objects("values").stream().map(SpanFiles::value).collect(Collectors.joining(","));
+            return any.object("arrayValue").objects("values").stream()
+                    .map(SpanFiles::value)
+                    .collect(Collectors.joining(","));
         }
         return any.flat().values().stream().findFirst().orElse("");
     }
--- a/src/main/java/rushproxy/trace/read/Stories.java
+++ b/src/main/java/rushproxy/trace/read/Stories.java
@@ -30,7 +30,8 @@
 
     /** By the time of their start. */
     public List<Story> all() {
-        List<Story> all = new ArrayList<>(requests.stream().map(r -> Story.of(r, children)).toList());
+        List<Story> all = new ArrayList<>(
+                requests.stream().map(r -> Story.of(r, children)).toList());
         all.sort(Comparator.comparingLong(s -> s.request().start()));
         return all;
     }
--- a/src/main/java/rushproxy/trace/read/Story.java
+++ b/src/main/java/rushproxy/trace/read/Story.java
@@ -15,7 +15,8 @@
 public record Story(Span request, List<Span> attempts, Map<String, List<Span>> below) {
     static Story of(Span request, Map<String, List<Span>> children) {
         List<Span> attempts = new ArrayList<>(children.getOrDefault(request.id(), List.of()).stream()
-                .filter(s -> s.attributes().containsKey(Names.ATTEMPT)).toList());
+                .filter(s -> s.attributes().containsKey(Names.ATTEMPT))
+                .toList());
         attempts.sort(Comparator.comparingLong(Span::start));
         return new Story(request, attempts, children);
     }
@@ -63,14 +64,18 @@
             at = winner.end();
         }
         if (end > at) {
-            times.merge(attempts.isEmpty() ? Phase.HELD : winner == null ? Phase.BETWEEN : Phase.BACK, end - at, Long::sum);
+            times.merge(
+                    attempts.isEmpty() ? Phase.HELD : winner == null ? Phase.BETWEEN : Phase.BACK, end - at, Long::sum);
         }
         return times;
     }
 
     /** Where most of the time went. */
     Phase worst() {
-        return phases().entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(Phase.HELD);
+        return phases().entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey)
+                .orElse(Phase.HELD);
     }
 
     /** Whom a phase is to be asked about: the node, or nobody but the sidecar. */
@@ -78,8 +83,11 @@
         Span winner = winner();
         return switch (phase) {
             case SENDING, NODE -> winner == null ? "" : winner.text(Names.UPSTREAM);
-            case LOST -> attempts.stream().filter(a -> a != winner).max(Comparator.comparingLong(a -> a.end() - a.start()))
-                    .map(a -> a.text(Names.UPSTREAM) + " (" + a.text(Names.OUTCOME) + ")").orElse("");
+            case LOST -> attempts.stream()
+                    .filter(a -> a != winner)
+                    .max(Comparator.comparingLong(a -> a.end() - a.start()))
+                    .map(a -> a.text(Names.UPSTREAM) + " (" + a.text(Names.OUTCOME) + ")")
+                    .orElse("");
             default -> "";
         };
     }
--- a/src/main/java/rushproxy/trace/read/Waterfall.java
+++ b/src/main/java/rushproxy/trace/read/Waterfall.java
@@ -23,23 +23,40 @@
 
     public static List<String> of(List<Story> stories) {
         long from = stories.stream().mapToLong(s -> s.request().start()).min().orElse(0);
-        long until = stories.stream().mapToLong(s -> Math.max(s.request().end(),
-                s.attempts().stream().mapToLong(Span::end).max().orElse(0))).max().orElse(1);
+        long until = stories.stream()
+                .mapToLong(s -> Math.max(
+                        s.request().end(),
+                        s.attempts().stream().mapToLong(Span::end).max().orElse(0)))
+                .max()
+                .orElse(1);
         Waterfall w = new Waterfall(from, until);
         for (Story s : stories) {
             Span r = s.request();
-            w.line(0, r, r.text(Names.REQUEST) + " " + r.text(Names.CLASS), r.text(Names.ANSWER) + " (" + r.text(Names.REASONS)
-                    + "), aim " + r.text(Names.AIM_MS) + " ms" + (r.attributes().containsKey(Names.UNREAD_MS)
-                    ? ", lay unread for up to " + r.text(Names.UNREAD_MS) + " ms" : "") + (r.links().isEmpty() ? "" : ", the client's own retry"));
+            w.line(
+                    0,
+                    r,
+                    r.text(Names.REQUEST) + " " + r.text(Names.CLASS),
+                    r.text(Names.ANSWER) + " (" + r.text(Names.REASONS)
+                            + "), aim " + r.text(Names.AIM_MS) + " ms"
+                            + (r.attributes().containsKey(Names.UNREAD_MS)
+                                    ? ", lay unread for up to " + r.text(Names.UNREAD_MS) + " ms"
+                                    : "")
+                            + (r.links().isEmpty() ? "" : ", the client's own retry"));
             for (Span a : s.attempts()) {
-                w.line(1, a, "attempt " + a.text(Names.ATTEMPT) + " at " + a.text(Names.UPSTREAM),
-                        a.text(Names.OUTCOME) + (a.text(Names.MAY_HAVE_RUN).equals("true") ? ", may have run" : ", never ran")
+                w.line(
+                        1,
+                        a,
+                        "attempt " + a.text(Names.ATTEMPT) + " at " + a.text(Names.UPSTREAM),
+                        a.text(Names.OUTCOME)
+                                + (a.text(Names.MAY_HAVE_RUN).equals("true") ? ", may have run" : ", never ran")
                                 + (a.text(Names.SECOND_COPY).equals("true") ? ", a second copy" : "")
                                 + (a.text(Names.DIALLED).equals("true") ? ", on a new connection" : "")
-                                + (a.end() > r.end() ? ", outlived its answer" : "") + node(a));
+                                + (a.end() > r.end() ? ", outlived its answer" : "")
+                                + node(a));
                 w.below(2, a, s.below(), 0);
             }
-            String phases = s.phases().entrySet().stream().filter(e -> e.getValue() >= 500_000)
+            String phases = s.phases().entrySet().stream()
+                    .filter(e -> e.getValue() >= 500_000)
                     .map(e -> String.format(Locale.ROOT, "%.0f ms %s", e.getValue() / 1e6, e.getKey().words))
                     .collect(Collectors.joining(", "));
             w.lines.add("      " + (phases.isEmpty() ? "no time to speak of" : phases));
@@ -48,21 +65,35 @@
     }
 
     private static String node(Span a) {
-        return a.attributes().containsKey(Names.NODE_IN_FLIGHT) ? String.format(Locale.ROOT, ", node held %.0f, %.0f waiting",
-                a.real(Names.NODE_IN_FLIGHT, 0), a.real(Names.NODE_QUEUED, 0)) : "";
+        return a.attributes().containsKey(Names.NODE_IN_FLIGHT)
+                ? String.format(
+                        Locale.ROOT,
+                        ", node held %.0f, %.0f waiting",
+                        a.real(Names.NODE_IN_FLIGHT, 0),
+                        a.real(Names.NODE_QUEUED, 0))
+                : "";
     }
 
     private void below(int depth, Span parent, Map<String, List<Span>> children, long moved) {
         if (depth > MOST_DEPTH) {
             return;
         }
-        children.getOrDefault(parent.id(), List.of()).stream().sorted(Comparator.comparingLong(Span::start)).forEach(c -> {
-            long shift = moved + Skew.shift(parent.start(), parent.end(), c.start() + moved, c.end() + moved, true);
-            Span there = c.movedBy(shift);
-            line(depth, there, c.service() + " " + c.name(), (there.end() > parent.end() ? "outlived its attempt" : "")
-                    + (Math.abs(shift) < 1_000_000 ? "" : String.format(Locale.ROOT, " (its clock is %.0f ms off)", -shift / 1e6)));
-            below(depth + 1, there, children, shift);
-        });
+        children.getOrDefault(parent.id(), List.of()).stream()
+                .sorted(Comparator.comparingLong(Span::start))
+                .forEach(c -> {
+                    long shift =
+                            moved + Skew.shift(parent.start(), parent.end(), c.start() + moved, c.end() + moved, true);
+                    Span there = c.movedBy(shift);
+                    line(
+                            depth,
+                            there,
+                            c.service() + " " + c.name(),
+                            (there.end() > parent.end() ? "outlived its attempt" : "")
+                                    + (Math.abs(shift) < 1_000_000
+                                            ? ""
+                                            : String.format(Locale.ROOT, " (its clock is %.0f ms off)", -shift / 1e6)));
+                    below(depth + 1, there, children, shift);
+                });
     }
 
     private void line(int depth, Span s, String name, String words) {
@@ -76,9 +107,15 @@
         for (long at : s.events().values()) {
             bar.setCharAt(column(at), '|');
         }
-        lines.add(String.format(Locale.ROOT, "%-" + NAME + "s [%s] %7.1f +%.1f ms  %s",
-                head.length() > NAME ? head.substring(0, NAME) : head, bar, (s.start() - from) / 1e6,
-                (s.end() - s.start()) / 1e6, words).stripTrailing());
+        lines.add(String.format(
+                        Locale.ROOT,
+                        "%-" + NAME + "s [%s] %7.1f +%.1f ms  %s",
+                        head.length() > NAME ? head.substring(0, NAME) : head,
+                        bar,
+                        (s.start() - from) / 1e6,
+                        (s.end() - s.start()) / 1e6,
+                        words)
+                .stripTrailing());
     }
 
     private int column(long nanos) {
--- a/src/main/java/rushproxy/wire/SimHost.java
+++ b/src/main/java/rushproxy/wire/SimHost.java
@@ -13,14 +13,14 @@
 import java.util.List;
 import java.util.Map;
 import rushproxy.Balancer;
-import rushproxy.Guide;
-import rushproxy.Others;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Request;
-import rushproxy.Balancer.UpstreamState;
 import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
+import rushproxy.Guide;
+import rushproxy.Others;
 import rushproxy.Policy;
 import rushproxy.settings.LoadValues;
 import rushproxy.settings.SettingsException;
@@ -141,15 +141,21 @@
                 long seed = f.number();
                 SettingsReader reader = new SettingsReader(pairs(f));
                 Balancer.Settings settings = reader.read();
-                guarded(name, () -> instances.put(name,
-                        new Instance(new Policy(settings, Guide.NONE, Others.SILENT, seed, now, new Writer(name)), reader.reportFields())));
+                guarded(
+                        name,
+                        () -> instances.put(
+                                name,
+                                new Instance(
+                                        new Policy(settings, Guide.NONE, Others.SILENT, seed, now, new Writer(name)),
+                                        reader.reportFields())));
             }
             case "DOWN" -> instances.remove(name);
             case "ANNOUNCE" -> {
                 ListKind kind = listKind(f.number());
                 f.numberOr(0);
                 int number = (int) f.numberOr(-1);
-                List<Upstream> entries = kind == ListKind.FAILED ? List.of()
+                List<Upstream> entries = kind == ListKind.FAILED
+                        ? List.of()
                         : number >= 0 && number < pages.size() ? pages.get(number) : null;
                 if (entries == null) {
                     throw new WireException("ANNOUNCE names PAGE " + number + ", which was never sent");
@@ -175,8 +181,9 @@
                 long latency = f.numberOr(0);
                 boolean done = f.flag();
                 LoadReport report = report(f.textOrNull(), instance.reportFields);
-                guarded(name, () -> instance.balancer.onOutcome(now, id, attempt, upstream, outcome, latency, done,
-                        report));
+                guarded(
+                        name,
+                        () -> instance.balancer.onOutcome(now, id, attempt, upstream, outcome, latency, done, report));
             }
             case "OPENED" -> {
                 String id = f.text();
@@ -219,8 +226,10 @@
             died = true;
             by(name);
             StackTraceElement[] trace = e.getStackTrace();
-            reply.append("DIE ").append(e.toString().replace('\n', ' '))
-                    .append(trace.length > 0 ? " at " + trace[0] : "").append('\n');
+            reply.append("DIE ")
+                    .append(e.toString().replace('\n', ' '))
+                    .append(trace.length > 0 ? " at " + trace[0] : "")
+                    .append('\n');
         }
     }
 
@@ -294,7 +303,13 @@
 
         @Override
         public void send(String request, String upstream, long untilUs) {
-            line("ASSIGN ").append(request).append(' ').append(upstream).append(' ').append(untilUs).append('\n');
+            line("ASSIGN ")
+                    .append(request)
+                    .append(' ')
+                    .append(upstream)
+                    .append(' ')
+                    .append(untilUs)
+                    .append('\n');
         }
 
         @Override
@@ -324,7 +339,11 @@
 
         @Override
         public void tell(int peer, byte[] message) {
-            line("WRITE_PEER ").append(peer).append(' ').append(Base64.getEncoder().encodeToString(message)).append('\n');
+            line("WRITE_PEER ")
+                    .append(peer)
+                    .append(' ')
+                    .append(Base64.getEncoder().encodeToString(message))
+                    .append('\n');
         }
 
         @Override
--- a/src/main/java/rushproxy/zones/Flow.java
+++ b/src/main/java/rushproxy/zones/Flow.java
@@ -131,7 +131,9 @@
                 turnedAway = false;
             } else if (!pressed) {
                 // No further ahead of what is used than a doubling: what was never sent is no proof that it is taken.
-                limit = Math.min(limit * Math.pow(2, (double) passed / doublingUs), Math.max(limit, Math.max(2 * floor, 2 * rate)));
+                limit = Math.min(
+                        limit * Math.pow(2, (double) passed / doublingUs),
+                        Math.max(limit, Math.max(2 * floor, 2 * rate)));
             }
             limit = Math.min(limit, ceiling(nowUs));
         }
--- a/src/main/java/rushproxy/zones/Guided.java
+++ b/src/main/java/rushproxy/zones/Guided.java
@@ -34,7 +34,13 @@
     private long now;
 
     /** {@code build} makes the module, with its guide and its hands. */
-    public Guided(Options options, Settings settings, long seed, long now, Actions out, BiFunction<Guide, Actions, Balancer> build) {
+    public Guided(
+            Options options,
+            Settings settings,
+            long seed,
+            long now,
+            Actions out,
+            BiFunction<Guide, Actions, Balancer> build) {
         this.now = now;
         zones = new Zones(options, settings, seed, now, out::log);
         module = build.apply(zones, new Hands(out));
@@ -74,8 +80,15 @@
     }
 
     @Override
-    public void onOutcome(long at, String request, int attempt, String upstream, Outcome outcome, long latencyUs, boolean done,
-                          LoadReport report) {
+    public void onOutcome(
+            long at,
+            String request,
+            int attempt,
+            String upstream,
+            Outcome outcome,
+            long latencyUs,
+            boolean done,
+            LoadReport report) {
         now = at;
         Held h = open.get(request);
         if (h != null && attempt >= 0 && attempt < h.attempts.size() && h.attempts.get(attempt) != null) {
--- a/src/main/java/rushproxy/zones/Ledger.java
+++ b/src/main/java/rushproxy/zones/Ledger.java
@@ -93,7 +93,8 @@
             return false;
         }
         for (Sent s : e.sent) {
-            if (s.ended && (nowUs - s.atUs >= c.windowUs() - MARGIN_US || !sameGroup(c.group(), s.to, e.sent.get(0).to))) {
+            if (s.ended
+                    && (nowUs - s.atUs >= c.windowUs() - MARGIN_US || !sameGroup(c.group(), s.to, e.sent.get(0).to))) {
                 return true;
             }
         }
--- a/src/main/java/rushproxy/zones/Options.java
+++ b/src/main/java/rushproxy/zones/Options.java
@@ -17,5 +17,14 @@
  * @param remembered       keys of keyed requests
  * @param rememberUs       for so long, after which no client comes again with one
  */
-public record Options(List<List<String>> tiers, Set<String> away, double overprovision, double panic, double floorPerSecond,
-                      long doublingUs, long trickleUs, long halfLifeUs, int remembered, long rememberUs) {}
+public record Options(
+        List<List<String>> tiers,
+        Set<String> away,
+        double overprovision,
+        double panic,
+        double floorPerSecond,
+        long doublingUs,
+        long trickleUs,
+        long halfLifeUs,
+        int remembered,
+        long rememberUs) {}
--- a/src/main/java/rushproxy/zones/Zones.java
+++ b/src/main/java/rushproxy/zones/Zones.java
@@ -36,7 +36,12 @@
     private static final double SPARE = 0.01;
 
     /** What may be sent to a zone. */
-    private enum Mode { IN, PROBATION, OUT, AWAY }
+    private enum Mode {
+        IN,
+        PROBATION,
+        OUT,
+        AWAY
+    }
 
     private final class Zone {
         final String name;
@@ -77,7 +82,10 @@
         this.log = log;
         random = new SplittableRandom(seed);
         settings.classes().forEach(c -> classes.put(c.name(), c));
-        topWorth = settings.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
+        topWorth = settings.classes().stream()
+                .mapToDouble(RequestClass::worth)
+                .max()
+                .orElse(0);
         settings.zones().forEach(z -> zones.put(z, new Zone(z, nowUs)));
         ledger = new Ledger(options.remembered(), options.rememberUs());
         startedUs = nowUs;
@@ -85,8 +93,17 @@
 
     /** The operator's new word: which zones are away, and which are preferred. */
     void change(long nowUs, Options fresh) {
-        options = new Options(fresh.tiers(), fresh.away(), options.overprovision(), options.panic(), options.floorPerSecond(),
-                options.doublingUs(), options.trickleUs(), options.halfLifeUs(), options.remembered(), options.rememberUs());
+        options = new Options(
+                fresh.tiers(),
+                fresh.away(),
+                options.overprovision(),
+                options.panic(),
+                options.floorPerSecond(),
+                options.doublingUs(),
+                options.trickleUs(),
+                options.halfLifeUs(),
+                options.remembered(),
+                options.rememberUs());
         step(nowUs, true);
     }
 
@@ -146,8 +163,8 @@
                 z.flow.turnedAway();
             }
             case TIMEOUT, CONNECT_FAILED, RESET -> z.health.silent(nowUs, at.id());
-            // Given up here, or never sent: no word on anybody.
-            case CANCELLED, NOT_SENT -> { }
+                // Given up here, or never sent: no word on anybody.
+            case CANCELLED, NOT_SENT -> {}
         }
         step(nowUs, false);
     }
@@ -217,8 +234,11 @@
             z.damping.lost(nowUs);
         }
         boolean held = z.damping.suppressed(nowUs);
-        z.mode = options.away().contains(z.name) ? Mode.AWAY : dead || z.state == State.EMPTY || held ? Mode.OUT
-                : z.state == State.PROBATION ? Mode.PROBATION : Mode.IN;
+        z.mode = options.away().contains(z.name)
+                ? Mode.AWAY
+                : dead || z.state == State.EMPTY || held
+                        ? Mode.OUT
+                        : z.state == State.PROBATION ? Mode.PROBATION : Mode.IN;
         if (was == Mode.IN && z.mode != Mode.IN) {
             z.flow.lost(nowUs);
         }
@@ -227,11 +247,14 @@
         }
         if (before != z.state || was != z.mode || held != z.held) {
             z.held = held;
-            log.accept("zone " + z.name + " is " + z.state.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + ", "
+            log.accept("zone " + z.name + " is "
+                    + z.state.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + ", "
                     + switch (z.mode) {
                         case IN -> "and gets what it takes";
                         case PROBATION -> "and is tried with what is safe to repeat";
-                        case OUT -> held && !dead ? "and stays out for a while, as it has come and gone" : "and gets nothing but trials";
+                        case OUT -> held && !dead
+                                ? "and stays out for a while, as it has come and gone"
+                                : "and gets nothing but trials";
                         case AWAY -> "and gets nothing, by the operator's word";
                     });
         }
@@ -268,7 +291,7 @@
         for (Zone z : zones.values()) {
             int t = tier(z.name);
             z.weight = switch (z.mode) {
-                // The split gives each its natural part; a tier's part is shared by it in the same proportions.
+                    // The split gives each its natural part; a tier's part is shared by it in the same proportions.
                 case IN -> ready[t] == 0 || usable == 0 ? 1 : Math.max(SPARE, parts[t] * usable / ready[t]);
                 case PROBATION -> TRIED;
                 case OUT -> nowUs >= z.trickleUs ? TRIED : 0;
@@ -329,7 +352,9 @@
      * After as long as clients come back there can be none.
      */
     private boolean unknownRetry(long now, RequestClass c, Request r) {
-        return r.repeat() && now - startedUs < options.rememberUs() && c.group() != rushproxy.Balancer.Group.ALL
+        return r.repeat()
+                && now - startedUs < options.rememberUs()
+                && c.group() != rushproxy.Balancer.Group.ALL
                 && !ledger.mayHaveRun(c, r.intent());
     }
 
--- a/src/test/java/rushproxy/ModuleLimitsTest.java
+++ b/src/test/java/rushproxy/ModuleLimitsTest.java
@@ -9,9 +9,9 @@
 
 /** On-call reads the whole module at night: it stays short and narrow. */
 class ModuleLimitsTest {
-    private static final List<String> MODULE =
-            List.of("src/main/java/rushproxy/Policy.java", "src/main/java/rushproxy/State.java",
-                    "src/main/java/rushproxy/Table.java", "src/main/java/rushproxy/PeerWord.java");
+    private static final List<String> MODULE = List.of(
+            "src/main/java/rushproxy/Policy.java", "src/main/java/rushproxy/State.java",
+            "src/main/java/rushproxy/Table.java", "src/main/java/rushproxy/PeerWord.java");
 
     @Test
     void linesAndWidth() throws Exception {
@@ -28,7 +28,8 @@
     @Test
     void theDeployFileNamesTheWholeModule() throws Exception {
         String deploy = Files.readString(Path.of("deploy/balancer.toml"));
-        String policy = deploy.lines().filter(l -> l.startsWith("policy")).findFirst().orElse("");
+        String policy =
+                deploy.lines().filter(l -> l.startsWith("policy")).findFirst().orElse("");
         for (String file : MODULE) {
             assertTrue(policy.contains(file), file);
         }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -174,8 +174,8 @@
     @Test
     void nothingGoesToAServerToldDrainingOrGone() {
         Rig rig = new Rig().start().list(A, B);
-        rig.policy.onList(rig.now, ListKind.DELTA,
-                List.of(new Upstream("a", "za", "k", 1, 0, 1, UpstreamState.DRAINING)));
+        rig.policy.onList(
+                rig.now, ListKind.DELTA, List.of(new Upstream("a", "za", "k", 1, 0, 1, UpstreamState.DRAINING)));
         rig.request("r1").request("r2");
         rig.policy.onList(rig.now, ListKind.FULL, List.of(A));
         rig.after(1).request("r3");
@@ -363,7 +363,10 @@
         assertEquals(0, rig.take("close").size());
         rig.after(1_800_000).request("r2");
         assertEquals(1, rig.take("close a").size());
-        rig.after(75_000).outcome("r2", 0, "a", Outcome.OK, 75_000).after(500_000).request("r3");
+        rig.after(75_000)
+                .outcome("r2", 0, "a", Outcome.OK, 75_000)
+                .after(500_000)
+                .request("r3");
         assertEquals(1, rig.take("close a").size(), "hardly idle: kept");
     }
 
@@ -475,7 +478,9 @@
                     rig.policy.onProbe(rig.now, slow, Outcome.OK, 1_000, new LoadReport(1, 0, 1));
                 }
                 rig.fire("mute:r");
-                assertEquals(mute && semantics == Semantics.SAFE ? 1 : 0, rig.take("send r").size());
+                assertEquals(
+                        mute && semantics == Semantics.SAFE ? 1 : 0,
+                        rig.take("send r").size());
             }
         }
     }
@@ -545,7 +550,9 @@
             assertNull(rig.sentTo("r" + i, 1));
         }
         assertEquals(6, rig.take("fail").size());
-        assertEquals(2, rig.take("send").stream().map(l -> l.split(" ")[2]).distinct().count());
+        assertEquals(
+                2,
+                rig.take("send").stream().map(l -> l.split(" ")[2]).distinct().count());
     }
 
     /** Replaced under ever new ids, servers that are gone would fill the memory over a long day. */
@@ -554,8 +561,12 @@
         Rig rig = new Rig().start().list(A);
         rig.request("r");
         for (int i = 0; i < 50; i++) {
-            rig.policy.onList(rig.now, ListKind.DELTA, List.of(Rig.up("n" + i, "za", 1),
-                    state(i == 0 ? A : Rig.up("n" + (i - 1), "za", 1), UpstreamState.GONE)));
+            rig.policy.onList(
+                    rig.now,
+                    ListKind.DELTA,
+                    List.of(
+                            Rig.up("n" + i, "za", 1),
+                            state(i == 0 ? A : Rig.up("n" + (i - 1), "za", 1), UpstreamState.GONE)));
         }
         assertEquals(2, rig.policy.servers.size());
         rig.outcome("r", 0, "a", Outcome.OK, 1_000);
@@ -633,8 +644,7 @@
         for (long t = 0; t < 120_000; t++) {
             rig.after(1_000);
             if (t % 15 == 0) {
-                rig.policy.onRequest(rig.now, new Request("r" + next, -1, false, false, 100_000, 4_000_000, null,
-                        "c"));
+                rig.policy.onRequest(rig.now, new Request("r" + next, -1, false, false, 100_000, 4_000_000, null, "c"));
                 next++;
             }
             rig.fire("hold");
@@ -823,11 +833,14 @@
             Rig rig = new Rig();
             rig.semantics = Semantics.KEYED;
             rig.group = Group.ZONE;
-            rig.start().list(doubted("s1", "za", doubt, 0), doubted("s2", "za", doubt, 0)).request("a");
+            rig.start()
+                    .list(doubted("s1", "za", doubt, 0), doubted("s2", "za", doubt, 0))
+                    .request("a");
             String first = rig.sentTo("a", 0);
             rig.after(50_000).outcome("a", 0, first, Outcome.RESET, 50_000);
             String second = rig.sentTo("a", 1);
-            assertTrue(doubt == Balancer.Doubt.NONE ? second != null : second == null || second.equals(first),
+            assertTrue(
+                    doubt == Balancer.Doubt.NONE ? second != null : second == null || second.equals(first),
                     doubt + ": " + first + " then " + second);
         }
     }
@@ -838,7 +851,10 @@
         for (Semantics semantics : Semantics.values()) {
             Rig rig = new Rig();
             rig.semantics = semantics;
-            rig.start().list(doubted("s1", "za", Balancer.Doubt.KIND, 0)).request("a").request("b");
+            rig.start()
+                    .list(doubted("s1", "za", Balancer.Doubt.KIND, 0))
+                    .request("a")
+                    .request("b");
             assertEquals(semantics == Semantics.SAFE ? 1 : 0, rig.take("send").size(), semantics + ": " + rig.actions);
         }
     }
@@ -937,8 +953,18 @@
         int[] sent = new int[2];
         for (int mixed = 0; mixed < 2; mixed++) {
             Rig rig = new Rig();
-            rig.start().list(new Upstream("s1", "za", "k", 1, rig.now, 1, UpstreamState.READY, Balancer.Doubt.NONE, 0,
-                    Balancer.HTTP1 | Balancer.GRPC));
+            rig.start()
+                    .list(new Upstream(
+                            "s1",
+                            "za",
+                            "k",
+                            1,
+                            rig.now,
+                            1,
+                            UpstreamState.READY,
+                            Balancer.Doubt.NONE,
+                            0,
+                            Balancer.HTTP1 | Balancer.GRPC));
             for (int n = 0; n < 400; n++) {
                 rig.policy.onRequest(rig.now, in("r" + n, mixed == 1 && n % 2 == 0 ? Balancer.GRPC : Balancer.HTTP1));
                 if (rig.sentTo("r" + n, 0) != null) {
--- a/src/test/java/rushproxy/Rig.java
+++ b/src/test/java/rushproxy/Rig.java
@@ -48,10 +48,22 @@
     Rig start() {
         RequestClass c = new RequestClass("c", semantics, group, windowUs, aimUs, 0, 800_000, 3, 0, stream);
         RequestClass other = new RequestClass("other", semantics, group, windowUs, aimUs, 0, 800_000, 3, 0, stream);
-        Settings settings = new Settings(me, balancers, "za", List.of("za", "zb", "zc"), List.of("k"), List.of(c, other), tenants,
+        Settings settings = new Settings(
+                me,
+                balancers,
+                "za",
+                List.of("za", "zb", "zc"),
+                List.of("k"),
+                List.of(c, other),
+                tenants,
                 new Limits(maxAttempts, secondCopies, true, probing, peers, true, 1_000_000, 15_000_000, 0),
-                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, askEveryUs, 5_000, closeOnDrainUs), reports, onRequest,
-                false, 0.1, new Prices(crossZonePrice, 0.01, 0.002, connectionPrice, connectionPrice), 1000);
+                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, askEveryUs, 5_000, closeOnDrainUs),
+                reports,
+                onRequest,
+                false,
+                0.1,
+                new Prices(crossZonePrice, 0.01, 0.002, connectionPrice, connectionPrice),
+                1000);
         policy = new Policy(settings, guide, others, seed, now, this);
         return this;
     }
--- a/src/test/java/rushproxy/accord/ContentsTest.java
+++ b/src/test/java/rushproxy/accord/ContentsTest.java
@@ -33,7 +33,7 @@
             asked.forEach(w -> has.hear(1, w, (to, p) -> words.add(p)));
             words.addAll(List.copyOf(words));
             Collections.shuffle(words, new Random(r));
-            words.forEach(w -> wants.hear(0, w, (to, x) -> { }));
+            words.forEach(w -> wants.hear(0, w, (to, x) -> {}));
         }
     }
 
@@ -56,12 +56,17 @@
         long version = has.put(content);
         assertFalse(wants.has(version));
         for (int p = 0; p < 3; p++) {
-            wants.hear(0, new Word.Piece(version, p, 500, new byte[p < 2 ? 200 : 100]), (to, w) -> { });
+            wants.hear(0, new Word.Piece(version, p, 500, new byte[p < 2 ? 200 : 100]), (to, w) -> {});
         }
         assertNull(wants.get(version));
-        for (Word.Piece wrong : new Word.Piece[] {new Word.Piece(version, 9, 500, new byte[200]), new Word.Piece(version, 0, 1 << 30, new byte[200]),
-                new Word.Piece(version, -1, 500, new byte[200]), new Word.Piece(version, 0, 500, new byte[7]), new Word.Piece(version, 0, -5, new byte[0])}) {
-            wants.hear(0, wrong, (to, w) -> { });
+        for (Word.Piece wrong : new Word.Piece[] {
+            new Word.Piece(version, 9, 500, new byte[200]),
+            new Word.Piece(version, 0, 1 << 30, new byte[200]),
+            new Word.Piece(version, -1, 500, new byte[200]),
+            new Word.Piece(version, 0, 500, new byte[7]),
+            new Word.Piece(version, 0, -5, new byte[0])
+        }) {
+            wants.hear(0, wrong, (to, w) -> {});
         }
         fetch(10);
         assertArrayEquals(content, wants.get(version));
@@ -86,7 +91,9 @@
             versions.add(has.put(content(300, i)));
             wants.has(versions.get(i));
         }
-        assertEquals(Contents.MOST_KEPT, versions.stream().filter(v -> has.get(v) != null).count());
+        assertEquals(
+                Contents.MOST_KEPT,
+                versions.stream().filter(v -> has.get(v) != null).count());
         List<Word> asked = new ArrayList<>();
         wants.ask(0, false, (to, w) -> asked.add(w));
         assertEquals(Contents.MOST_FETCHED, asked.size());
--- a/src/test/java/rushproxy/accord/ExplorerTest.java
+++ b/src/test/java/rushproxy/accord/ExplorerTest.java
@@ -11,7 +11,9 @@
 
 class ExplorerTest {
     private static String told(Explorer.Looked l) {
-        return l.found() == null ? "nothing in " + l.states() + " states" : l.found().broken() + "\n" + String.join("\n", l.found().events());
+        return l.found() == null
+                ? "nothing in " + l.states() + " states"
+                : l.found().broken() + "\n" + String.join("\n", l.found().events());
     }
 
     @Test
@@ -50,7 +52,10 @@
             Explorer.Looked l = Explorer.broken(3, 3, rules).walks(3, 20_000, 300);
             assertNotNull(l.found(), name);
             assertTrue(l.found().events().size() <= 90, name + ": " + told(l));
-            assertEquals(l.found(), Explorer.broken(3, 3, rules).walks(3, 20_000, 300).found(), "the same again");
+            assertEquals(
+                    l.found(),
+                    Explorer.broken(3, 3, rules).walks(3, 20_000, 300).found(),
+                    "the same again");
         });
     }
 }
--- a/src/test/java/rushproxy/accord/RehearsedTest.java
+++ b/src/test/java/rushproxy/accord/RehearsedTest.java
@@ -132,7 +132,8 @@
     @Test
     void whatOneCantTakeIsInForceNowhere() {
         for (int who : new int[] {1, 8}) {
-            Rehearsed r = new Rehearsed(3, 10, LEASE_US, 6, i -> content -> i == who && content[7] == '9' ? "no such zone: 'z'" : null);
+            Rehearsed r = new Rehearsed(
+                    3, 10, LEASE_US, 6, i -> content -> i == who && content[7] == '9' ? "no such zone: 'z'" : null);
             r.network(0.05, 0.05, 5_000);
             assertTrue(r.until(() -> r.allGoBy(ALL, 0), 10 * S) >= 0);
             r.play(4 * S);
@@ -154,6 +155,8 @@
         r.play(S);
         r.propose(0, text(1));
         assertFalse(r.accord(0).open());
-        assertTrue(r.accord(0).propose(S, new byte[Contents.MOST_BYTES + 1], (to, word) -> { }).contains("16385 bytes"));
+        assertTrue(r.accord(0)
+                .propose(S, new byte[Contents.MOST_BYTES + 1], (to, word) -> {})
+                .contains("16385 bytes"));
     }
 }
--- a/src/test/java/rushproxy/accord/SeatTest.java
+++ b/src/test/java/rushproxy/accord/SeatTest.java
@@ -71,7 +71,10 @@
     void anEarlierLifesWordMakesNoMajority() {
         assertEquals(0, acceptedByAnEarlierLife(Rules.ALL).index());
         words.clear();
-        assertEquals(1, acceptedByAnEarlierLife(new Rules(true, false, true, true, true, true)).index());
+        assertEquals(
+                1,
+                acceptedByAnEarlierLife(new Rules(true, false, true, true, true, true))
+                        .index());
     }
 
     @Test
--- a/src/test/java/rushproxy/accord/WordsTest.java
+++ b/src/test/java/rushproxy/accord/WordsTest.java
@@ -14,14 +14,35 @@
     private final Words words = new Words(42, VOTERS);
 
     private static List<Word> all() {
-        List<Life> lives = java.util.stream.IntStream.range(0, VOTERS).mapToObj(i -> new Life(i, -i * 7)).toList();
+        List<Life> lives = java.util.stream.IntStream.range(0, VOTERS)
+                .mapToObj(i -> new Life(i, -i * 7))
+                .toList();
         List<Integer> nonces = List.of(1, 2, 3, -4, 5, Integer.MAX_VALUE, Integer.MIN_VALUE);
         Stage s = new Stage(Long.MAX_VALUE, -1, 77);
-        return List.of(new Word.Prepare(1, 2), new Word.Promise(-1, 9, lives, 8, s, true), new Word.Accept(3, 4, s), new Word.Accepted(3, 4, 5, lives),
-                new Word.Refused(1, 2, 3), new Word.Chosen(1, 2, s), new Word.Taken(1, 9), new Word.Ask(-3), new Word.Answer(1, 2, 3, s, false), new Word.Back(5),
-                new Word.Seen(5, 6), new Word.Blank(5, 6), new Word.Rejoin(new Life(3, 4)), new Word.State(1, new Life(3, 4), lives, 5, 6, s, true),
-                new Word.Together(nonces), new Word.Agreed(nonces), new Word.Propose(5, true), new Word.Begun(nonces), new Word.Want(5, 2), new Word.Piece(5, 2, 700, new byte[Contents.PIECE]), new Word.Unfit(5, "no: ä"),
-                new Word.Staged(1, 5), new Word.Fit(1, 5));
+        return List.of(
+                new Word.Prepare(1, 2),
+                new Word.Promise(-1, 9, lives, 8, s, true),
+                new Word.Accept(3, 4, s),
+                new Word.Accepted(3, 4, 5, lives),
+                new Word.Refused(1, 2, 3),
+                new Word.Chosen(1, 2, s),
+                new Word.Taken(1, 9),
+                new Word.Ask(-3),
+                new Word.Answer(1, 2, 3, s, false),
+                new Word.Back(5),
+                new Word.Seen(5, 6),
+                new Word.Blank(5, 6),
+                new Word.Rejoin(new Life(3, 4)),
+                new Word.State(1, new Life(3, 4), lives, 5, 6, s, true),
+                new Word.Together(nonces),
+                new Word.Agreed(nonces),
+                new Word.Propose(5, true),
+                new Word.Begun(nonces),
+                new Word.Want(5, 2),
+                new Word.Piece(5, 2, 700, new byte[Contents.PIECE]),
+                new Word.Unfit(5, "no: ä"),
+                new Word.Staged(1, 5),
+                new Word.Fit(1, 5));
     }
 
     @Test
--- a/src/test/java/rushproxy/accord/audit/HistoryTest.java
+++ b/src/test/java/rushproxy/accord/audit/HistoryTest.java
@@ -30,7 +30,11 @@
         change("s0", 1_000);
         change("s1", 1_090);
         assertEquals(List.of(), history.broken(10));
-        assertEquals(List.of("1000  era e  stage 1  old and new  at 2 of 2 sidecars within 90 ms", "1100  era e  stage 2  new  at 2 of 2 sidecars within 90 ms"), history.lines());
+        assertEquals(
+                List.of(
+                        "1000  era e  stage 1  old and new  at 2 of 2 sidecars within 90 ms",
+                        "1100  era e  stage 2  new  at 2 of 2 sidecars within 90 ms"),
+                history.lines());
     }
 
     @Test
@@ -50,14 +54,19 @@
         history.until("s0", 1_500);
         change("s1", 1_000);
         assertEquals(List.of(), history.broken(10));
-        assertTrue(history.lines().get(2).endsWith("not at [s0]"), history.lines().toString());
+        assertTrue(
+                history.lines().get(2).endsWith("not at [s0]"), history.lines().toString());
     }
 
     /** Its process stood still over the end of its lease, and says so when it goes on. */
     @Test
     void whoStoodStillWasSureUntilItsLeaseWasOver() throws Broken {
         sure("s0", 900, 0, "old", "old");
-        LogFiles.read(history, "s0", List.of("{\"atMs\":1500,\"event\":\"policy.careful\",\"era\":\"e\",\"index\":0,\"from\":\"old\",\"version\":\"old\",\"ago_ms\":420}"));
+        LogFiles.read(
+                history,
+                "s0",
+                List.of(
+                        "{\"atMs\":1500,\"event\":\"policy.careful\",\"era\":\"e\",\"index\":0,\"from\":\"old\",\"version\":\"old\",\"ago_ms\":420}"));
         change("s1", 1_000);
         history.until("s1", 1_600);
         assertEquals(List.of(), history.broken(10));
@@ -90,7 +99,15 @@
 
     @Test
     void aLineThatIsNoEventIsNamed() {
-        Broken b = assertThrows(Broken.class, () -> LogFiles.read(history, "s0.log", List.of("text", "{\"atMs\":1,\"event\":\"ready\"}", "{\"atMs\":1,\"event\":\"policy.joint\"}")));
+        Broken b = assertThrows(
+                Broken.class,
+                () -> LogFiles.read(
+                        history,
+                        "s0.log",
+                        List.of(
+                                "text",
+                                "{\"atMs\":1,\"event\":\"ready\"}",
+                                "{\"atMs\":1,\"event\":\"policy.joint\"}")));
         assertTrue(b.getMessage().startsWith("s0.log:3: "), b.getMessage());
     }
 }
--- a/src/test/java/rushproxy/cli/CommandsTest.java
+++ b/src/test/java/rushproxy/cli/CommandsTest.java
@@ -13,7 +13,8 @@
 
 /** Commands end with 0, with 1 where they found nothing, with 2 on wrong input. */
 class CommandsTest {
-    private static final String SPAN = """
+    private static final String SPAN =
+            """
             {"resourceSpans":[{"resource":{},"scopeSpans":[{"spans":[{"traceId":"4bf92f3577b34da6a3ce929d0e0e4736",
             "spanId":"1","name":"c","startTimeUnixNano":"0","endTimeUnixNano":"100000000","attributes":[
             {"key":"bridgecleat.request.id","value":{"stringValue":"x"}},{"key":"bridgecleat.class","value":{"stringValue":"confirm"}},
@@ -24,7 +25,8 @@
 
     @Test
     void exitCodesTellWhatCameOfIt() throws Exception {
-        String good = Files.writeString(folder.resolve("a"), SPAN.replace("\n", "") + "\n").toString();
+        String good = Files.writeString(folder.resolve("a"), SPAN.replace("\n", "") + "\n")
+                .toString();
         String broken = Files.writeString(folder.resolve("b"), "{\n").toString();
         assertEquals(0, Commands.run("traces", "show", "4bf9", good));
         assertEquals(0, Commands.run("traces", "list", "-r", "slow", "-c", "confirm", "--slower", "50", good));
@@ -37,7 +39,11 @@
         assertEquals(2, Commands.run("nonsense"));
         assertEquals(2, Commands.run());
         assertEquals(2, Commands.run("demo", "--seconds", "1"));
-        assertEquals(2, Commands.run("check", Files.writeString(folder.resolve("o"), "[traces]\n").toString()));
+        assertEquals(
+                2,
+                Commands.run(
+                        "check",
+                        Files.writeString(folder.resolve("o"), "[traces]\n").toString()));
         assertEquals(0, Commands.run("check", "deploy/operator.toml"));
     }
 
@@ -59,11 +65,17 @@
         } finally {
             sidecar.stop(0);
         }
-        assertEquals(List.of("GET /control/policy", "POST /control/policy/propose", "POST /control/policy/abort"), calls);
+        assertEquals(
+                List.of("GET /control/policy", "POST /control/policy/propose", "POST /control/policy/abort"), calls);
         assertEquals(1, Commands.run("policy", "status", "--at", at));
         assertEquals(2, Commands.run("policy", "status", "--at", "here"));
         assertEquals(2, Commands.run("policy", "status"));
-        assertEquals(0, Commands.run("policy", "audit", Files.createDirectory(folder.resolve("logs")).toString()));
+        assertEquals(
+                0,
+                Commands.run(
+                        "policy",
+                        "audit",
+                        Files.createDirectory(folder.resolve("logs")).toString()));
     }
 
     @Test
@@ -71,18 +83,56 @@
         String json = folder.resolve("days.json").toString();
         String page = folder.resolve("page.html").toString();
         assertEquals(0, Commands.run("lab", "list"));
-        assertEquals(0, Commands.run("lab", "run", "calm", "--set", "fleet.length=6s", "--json", json, "--report", page));
+        assertEquals(
+                0, Commands.run("lab", "run", "calm", "--set", "fleet.length=6s", "--json", json, "--report", page));
         assertEquals(1, Files.readAllLines(Path.of(json)).size());
         assertEquals(0, Commands.run("lab", "report", json, json, "-o", page));
         assertEquals(1, Commands.run("lab", "run", "calm", "--set", "fleet.length=6s", "--set", "traffic.load=3"));
-        assertEquals(0, Commands.run("lab", "search", "calm", "--runs", "2", "--set", "fleet.length=5s", "--out", folder.toString()));
-        assertEquals(0, Commands.run("lab", "sweep", "calm", "traffic.load=0.2,0.3", "--seeds", "1", "--set", "fleet.length=5s", "--report", page));
-        assertEquals(0, Commands.run("lab", "replay", "calm", "--set", "fleet.length=5s", "--log", folder.resolve("log").toString()));
+        assertEquals(
+                0,
+                Commands.run(
+                        "lab",
+                        "search",
+                        "calm",
+                        "--runs",
+                        "2",
+                        "--set",
+                        "fleet.length=5s",
+                        "--out",
+                        folder.toString()));
+        assertEquals(
+                0,
+                Commands.run(
+                        "lab",
+                        "sweep",
+                        "calm",
+                        "traffic.load=0.2,0.3",
+                        "--seeds",
+                        "1",
+                        "--set",
+                        "fleet.length=5s",
+                        "--report",
+                        page));
+        assertEquals(
+                0,
+                Commands.run(
+                        "lab",
+                        "replay",
+                        "calm",
+                        "--set",
+                        "fleet.length=5s",
+                        "--log",
+                        folder.resolve("log").toString()));
         assertEquals(2, Commands.run("lab", "run", "nowhere"));
         assertEquals(2, Commands.run("lab", "run", "calm", "--set", "fleet.lenth=6s"));
         assertEquals(2, Commands.run("lab", "run", "calm", "--jobs", "-1"));
         assertEquals(2, Commands.run("lab", "sweep", "calm", "nodes"));
         assertEquals(2, Commands.run("lab", "report", folder.resolve("none").toString()));
-        assertEquals(2, Commands.run("lab", "report", Files.writeString(folder.resolve("x.json"), "{}\n").toString()));
+        assertEquals(
+                2,
+                Commands.run(
+                        "lab",
+                        "report",
+                        Files.writeString(folder.resolve("x.json"), "{}\n").toString()));
     }
 }
--- a/src/test/java/rushproxy/cli/MainTest.java
+++ b/src/test/java/rushproxy/cli/MainTest.java
@@ -22,8 +22,11 @@
     private SidecarProcess start(String config, String operator, String... before) throws Exception {
         List<String> wrapper = new ArrayList<>(List.of("env", "BALANCER_DISCOVERY=127.0.0.1:9"));
         wrapper.addAll(List.of(before));
-        return new SidecarProcess("sidecar", Files.writeString(folder.resolve("config.json"), config),
-                operator == null ? null : Files.writeString(folder.resolve("operator.toml"), operator), wrapper);
+        return new SidecarProcess(
+                "sidecar",
+                Files.writeString(folder.resolve("config.json"), config),
+                operator == null ? null : Files.writeString(folder.resolve("operator.toml"), operator),
+                wrapper);
     }
 
     private static void endsWith(SidecarProcess p, int code, String part) throws Exception {
@@ -38,7 +41,8 @@
         endsWith(start("{\"name\":\"n\"}", null), 2, "'settings' is missing");
     }
 
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","peer_listen":"127.0.0.1:0",
              "known":{"generation":1,"reset":true,"instances":[]},
              "settings":{"me":0,"balancers":1,"zone":"z","discovery":"on_request",
@@ -51,13 +55,15 @@
         for (String name : new String[] {"config.json", "operator.toml"}) {
             Path slow = folder.resolve(name);
             Files.deleteIfExists(slow);
-            assertEquals(0, new ProcessBuilder("mkfifo", slow.toString()).start().waitFor());
+            assertEquals(
+                    0, new ProcessBuilder("mkfifo", slow.toString()).start().waitFor());
             Path config = folder.resolve("config.json");
             if (!slow.equals(config)) {
                 Files.deleteIfExists(config);
                 Files.writeString(config, CONFIG);
             }
-            try (SidecarProcess p = new SidecarProcess("sidecar", config, slow.equals(config) ? null : slow, List.of())) {
+            try (SidecarProcess p =
+                    new SidecarProcess("sidecar", config, slow.equals(config) ? null : slow, List.of())) {
                 // Opens once it reads: it waits for the first byte then.
                 try (java.io.OutputStream writes = Files.newOutputStream(slow)) {
                     assertEquals(0, p.terminate(), p.log().toString());
@@ -68,22 +74,33 @@
     }
 
     private static void hangUp(SidecarProcess p) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + p.process().pid()).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-HUP", "" + p.process().pid())
+                        .start()
+                        .waitFor());
     }
 
     @Test
     void aBrokenOperatorsFileEndsItWithItsPlace() throws Exception {
-        endsWith(start(CONFIG, "\n[membership]\nfresh = 3\n"), 2, "operator.toml:3: membership.fresh: expected a duration");
+        endsWith(
+                start(CONFIG, "\n[membership]\nfresh = 3\n"),
+                2,
+                "operator.toml:3: membership.fresh: expected a duration");
     }
 
     /** Two that are told the same address for operators: the second says so and ends, whoever it is. */
     @Test
     void anOperatorsAddressThatIsTakenEndsItWithOneLine() throws Exception {
-        try (java.net.ServerSocket taken = new java.net.ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
-            try (SidecarProcess p = start(CONFIG.replaceFirst("\\{", "{\"admin\":\"127.0.0.1:" + taken.getLocalPort() + "\","), null)) {
+        try (java.net.ServerSocket taken =
+                new java.net.ServerSocket(0, 1, java.net.InetAddress.getByName("127.0.0.1"))) {
+            try (SidecarProcess p =
+                    start(CONFIG.replaceFirst("\\{", "{\"admin\":\"127.0.0.1:" + taken.getLocalPort() + "\","), null)) {
                 assertTrue(p.process().waitFor(30, java.util.concurrent.TimeUnit.SECONDS));
                 assertEquals(2, p.process().exitValue(), p.log().toString());
-                assertTrue(p.log().get(p.log().size() - 1).contains("an address can't be listened on"), p.log().toString());
+                assertTrue(
+                        p.log().get(p.log().size() - 1).contains("an address can't be listened on"),
+                        p.log().toString());
             }
         }
     }
@@ -115,7 +132,9 @@
             p.awaitLog("keeps its list in " + folder.resolve("b"));
             Files.writeString(folder.resolve("operator.toml"), "[membership.disc]\n");
             hangUp(p);
-            assertTrue(p.awaitLog("goes on as before: ").contains(":1: membership.disc: unknown"), p.log().toString());
+            assertTrue(
+                    p.awaitLog("goes on as before: ").contains(":1: membership.disc: unknown"),
+                    p.log().toString());
             Files.writeString(folder.resolve("operator.toml"), "");
             hangUp(p);
             p.awaitLog("keeps no list from now on");
@@ -130,17 +149,23 @@
     void startedWithTheSignalIgnoredItSaysSo() throws Exception {
         try (SidecarProcess p = start(CONFIG, null, NO_HANG_UP)) {
             p.awaitLog(" serves on ");
-            assertTrue(p.log().get(0).contains("SIGHUP is ignored by whoever started this"), p.log().toString());
+            assertTrue(
+                    p.log().get(0).contains("SIGHUP is ignored by whoever started this"),
+                    p.log().toString());
         }
     }
 
     /** The line {@code run} takes the signal back, whoever gave it away. */
     @Test
     void startedAsInTheDeployFileItHearsTheSignalAllTheSame() throws Exception {
-        String run = Files.readString(Path.of("deploy/balancer.toml")).lines().filter(l -> l.startsWith("run = "))
-                .findFirst().orElse("");
+        String run = Files.readString(Path.of("deploy/balancer.toml"))
+                .lines()
+                .filter(l -> l.startsWith("run = "))
+                .findFirst()
+                .orElse("");
         List<String> before = new ArrayList<>(List.of(NO_HANG_UP));
-        before.addAll(List.of(run.substring(run.indexOf("exec ") + 5, run.indexOf(" java ")).split(" ")));
+        before.addAll(List.of(
+                run.substring(run.indexOf("exec ") + 5, run.indexOf(" java ")).split(" ")));
         try (SidecarProcess p = start(CONFIG, null, before.toArray(String[]::new))) {
             p.awaitLog(" serves on ");
             Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
--- a/src/test/java/rushproxy/core/ClassesTest.java
+++ b/src/test/java/rushproxy/core/ClassesTest.java
@@ -16,8 +16,10 @@
         return new RequestClass(name, semantics, group, 4_000_000, 100_000, 0, deadlineUs, 1, 0, false);
     }
 
-    private static final RequestClass SAFE = of("a", Semantics.SAFE, Group.ALL, 400_000), KEYED = of("a", Semantics.KEYED, Group.ZONE, 500_000),
-            UNSAFE = of("a", Semantics.UNSAFE, Group.ALL, 600_000), OTHER = of("b", Semantics.SAFE, Group.ALL, 400_000);
+    private static final RequestClass SAFE = of("a", Semantics.SAFE, Group.ALL, 400_000),
+            KEYED = of("a", Semantics.KEYED, Group.ZONE, 500_000),
+            UNSAFE = of("a", Semantics.UNSAFE, Group.ALL, 600_000),
+            OTHER = of("b", Semantics.SAFE, Group.ALL, 400_000);
 
     @Test
     void aNewClassBindsAtOnceAndADroppedOneForAWhile() {
--- a/src/test/java/rushproxy/core/EventLoopsTest.java
+++ b/src/test/java/rushproxy/core/EventLoopsTest.java
@@ -39,9 +39,11 @@
         AtomicInteger turns = new AtomicInteger();
         IoHandlerFactory nio = NioIoHandler.newFactory();
         MultiThreadIoEventLoopGroup group = EventLoops.one(executor -> (IoHandler) Proxy.newProxyInstance(
-                IoHandler.class.getClassLoader(), new Class<?>[] {IoHandler.class}, counting(nio.newHandler(executor), turns)));
+                IoHandler.class.getClassLoader(),
+                new Class<?>[] {IoHandler.class},
+                counting(nio.newHandler(executor), turns)));
         for (int i = 0; i < TIMERS; i++) {
-            group.next().schedule(() -> { }, 1_400, TimeUnit.MICROSECONDS).sync();
+            group.next().schedule(() -> {}, 1_400, TimeUnit.MICROSECONDS).sync();
         }
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         assertTrue(turns.get() < 10 * TIMERS, turns + " turns for " + TIMERS + " timers");
--- a/src/test/java/rushproxy/core/LogTest.java
+++ b/src/test/java/rushproxy/core/LogTest.java
@@ -34,15 +34,20 @@
 
     @Test
     void anEventIsItsTextOrALineOfJson() {
-        assertEquals("rushproxy: said \"so\" 7", line(printed(() -> Log.event("said", "said \"so\" 7", "number", 7)), "said \"so\""));
+        assertEquals(
+                "rushproxy: said \"so\" 7",
+                line(printed(() -> Log.event("said", "said \"so\" 7", "number", 7)), "said \"so\""));
         Log.json(true);
         try {
-            Json j = Json.parse(line(printed(() -> Log.event("said", "said \"so\" 8", "number", 8, "why", null)), "8").getBytes(StandardCharsets.UTF_8));
+            Json j = Json.parse(line(printed(() -> Log.event("said", "said \"so\" 8", "number", 8, "why", null)), "8")
+                    .getBytes(StandardCharsets.UTF_8));
             assertEquals("said", j.text("event"));
             assertEquals("said \"so\" 8", j.text("text"));
             assertEquals(8, j.number("number"));
             assertEquals("info", j.text("level"));
-            Json fault = Json.parse(line(printed(() -> Log.trouble("it broke nine", new IllegalStateException("x"))), "nine").getBytes(StandardCharsets.UTF_8));
+            Json fault =
+                    Json.parse(line(printed(() -> Log.trouble("it broke nine", new IllegalStateException("x"))), "nine")
+                            .getBytes(StandardCharsets.UTF_8));
             assertEquals("error", fault.text("level"));
             assertEquals("java.lang.IllegalStateException", fault.text("exception"));
         } finally {
--- a/src/test/java/rushproxy/core/TurnsTest.java
+++ b/src/test/java/rushproxy/core/TurnsTest.java
@@ -59,7 +59,10 @@
                     LockSupport.parkNanos(MS);
                 }
             });
-            unread = group.next().submit(() -> turns.unreadNanos(System.nanoTime())).sync().getNow();
+            unread = group.next()
+                    .submit(() -> turns.unreadNanos(System.nanoTime()))
+                    .sync()
+                    .getNow();
         }
         assertTrue(unread >= 30 * MS, "seen as late by " + unread);
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
--- a/src/test/java/rushproxy/figures/FiguresTest.java
+++ b/src/test/java/rushproxy/figures/FiguresTest.java
@@ -13,8 +13,10 @@
     void zerosAreToldFromTheStartInTheOperatorsNames() {
         Figures f = new Figures();
         f.serves("a");
-        assertEquals("{transactions={a={answered=0, deferred=0, errored=0}}, current=0, sends=0, cluster_size=12, cluster_unhealthy=2, "
-                + "conf_loaded=0, conf_invalid=0}", f.told(12, 2).toString());
+        assertEquals(
+                "{transactions={a={answered=0, deferred=0, errored=0}}, current=0, sends=0, cluster_size=12, cluster_unhealthy=2, "
+                        + "conf_loaded=0, conf_invalid=0}",
+                f.told(12, 2).toString());
     }
 
     /** Whatever comes in whatever order, what was taken is what has ended and what is held. */
@@ -59,7 +61,9 @@
         f.reloaded(true);
         f.reloaded(false);
         Map<String, Object> told = f.told(0, 0);
-        assertTrue(told.get("transactions").toString().startsWith("{old={answered=1, deferred=0, errored=1}, new="), told.toString());
+        assertTrue(
+                told.get("transactions").toString().startsWith("{old={answered=1, deferred=0, errored=1}, new="),
+                told.toString());
         assertEquals(0L, told.get("current"));
         assertEquals(1L, told.get("conf_loaded"));
         assertEquals(1L, told.get("conf_invalid"));
--- a/src/test/java/rushproxy/fleet/CirclesTest.java
+++ b/src/test/java/rushproxy/fleet/CirclesTest.java
@@ -68,7 +68,10 @@
         for (int[] size : new int[][] {{300, 60}, {100, 60}, {100, 200}, {1000, 70}, {40, 400}}) {
             List<String> upstreams = upstreams(size[1]);
             Circles c = of(0, size[0], 17, upstreams);
-            int[] users = upstreams.stream().mapToInt(u -> c.sharers(u).length).sorted().toArray();
+            int[] users = upstreams.stream()
+                    .mapToInt(u -> c.sharers(u).length)
+                    .sorted()
+                    .toArray();
             double mean = Arrays.stream(users).average().orElse(0);
             assertTrue(users[0] >= mean / 3, Arrays.toString(users));
             assertTrue(users[users.length - 1] <= 2.2 * mean + 2, Arrays.toString(users));
--- a/src/test/java/rushproxy/fleet/HoldingsTest.java
+++ b/src/test/java/rushproxy/fleet/HoldingsTest.java
@@ -20,10 +20,22 @@
     private static final long NOW = 5_000_000;
 
     private static Settings settings(int sidecars, boolean peers, double peerPrice, double probePrice) {
-        return new Settings(0, sidecars, "a", List.of("a"), List.of("k"), List.of(), List.of(),
+        return new Settings(
+                0,
+                sidecars,
+                "a",
+                List.of("a"),
+                List.of("k"),
+                List.of(),
+                List.of(),
                 new Limits(4, true, true, true, peers, false, 0, 15_000_000, 0),
-                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, 0), Reports.INLINE, true, false, 0.1,
-                new Prices(0, peerPrice, probePrice, 0, 0), 1_000);
+                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, 0),
+                Reports.INLINE,
+                true,
+                false,
+                0.1,
+                new Prices(0, peerPrice, probePrice, 0, 0),
+                1_000);
     }
 
     private static Holdings one() {
@@ -203,18 +215,21 @@
         assertNull(all.hearers(NOW));
         assertEquals(Integer.MAX_VALUE, all.circle());
         Holdings few = Holdings.of(settings(100, true, 0.01, 0.08));
-        List<String> upstreams = java.util.stream.IntStream.range(0, 200).mapToObj(i -> "n" + i).toList();
+        List<String> upstreams =
+                java.util.stream.IntStream.range(0, 200).mapToObj(i -> "n" + i).toList();
         few.listed(upstreams);
         assertTrue(few.circle() >= 8 && few.circle() <= 30);
         assertEquals(0, few.hearers(NOW).length);
-        String near = upstreams.stream().filter(u -> few.rank(u) == 0).findFirst().orElseThrow();
+        String near =
+                upstreams.stream().filter(u -> few.rank(u) == 0).findFirst().orElseThrow();
         few.began(near);
         int[] to = few.hearers(NOW);
         assertTrue(to.length > 2 && to.length < 20, to.length + " hear it");
         few.word(NOW);
         assertTrue(few.waitUs(NOW) >= to.length * 1_000_000L / 1_300);
         // Something else changes: those alone are told who share that, until the first is due again.
-        String other = upstreams.stream().filter(u -> few.rank(u) == 1).findFirst().orElseThrow();
+        String other =
+                upstreams.stream().filter(u -> few.rank(u) == 1).findFirst().orElseThrow();
         few.began(other);
         assertTrue(few.hearers(NOW + 20_000).length < 20);
         assertEquals(0, few.hearers(NOW + 40_000).length);
--- a/src/test/java/rushproxy/fleet/LessonsTest.java
+++ b/src/test/java/rushproxy/fleet/LessonsTest.java
@@ -25,10 +25,22 @@
     private static final int LISTED = 20;
 
     private static Settings settings(int me, int sidecars, boolean peers, double peerPrice, double probePrice) {
-        return new Settings(me, sidecars, "a", List.of("a"), List.of("k"), List.of(), List.of(),
+        return new Settings(
+                me,
+                sidecars,
+                "a",
+                List.of("a"),
+                List.of("k"),
+                List.of(),
+                List.of(),
                 new Limits(4, true, true, true, peers, false, 0, 15_000_000, 0),
-                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, 0), Reports.INLINE, true, false, 0.1,
-                new Prices(0, peerPrice, probePrice, 0, 0), 1_000);
+                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, 0),
+                Reports.INLINE,
+                true,
+                false,
+                0.1,
+                new Prices(0, peerPrice, probePrice, 0, 0),
+                1_000);
     }
 
     private static Lessons of(int me) {
@@ -112,7 +124,8 @@
 
     @Test
     void whereHalfOrMoreWouldBeLeftOutNoneIs() {
-        Upstream[] all = IntStream.range(0, LISTED).mapToObj(i -> up("u" + i, 0)).toArray(Upstream[]::new);
+        Upstream[] all =
+                IntStream.range(0, LISTED).mapToObj(i -> up("u" + i, 0)).toArray(Upstream[]::new);
         Upstream[] few = Arrays.copyOf(all, LISTED / 2 - 1);
         listener.heard(NOW, 3, word(few));
         listener.heard(NOW, 4, word(few));
--- a/src/test/java/rushproxy/fleet/account/AccountTest.java
+++ b/src/test/java/rushproxy/fleet/account/AccountTest.java
@@ -13,7 +13,10 @@
 /** The sums, where each thing is counted, and that nothing is divided by nothing. */
 class AccountTest {
     private static String line(Account a, String start) {
-        return a.lines(1, 3).stream().filter(l -> l.strip().startsWith(start)).findFirst().orElseThrow();
+        return a.lines(1, 3).stream()
+                .filter(l -> l.strip().startsWith(start))
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -27,9 +30,15 @@
         a.ended(60_000_000, End.REFUSED);
         a.ended(-1, End.LEFT);
         List<?> seconds = (List<?>) a.asMap().get("seconds");
-        assertEquals(List.of(2L, 1L, 0L), seconds.stream().map(s -> ((Map<?, ?>) s).get("asked")).toList());
-        assertEquals(List.of(0L, 0L, 1L), seconds.stream().map(s -> ((Map<?, ?>) s).get("refused")).toList());
-        assertEquals(List.of(1L, 0L, 0L), seconds.stream().map(s -> ((Map<?, ?>) s).get("left")).toList());
+        assertEquals(
+                List.of(2L, 1L, 0L),
+                seconds.stream().map(s -> ((Map<?, ?>) s).get("asked")).toList());
+        assertEquals(
+                List.of(0L, 0L, 1L),
+                seconds.stream().map(s -> ((Map<?, ?>) s).get("refused")).toList());
+        assertEquals(
+                List.of(1L, 0L, 0L),
+                seconds.stream().map(s -> ((Map<?, ?>) s).get("left")).toList());
         assertEquals(3L, a.asMap().get("asked"));
     }
 
@@ -42,8 +51,21 @@
         a.attempt(0, Condition.GONE, Outcome.NOT_SENT);
         a.attempt(0, Condition.WARM, Outcome.OK);
         a.attempt(0, Condition.WARM, Outcome.REJECTED);
-        assertEquals(Map.of("gone", List.of(2L, 2L), "warm", List.of(2L, 1L), "cold", List.of(0L, 0L), "bad", List.of(0L, 0L), "lost",
-                List.of(0L, 0L), "dead zone", List.of(0L, 0L)), a.asMap().get("attemptsAndWasted"));
+        assertEquals(
+                Map.of(
+                        "gone",
+                        List.of(2L, 2L),
+                        "warm",
+                        List.of(2L, 1L),
+                        "cold",
+                        List.of(0L, 0L),
+                        "bad",
+                        List.of(0L, 0L),
+                        "lost",
+                        List.of(0L, 0L),
+                        "dead zone",
+                        List.of(0L, 0L)),
+                a.asMap().get("attemptsAndWasted"));
         assertEquals("attempts a request 2.000; wasted 75.0 % of 4", line(a, "attempts a request"));
     }
 
@@ -57,7 +79,9 @@
         a.said(0);
         a.heard(0);
         a.heard(0);
-        assertTrue(line(a, "calls").startsWith("calls for lists 8, 7 in the worst second; words said 1, heard 2"), line(a, "calls"));
+        assertTrue(
+                line(a, "calls").startsWith("calls for lists 8, 7 in the worst second; words said 1, heard 2"),
+                line(a, "calls"));
     }
 
     @Test
@@ -70,7 +94,9 @@
         a.cold(1.5);
         assertEquals(6L, a.asMap().get("avoided"));
         assertEquals(9_000L, a.asMap().get("oldestListMs"));
-        assertEquals("avoided at a look: 6, 50.0 % of them healthy; cold upstreams: worst window 1.50 of 3.00 allowed, mean 1.00", line(a, "avoided"));
+        assertEquals(
+                "avoided at a look: 6, 50.0 % of them healthy; cold upstreams: worst window 1.50 of 3.00 allowed, mean 1.00",
+                line(a, "avoided"));
     }
 
     @Test
--- a/src/test/java/rushproxy/fleet/account/CausesTest.java
+++ b/src/test/java/rushproxy/fleet/account/CausesTest.java
@@ -30,17 +30,24 @@
     /** Each client's wish that the day counts as not in time has one cause, and a crowd of sidecars shows as one. */
     @Test
     void allThatIsLateHasACauseAndACrowdShows() throws Exception {
-        Scenario s = ScenarioFile.read("vast", Map.of("fleet.sidecars", 100L, "fleet.length", "8s", "traffic.load", 0.8, "network.peer_ms", 150.0));
+        Scenario s = ScenarioFile.read(
+                "vast",
+                Map.of("fleet.sidecars", 100L, "fleet.length", "8s", "traffic.load", 0.8, "network.peer_ms", 150.0));
         Account account = new Account(8);
         Day day = new World(s, Engine.module(s.operator()), null, account).play();
-        long late = s.classes().stream().mapToLong(k -> day.figures().count(k.spec().name(), "late") + day.figures().count(k.spec().name(), "refused")
-                + day.figures().count(k.spec().name(), "failed")).sum();
+        long late = s.classes().stream()
+                .mapToLong(k -> day.figures().count(k.spec().name(), "late")
+                        + day.figures().count(k.spec().name(), "refused")
+                        + day.figures().count(k.spec().name(), "failed"))
+                .sum();
         long caused = 0;
         for (Cause c : Cause.values()) {
             caused += account.causes().count(c);
         }
         assertEquals(late, caused);
-        assertTrue(account.causes().count(Cause.CROWD) > 3 * account.causes().count(Cause.FULL), account.causes().lines().toString());
+        assertTrue(
+                account.causes().count(Cause.CROWD) > 3 * account.causes().count(Cause.FULL),
+                account.causes().lines().toString());
         assertTrue(account.lines(8, 3).stream().anyMatch(l -> l.contains(Cause.CROWD.words())));
     }
 }
--- a/src/test/java/rushproxy/grpc/mapping/MappingTest.java
+++ b/src/test/java/rushproxy/grpc/mapping/MappingTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.ByteArrayOutputStream;
 import com.google.protobuf.CodedOutputStream;
+import java.io.ByteArrayOutputStream;
 import java.util.Base64;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -19,21 +19,33 @@
     @Test
     void everyStatusHasItsOutcome() {
         Map<Code, Outcome> table = Map.ofEntries(
-                Map.entry(Code.OK, Outcome.OK), Map.entry(Code.CANCELLED, Outcome.INVALID),
-                Map.entry(Code.UNKNOWN, Outcome.ERROR), Map.entry(Code.INVALID_ARGUMENT, Outcome.INVALID),
-                Map.entry(Code.DEADLINE_EXCEEDED, Outcome.ERROR), Map.entry(Code.NOT_FOUND, Outcome.INVALID),
-                Map.entry(Code.ALREADY_EXISTS, Outcome.INVALID), Map.entry(Code.PERMISSION_DENIED, Outcome.INVALID),
-                Map.entry(Code.RESOURCE_EXHAUSTED, Outcome.ERROR), Map.entry(Code.FAILED_PRECONDITION, Outcome.INVALID),
-                Map.entry(Code.ABORTED, Outcome.INVALID), Map.entry(Code.OUT_OF_RANGE, Outcome.INVALID),
-                Map.entry(Code.UNIMPLEMENTED, Outcome.INVALID), Map.entry(Code.INTERNAL, Outcome.ERROR),
-                Map.entry(Code.UNAVAILABLE, Outcome.ERROR), Map.entry(Code.DATA_LOSS, Outcome.ERROR),
+                Map.entry(Code.OK, Outcome.OK),
+                Map.entry(Code.CANCELLED, Outcome.INVALID),
+                Map.entry(Code.UNKNOWN, Outcome.ERROR),
+                Map.entry(Code.INVALID_ARGUMENT, Outcome.INVALID),
+                Map.entry(Code.DEADLINE_EXCEEDED, Outcome.ERROR),
+                Map.entry(Code.NOT_FOUND, Outcome.INVALID),
+                Map.entry(Code.ALREADY_EXISTS, Outcome.INVALID),
+                Map.entry(Code.PERMISSION_DENIED, Outcome.INVALID),
+                Map.entry(Code.RESOURCE_EXHAUSTED, Outcome.ERROR),
+                Map.entry(Code.FAILED_PRECONDITION, Outcome.INVALID),
+                Map.entry(Code.ABORTED, Outcome.INVALID),
+                Map.entry(Code.OUT_OF_RANGE, Outcome.INVALID),
+                Map.entry(Code.UNIMPLEMENTED, Outcome.INVALID),
+                Map.entry(Code.INTERNAL, Outcome.ERROR),
+                Map.entry(Code.UNAVAILABLE, Outcome.ERROR),
+                Map.entry(Code.DATA_LOSS, Outcome.ERROR),
                 Map.entry(Code.UNAUTHENTICATED, Outcome.INVALID));
         assertEquals(Code.values().length, table.size());
         table.forEach((code, outcome) -> {
             assertEquals(outcome, Ending.ofStatus(code, "", false).outcome(), code.toString());
             assertEquals(code, Ending.ofStatus(code, "m", true).code());
-            boolean away = code == Code.UNAVAILABLE || code == Code.RESOURCE_EXHAUSTED || code == Code.DEADLINE_EXCEEDED;
-            assertEquals(away ? Outcome.REJECTED : outcome, Ending.ofStatus(code, "", true).outcome(), code + " turned away");
+            boolean away =
+                    code == Code.UNAVAILABLE || code == Code.RESOURCE_EXHAUSTED || code == Code.DEADLINE_EXCEEDED;
+            assertEquals(
+                    away ? Outcome.REJECTED : outcome,
+                    Ending.ofStatus(code, "", true).outcome(),
+                    code + " turned away");
         });
     }
 
@@ -58,8 +70,10 @@
 
     @Test
     void httpStatusesOfWhatIsNoGrpc() {
-        int[][] table = {{400, 13}, {401, 16}, {403, 7}, {404, 12}, {429, 14}, {502, 14}, {503, 14}, {504, 14}, {500, 2},
-            {200, 2}, {302, 2}};
+        int[][] table = {
+            {400, 13}, {401, 16}, {403, 7}, {404, 12}, {429, 14}, {502, 14}, {503, 14}, {504, 14}, {500, 2}, {200, 2},
+            {302, 2}
+        };
         for (int[] line : table) {
             assertEquals(line[1], Ending.ofHttp(line[0], false).code().number(), "HTTP " + line[0]);
         }
@@ -92,8 +106,17 @@
 
     @Test
     void timeoutsInAllUnits() {
-        Object[][] table = {{"1H", 3_600_000_000L}, {"2M", 120_000_000L}, {"3S", 3_000_000L}, {"4m", 4_000L}, {"5u", 5L},
-            {"6000n", 6L}, {"1n", 1L}, {"0m", 0L}, {"99999999H", 359_999_996_400_000_000L}};
+        Object[][] table = {
+            {"1H", 3_600_000_000L},
+            {"2M", 120_000_000L},
+            {"3S", 3_000_000L},
+            {"4m", 4_000L},
+            {"5u", 5L},
+            {"6000n", 6L},
+            {"1n", 1L},
+            {"0m", 0L},
+            {"99999999H", 359_999_996_400_000_000L}
+        };
         for (Object[] line : table) {
             assertEquals(line[1], Timeouts.parse((String) line[0]), (String) line[0]);
         }
@@ -154,7 +177,9 @@
 
     @Test
     void orcaInBinary() throws Exception {
-        assertEquals(new LoadReport(4, 2, 0.7), Orca.binary(report(0.3, 0.7, Map.of("inflight", 4.0, "queue", 2.0, "x", 1.0))));
+        assertEquals(
+                new LoadReport(4, 2, 0.7),
+                Orca.binary(report(0.3, 0.7, Map.of("inflight", 4.0, "queue", 2.0, "x", 1.0))));
         assertEquals(new LoadReport(-1, -1, 0.3), Orca.binary(report(0.3, 0, Map.of())));
         for (double odd : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY, 1e9}) {
             assertNull(Orca.binary(report(0.1, 0.1, Map.of("inflight", odd))), "" + odd);
@@ -174,7 +199,8 @@
             for (int k = 0; k <= random.nextInt(4); k++) {
                 bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
             }
-            Orca.binary(Base64.getEncoder().encodeToString(java.util.Arrays.copyOf(bytes, random.nextInt(bytes.length + 1))));
+            Orca.binary(Base64.getEncoder()
+                    .encodeToString(java.util.Arrays.copyOf(bytes, random.nextInt(bytes.length + 1))));
         }
     }
 
--- a/src/test/java/rushproxy/handover/NotebookTest.java
+++ b/src/test/java/rushproxy/handover/NotebookTest.java
@@ -38,7 +38,8 @@
             old.write(kept -> BANS, kept -> noted.countDown());
             assertTrue(noted.await(10, TimeUnit.SECONDS));
         }
-        try (Notebook next = new Notebook(folder, "n 0/x"); Notebook other = new Notebook(folder, "n 0?x")) {
+        try (Notebook next = new Notebook(folder, "n 0/x");
+                Notebook other = new Notebook(folder, "n 0?x")) {
             assertEquals(BANS, next.read());
             assertEquals(Bans.Kept.NONE, other.read(), "another sidecar's");
         }
@@ -60,7 +61,9 @@
             wrong[random.nextInt(wrong.length)] ^= (byte) (1 << random.nextInt(8));
             assertThrows(IOException.class, () -> Note.read(wrong, "n0"));
         }
-        byte[] newer = new String(right, StandardCharsets.UTF_8).replace("handover 1 ", "handover 2 ").getBytes(StandardCharsets.UTF_8);
+        byte[] newer = new String(right, StandardCharsets.UTF_8)
+                .replace("handover 1 ", "handover 2 ")
+                .getBytes(StandardCharsets.UTF_8);
         assertThrows(IOException.class, () -> Note.read(newer, "n0"));
         Files.write(folder.resolve("bridgecleat-n0.handover"), newer);
         try (Notebook notebook = new Notebook(folder, "n0")) {
@@ -80,7 +83,7 @@
             LinkedBlockingQueue<Bans.Kept> heard = new LinkedBlockingQueue<>();
             CountDownLatch alone = new CountDownLatch(1);
             next.watch(heard::add, alone::countDown);
-            old.write(kept -> BANS, kept -> { });
+            old.write(kept -> BANS, kept -> {});
             assertEquals(BANS, heard.poll(10, TimeUnit.SECONDS));
             assertEquals(1, alone.getCount());
             old.close();
@@ -104,7 +107,8 @@
     /** Both write at once: none of the calls is lost. */
     @Test
     void callsToBothProcessesAtOnceAreAllNoted() throws Exception {
-        try (Notebook one = new Notebook(folder, "n0"); Notebook two = new Notebook(folder, "n0")) {
+        try (Notebook one = new Notebook(folder, "n0");
+                Notebook two = new Notebook(folder, "n0")) {
             CountDownLatch done = new CountDownLatch(40);
             for (int i = 0; i < 40; i++) {
                 String id = "u" + i;
--- a/src/test/java/rushproxy/json/JsonTest.java
+++ b/src/test/java/rushproxy/json/JsonTest.java
@@ -21,13 +21,16 @@
 
     @Test
     void fieldsOfEachKind() {
-        Json json = parse("{\"t\":\"ü\",\"n\":7,\"r\":1.5,\"f\":true,\"o\":{\"x\":1},\"l\":[{\"y\":2},{\"y\":3}],\"s\":[\"a\",4],\"z\":null}");
+        Json json = parse(
+                "{\"t\":\"ü\",\"n\":7,\"r\":1.5,\"f\":true,\"o\":{\"x\":1},\"l\":[{\"y\":2},{\"y\":3}],\"s\":[\"a\",4],\"z\":null}");
         assertEquals("ü", json.text("t"));
         assertEquals(7, json.number("n"));
         assertEquals(1.5, json.realOr("r", 0));
         assertTrue(json.flag("f"));
         assertEquals(1, json.object("o").number("x"));
-        assertEquals(List.of(2L, 3L), json.objects("l").stream().map(j -> j.number("y")).toList());
+        assertEquals(
+                List.of(2L, 3L),
+                json.objects("l").stream().map(j -> j.number("y")).toList());
         assertEquals(List.of("a", "4"), json.textsOrNone("s"));
         assertEquals(List.of(), json.textsOrNone("none"));
         assertFalse(json.has("z"));
@@ -45,14 +48,28 @@
                 "'n' is not an object", () -> json.object("n"),
                 "'l' holds what is no object", () -> json.objects("l"),
                 "'none' is missing", () -> json.text("none"));
-        wrong.forEach((message, call) ->
-                assertEquals(message, assertThrows(IllegalArgumentException.class, call).getMessage()));
+        wrong.forEach((message, call) -> assertEquals(
+                message, assertThrows(IllegalArgumentException.class, call).getMessage()));
     }
 
     @Test
     void whatIsNoObjectIsOneLine() {
-        for (String text : new String[] {"", "[]", "7", "\"x\"", "null", "{", "{\"a\":", "{\"a\":1", "{\"a\":1}x", "{\"a\":1}{}",
-            "{\"a\":[1,}", "{a:1}", "\u0001", "{\"a\":01}"}) {
+        for (String text : new String[] {
+            "",
+            "[]",
+            "7",
+            "\"x\"",
+            "null",
+            "{",
+            "{\"a\":",
+            "{\"a\":1",
+            "{\"a\":1}x",
+            "{\"a\":1}{}",
+            "{\"a\":[1,}",
+            "{a:1}",
+            "\u0001",
+            "{\"a\":01}"
+        }) {
             IllegalArgumentException e = assertThrows(IllegalArgumentException.class, () -> parse(text), text);
             assertTrue(e.getMessage().startsWith("no JSON object"), text + ": " + e.getMessage());
             assertEquals(1, e.getMessage().lines().count(), text);
@@ -62,13 +79,17 @@
     /** Deep or long beyond all sense: refused, not followed. */
     @Test
     void nestingIsBounded() {
-        assertThrows(IllegalArgumentException.class, () -> parse("{\"a\":" + "[".repeat(100_000) + "]".repeat(100_000) + "}"));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> parse("{\"a\":" + "[".repeat(100_000) + "]".repeat(100_000) + "}"));
     }
 
     @Test
     void allValuesByTheirPaths() {
-        assertEquals(Map.of("a.b", "1", "l", "x,2", "o.count", "2", "o.0.c", "true", "o.1.c", "false"),
-                parse("{\"a\":{\"b\":1},\"l\":[\"x\",2],\"o\":[{\"c\":true},{\"c\":false}],\"n\":null}").flat());
+        assertEquals(
+                Map.of("a.b", "1", "l", "x,2", "o.count", "2", "o.0.c", "true", "o.1.c", "false"),
+                parse("{\"a\":{\"b\":1},\"l\":[\"x\",2],\"o\":[{\"c\":true},{\"c\":false}],\"n\":null}")
+                        .flat());
     }
 
     @Test
--- a/src/test/java/rushproxy/lab/AccountedTest.java
+++ b/src/test/java/rushproxy/lab/AccountedTest.java
@@ -30,10 +30,18 @@
         Account account = new Account((int) ((s.fleet().lengthUs() + 999_999) / 1_000_000));
         Day seen = new World(s, Engine.module(s.operator()), null, account).play();
         Map<String, Object> a = account.asMap();
-        assertEquals(number(a, "asked"), number(a, "served") + number(a, "late") + number(a, "refused") + number(a, "failed") + number(a, "left"));
+        assertEquals(
+                number(a, "asked"),
+                number(a, "served")
+                        + number(a, "late")
+                        + number(a, "refused")
+                        + number(a, "failed")
+                        + number(a, "left"));
         assertEquals(seen.figures().tries, number(a, "asked"));
         assertEquals(seen.figures().coldMost(), a.get("coldWorst"));
-        assertTrue(number(a, "dials") >= seen.figures().dials, "the day counts until its end, the account until all is over");
+        assertTrue(
+                number(a, "dials") >= seen.figures().dials,
+                "the day counts until its end, the account until all is over");
         Day unseen = new World(s, Engine.module(s.operator()), null).play();
         assertEquals(unseen.asMap(), seen.asMap());
     }
@@ -48,7 +56,9 @@
         Scenario join = ScenarioFile.read("vast-join", Map.of());
         Account b = new Account((int) (join.fleet().lengthUs() / 1_000_000));
         new World(join, Engine.module(join.operator()), null, b).play();
-        assertTrue(wasted(b.asMap(), "gone") > 0 && wasted(b.asMap(), "dead zone") == 0, b.lines(10, 3).toString());
+        assertTrue(
+                wasted(b.asMap(), "gone") > 0 && wasted(b.asMap(), "dead zone") == 0,
+                b.lines(10, 3).toString());
     }
 
     /** What a few sidecars met steers all others: without their words each finds each dead node by itself. */
@@ -60,10 +70,17 @@
         Account without = new Account(20);
         Engine.Module real = Engine.module(s.operator());
         Day day = new World(s, real, null, with).play();
-        new World(s, (settings, others, seed, now, actions) -> real.create(settings, (at, upstream) -> others.held(at, upstream), seed, now, actions), null,
-                without).play();
+        new World(
+                        s,
+                        (settings, others, seed, now, actions) ->
+                                real.create(settings, (at, upstream) -> others.held(at, upstream), seed, now, actions),
+                        null,
+                        without)
+                .play();
         String met = name.equals("vast-join") ? "gone" : "dead zone";
         assertTrue(day.sound(), day.fouls() + " " + day.troubles());
-        assertTrue(2 * wasted(with.asMap(), met) < wasted(without.asMap(), met), wasted(with.asMap(), met) + " of " + wasted(without.asMap(), met));
+        assertTrue(
+                2 * wasted(with.asMap(), met) < wasted(without.asMap(), met),
+                wasted(with.asMap(), met) + " of " + wasted(without.asMap(), met));
     }
 }
--- a/src/test/java/rushproxy/lab/SpreadTest.java
+++ b/src/test/java/rushproxy/lab/SpreadTest.java
@@ -18,7 +18,8 @@
  */
 class SpreadTest {
     private static Scenario scenario(Map<String, Object> more) throws Exception {
-        Map<String, Object> instead = new LinkedHashMap<>(Map.of("fleet.sidecars", 100L, "fleet.length", "8s", "traffic.load", 0.8));
+        Map<String, Object> instead =
+                new LinkedHashMap<>(Map.of("fleet.sidecars", 100L, "fleet.length", "8s", "traffic.load", 0.8));
         instead.putAll(more);
         return ScenarioFile.read("vast", instead);
     }
@@ -49,7 +50,9 @@
         Day day = play(Map.of("traffic.load", 1.5));
         // Two thirds could be at the best.
         served(0.5, day);
-        assertTrue(day.figures().failedShare() < 0.02, "what is given up is refused: " + day.figures().failedShare());
+        assertTrue(
+                day.figures().failedShare() < 0.02,
+                "what is given up is refused: " + day.figures().failedShare());
     }
 
     /** Nobody may say what he holds, so choice is blind; but past capacity all that nodes report is a crowd, and what is too much is refused. */
@@ -65,7 +68,9 @@
     void aBurstLeavesNothingBehind() throws Exception {
         Day day = play(Map.of("fleet.length", "15s"), fault(Fault.Kind.LOAD, 4, List.of(), 1, 5, 1.9));
         double before = day.figures().served(1, 4);
-        assertTrue(day.figures().served(11, 15) >= before - 0.04, before + " before, then " + day.figures().served(11, 15));
+        assertTrue(
+                day.figures().served(11, 15) >= before - 0.04,
+                before + " before, then " + day.figures().served(11, 15));
     }
 
     @Test
@@ -99,7 +104,9 @@
     void wordsThatAreASecondLateAreNotBelieved() throws Exception {
         Day day = play(Map.of("fleet.length", "16s"), fault(Fault.Kind.PEERS_LATE, 2, List.of(), 1, 10, 1));
         assertTrue(day.figures().served(6, 12) >= 0.6, "late: " + day.figures().served(6, 12));
-        assertTrue(day.figures().served(14, 16) >= 0.85, "on time again: " + day.figures().served(14, 16));
+        assertTrue(
+                day.figures().served(14, 16) >= 0.85,
+                "on time again: " + day.figures().served(14, 16));
     }
 
     /** In words that look like any: that they hold nothing, something everywhere, or what they once held. */
@@ -122,10 +129,20 @@
     void trafficThatMovesToAnotherZoneIsServedToo() throws Exception {
         Fault[] moves = new Fault[3];
         for (int z = 0; z < moves.length; z++) {
-            moves[z] = new Fault(4_000_000, Fault.Kind.LOAD, List.of("north", "south", "west").get(z), List.of(), 1, 0, 0, z == 0 ? 2.6 : 0.2);
+            moves[z] = new Fault(
+                    4_000_000,
+                    Fault.Kind.LOAD,
+                    List.of("north", "south", "west").get(z),
+                    List.of(),
+                    1,
+                    0,
+                    0,
+                    z == 0 ? 2.6 : 0.2);
         }
         Day day = play(Map.of("fleet.length", "12s"), moves);
-        assertTrue(day.figures().served(4, 12) >= 0.9, "since then " + day.figures().served(4, 12));
+        assertTrue(
+                day.figures().served(4, 12) >= 0.9,
+                "since then " + day.figures().served(4, 12));
     }
 
     /** Three hundred processes begin within a second; none has learnt anything, and none has been heard. */
@@ -137,8 +154,12 @@
     /** They are killed under their requests, so circles lose those who spoke; what they held is forgotten, and they come back. */
     @Test
     void sidecarsThatLeaveTakeNobodyWithThem() throws Exception {
-        Day day = play(Map.of("fleet.length", "12s", "traffic.load", 0.65), fault(Fault.Kind.RESTART, 3, List.of(), 0.3, 3, 0));
-        assertTrue(day.figures().served(4, 12) >= 0.93, "since then " + day.figures().served(4, 12));
+        Day day = play(
+                Map.of("fleet.length", "12s", "traffic.load", 0.65),
+                fault(Fault.Kind.RESTART, 3, List.of(), 0.3, 3, 0));
+        assertTrue(
+                day.figures().served(4, 12) >= 0.93,
+                "since then " + day.figures().served(4, 12));
     }
 
     /** Each of them asks for one in ten seconds; nobody knows a node from an answer of its own. */
@@ -151,15 +172,20 @@
     @Test
     void aNodeThatIsBackColdDrawsNoCrowd() throws Exception {
         Day day = play(Map.of("fleet.length", "14s"), fault(Fault.Kind.CRASH, 2, List.of(5, 6), 1, 3, 0));
-        assertTrue(day.figures().coldMost() > 0 && day.figures().coldMost() <= 3, day.figures().coldMost() + " times what it can do");
-        assertTrue(day.figures().served(9, 14) >= 0.92, "since it is back " + day.figures().served(9, 14));
+        assertTrue(
+                day.figures().coldMost() > 0 && day.figures().coldMost() <= 3,
+                day.figures().coldMost() + " times what it can do");
+        assertTrue(
+                day.figures().served(9, 14) >= 0.92,
+                "since it is back " + day.figures().served(9, 14));
     }
 
     /** All that is said for a request costs what it may at this price: 0.02 points of it. */
     @Test
     void wordsHaveABound() throws Exception {
         Day day = play(Map.of());
-        double each = ((Number) day.figures().asMap().get("words")).doubleValue() / ((Number) day.figures().asMap().get("tries")).doubleValue();
+        double each = ((Number) day.figures().asMap().get("words")).doubleValue()
+                / ((Number) day.figures().asMap().get("tries")).doubleValue();
         assertTrue(each > 10 && each < 64, each + " words of 4 to 8 bytes a request");
         assertEquals(0, day.broken());
     }
--- a/src/test/java/rushproxy/lab/TimelineTest.java
+++ b/src/test/java/rushproxy/lab/TimelineTest.java
@@ -46,7 +46,7 @@
     @Test
     void whoIsInterruptedPlaysNoFurther() {
         Timeline t = new Timeline(0);
-        t.in(5, () -> { });
+        t.in(5, () -> {});
         Thread.currentThread().interrupt();
         try {
             assertThrows(Stopped.class, () -> t.play(10));
@@ -62,7 +62,8 @@
     private final List<String> took = new ArrayList<>();
 
     private LabNode node(int cores, int waiting) {
-        return new LabNode(time, referee, new Shape(cores, 10, waiting, 0.2, 20_000), "n", "z", "std", 1, 0, 0, n -> { });
+        return new LabNode(
+                time, referee, new Shape(cores, 10, waiting, 0.2, 20_000), "n", "z", "std", 1, 0, 0, n -> {});
     }
 
     private void ask(LabNode n, String id, long untilUs) {
--- a/src/test/java/rushproxy/lab/WorldTest.java
+++ b/src/test/java/rushproxy/lab/WorldTest.java
@@ -63,8 +63,11 @@
         Day alone = play(ScenarioFile.read("vast", Map.of("fleet.length", "15s", "sidecar.peers", false)));
         assertTrue(told.figures().served() > alone.figures().served() + 0.03, told.line() + alone.line());
         for (String fault : List.of("peers-lost", "peers-garbled")) {
-            Day d = play(ScenarioFile.parse("t", "base = 'vast'\n[instead]\n'fleet.length' = '15s'\n[[event]]\nat = '5s'\ndo = '"
-                    + fault + "'\nfor = '10s'\n", Map.of()));
+            Day d = play(ScenarioFile.parse(
+                    "t",
+                    "base = 'vast'\n[instead]\n'fleet.length' = '15s'\n[[event]]\nat = '5s'\ndo = '" + fault
+                            + "'\nfor = '10s'\n",
+                    Map.of()));
             assertTrue(d.sound(), d.fouls() + " " + d.troubles());
             assertTrue(d.figures().served() > alone.figures().served() - 0.01, d.line() + alone.line());
         }
@@ -73,8 +76,11 @@
     /** Half of the sidecars are killed within a second while the settings go on counting them. */
     @Test
     void aFleetOfWhichHalfIsKilledKeepsTheRules() throws Exception {
-        Day d = play(ScenarioFile.parse("t", "base = 'vast'\n[instead]\n'fleet.length' = '15s'\n[[event]]\nat = '5s'\ndo = 'restart'\n"
-                + "part = 0.5\nwithin = '1s'\nfor = '3s'\n", Map.of()));
+        Day d = play(ScenarioFile.parse(
+                "t",
+                "base = 'vast'\n[instead]\n'fleet.length' = '15s'\n[[event]]\nat = '5s'\ndo = 'restart'\n"
+                        + "part = 0.5\nwithin = '1s'\nfor = '3s'\n",
+                Map.of()));
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
     }
 
@@ -101,7 +107,9 @@
             days.add(() -> play(day));
         }
         try (Runner runner = new Runner(jobs)) {
-            return runner.play(days, d -> { }).stream().map(d -> new String(Json.write(d.asMap()), StandardCharsets.UTF_8)).toList();
+            return runner.play(days, d -> {}).stream()
+                    .map(d -> new String(Json.write(d.asMap()), StandardCharsets.UTF_8))
+                    .toList();
         }
     }
 
@@ -109,7 +117,9 @@
     @Test
     void whatIsExpectedAndDoesNotComeFallsShort() throws Exception {
         Day d = play(scenario("[fleet]\nlength = '8s'\n[traffic]\nload = 1.5\n[expect]\nserved = 0.99\n"));
-        assertEquals(List.of("served"), d.checks().stream().filter(c -> !c.holds()).map(Day.Check::what).toList());
+        assertEquals(
+                List.of("served"),
+                d.checks().stream().filter(c -> !c.holds()).map(Day.Check::what).toList());
         assertTrue(d.sound(), d.fouls().toString());
     }
 
@@ -124,7 +134,9 @@
 
     @Test
     void whatASidecarHeldDiesWithItAndNothingElseDoes() throws Exception {
-        Day d = play(scenario("[fleet]\nlength = '20s'\n[traffic]\nload = 0.4\n[[event]]\nat = '5s'\ndo = 'restart'\nwithin = '3s'\nfor = '500ms'\n"));
+        Day d = play(
+                scenario(
+                        "[fleet]\nlength = '20s'\n[traffic]\nload = 0.4\n[[event]]\nat = '5s'\ndo = 'restart'\nwithin = '3s'\nfor = '500ms'\n"));
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
         assertTrue(d.figures().served() > 0.9, d.line());
     }
@@ -133,9 +145,10 @@
     @Test
     void aTornDiskCostsTheNewestListAlone() throws Exception {
         List<String> log = new ArrayList<>();
-        Scenario s = scenario("[fleet]\nlength = '50s'\n[traffic]\nload = 0.3\n[registry]\nknown_age = 'none'\n[operator.membership]\n"
-                + "[operator.membership.disk]\nfolder = 'x'\nfleet = 'lab'\nrefresh = '10s'\n[[event]]\nat = '30s'\ndo = 'disk-torn'\n"
-                + "[[event]]\nat = '31s'\ndo = 'registry-down'\nfor = '15s'\n[[event]]\nat = '32s'\ndo = 'restart'\nfor = '100ms'\n");
+        Scenario s = scenario(
+                "[fleet]\nlength = '50s'\n[traffic]\nload = 0.3\n[registry]\nknown_age = 'none'\n[operator.membership]\n"
+                        + "[operator.membership.disk]\nfolder = 'x'\nfleet = 'lab'\nrefresh = '10s'\n[[event]]\nat = '30s'\ndo = 'disk-torn'\n"
+                        + "[[event]]\nat = '31s'\ndo = 'registry-down'\nfor = '15s'\n[[event]]\nat = '32s'\ndo = 'restart'\nfor = '100ms'\n");
         Day d = new World(s, Engine.module(s.operator()), log::add).play();
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
         assertTrue(log.stream().anyMatch(l -> l.contains("can't be used: it is cut")), "no file was torn");
@@ -144,16 +157,18 @@
 
     @Test
     void aGarbledOrLostWordOfPeersBreaksNothing() throws Exception {
-        Day d = play(scenario("[fleet]\nlength = '20s'\n[traffic]\nload = 0.5\n[[event]]\nat = '3s'\ndo = 'peers-garbled'\nfor = '8s'\n"
-                + "[[event]]\nat = '12s'\ndo = 'peers-lost'\nfor = '5s'\n"));
+        Day d = play(scenario(
+                "[fleet]\nlength = '20s'\n[traffic]\nload = 0.5\n[[event]]\nat = '3s'\ndo = 'peers-garbled'\nfor = '8s'\n"
+                        + "[[event]]\nat = '12s'\ndo = 'peers-lost'\nfor = '5s'\n"));
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
         assertTrue(d.figures().served() > 0.9, d.line());
     }
 
     // ---- thousands of quiet ones, in the small ---------------------------------------------------
 
-    private static final String QUIET = "[fleet]\nnodes = 20\nsidecars = 200\nlength = '%s'\n[[machine]]\nname = 'm'\ncores = 8\n[nodes]\nwaiting = 32\n"
-            + "[traffic]\nper_second = %s\n[registry]\nnotice = '1s'\n";
+    private static final String QUIET =
+            "[fleet]\nnodes = 20\nsidecars = 200\nlength = '%s'\n[[machine]]\nname = 'm'\ncores = 8\n[nodes]\nwaiting = 32\n"
+                    + "[traffic]\nper_second = %s\n[registry]\nnotice = '1s'\n";
 
     @Test
     void withASubsetASidecarHoldsLessAndNodesAreSharedEvenly() throws Exception {
@@ -162,14 +177,17 @@
         Day few = play(scenario(QUIET.formatted("60s", "0.5") + subset));
         assertTrue(few.sound() && all.sound(), few.fouls() + " " + few.troubles());
         assertTrue(few.figures().evenness() <= 1.3, few.line());
-        assertTrue(few.figures().nodeConnections() < 0.8 * all.figures().nodeConnections(), few.line() + "\n" + all.line());
+        assertTrue(
+                few.figures().nodeConnections() < 0.8 * all.figures().nodeConnections(),
+                few.line() + "\n" + all.line());
         assertTrue(few.figures().served() > 0.97, few.line());
     }
 
     /** All restart within a second, just as a node has come back cold. */
     @Test
     void aFleetThatStartsAtOnceDoesNotPushACold() throws Exception {
-        Day d = play(scenario(QUIET.formatted("30s", "2.0") + "[operator.subset]\n[operator.membership]\n[[event]]\nat = '8s'\ndo = 'crash'\nnodes = [4]\n"
+        Day d = play(scenario(QUIET.formatted("30s", "2.0")
+                + "[operator.subset]\n[operator.membership]\n[[event]]\nat = '8s'\ndo = 'crash'\nnodes = [4]\n"
                 + "for = '3s'\n[[event]]\nat = '11s'\ndo = 'restart'\nwithin = '1s'\nfor = '10ms'\n"));
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
         assertTrue(d.figures().served(15, 30) > 0.97, d.line());
@@ -178,9 +196,10 @@
     /** Who has asked for nothing in minutes wakes on a fleet that is another one, before discovery can be reached again. */
     @Test
     void anIdleSidecarWakesOnAFleetThatWasReplaced() throws Exception {
-        Day d = play(scenario("[fleet]\nnodes = 12\nsidecars = 6\nlength = '200s'\n[traffic]\nper_second = 0.02\nretries = 1\n[registry]\nnotice = '1s'\n"
-                + "[operator.subset]\nleast = 4\n[[event]]\nat = '20s'\ndo = 'deploy'\nwithin = '60s'\nfor = '2s'\n[[event]]\nat = '120s'\n"
-                + "do = 'load'\nsize = 20\nfor = '60s'\n"));
+        Day d = play(scenario(
+                "[fleet]\nnodes = 12\nsidecars = 6\nlength = '200s'\n[traffic]\nper_second = 0.02\nretries = 1\n[registry]\nnotice = '1s'\n"
+                        + "[operator.subset]\nleast = 4\n[[event]]\nat = '20s'\ndo = 'deploy'\nwithin = '60s'\nfor = '2s'\n[[event]]\nat = '120s'\n"
+                        + "do = 'load'\nsize = 20\nfor = '60s'\n"));
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
         assertTrue(d.figures().served(120, 200) > 0.95, d.line());
     }
@@ -188,8 +207,9 @@
     /** Discovery does not notice for long that all nodes of a zone, and with them whole subsets, are dead. */
     @Test
     void aSubsetAllOfWhoseNodesDieIsReplacedByOthers() throws Exception {
-        String dead = "[fleet]\nnodes = 12\nzones = ['one']\nsidecars = 6\nlength = '30s'\n[traffic]\nper_second = 3.0\n[registry]\nsilent = '60s'\n"
-                + "[operator.subset]\nleast = 3\nrequests_per_node = 5\n[[event]]\nat = '8s'\ndo = 'crash'\nnodes = [0, 1, 2, 3, 4, 5, 6]\n";
+        String dead =
+                "[fleet]\nnodes = 12\nzones = ['one']\nsidecars = 6\nlength = '30s'\n[traffic]\nper_second = 3.0\n[registry]\nsilent = '60s'\n"
+                        + "[operator.subset]\nleast = 3\nrequests_per_node = 5\n[[event]]\nat = '8s'\ndo = 'crash'\nnodes = [0, 1, 2, 3, 4, 5, 6]\n";
         Day d = play(scenario(dead));
         assertTrue(d.sound(), d.fouls() + " " + d.troubles());
         assertTrue(d.figures().served(12, 30) > 0.95, d.line());
--- a/src/test/java/rushproxy/lab/ZoneDayTest.java
+++ b/src/test/java/rushproxy/lab/ZoneDayTest.java
@@ -13,7 +13,8 @@
 /** Days on which a zone is lost, with the real module in virtual time; what breaks without zones is there to be seen. */
 class ZoneDayTest {
     private static final List<String> SURVIVORS = List.of("north", "south");
-    private static final Function<String, Options> ALONE = z -> null, ZONES = z -> options(List.of(), Set.of()),
+    private static final Function<String, Options> ALONE = z -> null,
+            ZONES = z -> options(List.of(), Set.of()),
             HOME = z -> options(List.of(List.of(z)), Set.of());
 
     private static Options options(List<List<String>> tiers, Set<String> away) {
@@ -65,7 +66,9 @@
             ZoneDay d = lost(ZONES, how, 0.45, 2);
             assertTrue(d.served(10, 20) > 0.97, how + " served " + d.served(10, 20));
             assertTrue(d.peak(SURVIVORS, 10, 20) <= 1.1, how + " sent " + d.peak(SURVIVORS, 10, 20));
-            assertTrue(d.log().stream().anyMatch(l -> l.endsWith("zone west is dark, and gets nothing but trials")), d.log().toString());
+            assertTrue(
+                    d.log().stream().anyMatch(l -> l.endsWith("zone west is dark, and gets nothing but trials")),
+                    d.log().toString());
             kept(back(d));
         }
     }
@@ -120,7 +123,9 @@
             d.play(s + 10);
         }
         assertTrue(d.served(5, 64) > 0.98, "served " + d.served(5, 64));
-        assertTrue(d.log().stream().anyMatch(l -> l.contains("stays out for a while, as it has come and gone")), d.log().toString());
+        assertTrue(
+                d.log().stream().anyMatch(l -> l.contains("stays out for a while, as it has come and gone")),
+                d.log().toString());
         kept(d);
     }
 
@@ -137,7 +142,9 @@
         assertTrue(d.coldPush(1) <= 3, "cold nodes were sent " + d.coldPush(1));
         assertTrue(d.confirmsServed(10, 40) > 0.9, "confirmations " + d.confirmsServed(10, 40));
         assertTrue(d.served(60, 69) > 0.98, "served in the end " + d.served(60, 69));
-        assertTrue(d.log().stream().anyMatch(l -> l.contains("zone west is empty")), d.log().toString());
+        assertTrue(
+                d.log().stream().anyMatch(l -> l.contains("zone west is empty")),
+                d.log().toString());
         kept(d);
     }
 
@@ -147,7 +154,8 @@
         ZoneDay d = new ZoneDay(4, 8, 0.45, ZONES, true, 7).play(10);
         d.zone("west", Link.CUT, 2);
         d.play(30);
-        assertTrue(d.log().stream().noneMatch(l -> l.contains("is dark")), d.log().toString());
+        assertTrue(
+                d.log().stream().noneMatch(l -> l.contains("is dark")), d.log().toString());
         assertTrue(d.served(12, 29) > 0.97, "served " + d.served(12, 29));
         kept(d);
     }
@@ -160,7 +168,9 @@
         d.play(16);
         ZoneDay.ZONES.forEach(z -> d.zone(z, Link.UP, 99));
         d.play(40);
-        assertTrue(d.log().stream().anyMatch(l -> l.contains("too few of all zones answer")), d.log().toString());
+        assertTrue(
+                d.log().stream().anyMatch(l -> l.contains("too few of all zones answer")),
+                d.log().toString());
         assertTrue(d.served(30, 39) > 0.98, "served " + d.served(30, 39));
         kept(d);
     }
--- a/src/test/java/rushproxy/lab/fuzz/FuzzTest.java
+++ b/src/test/java/rushproxy/lab/fuzz/FuzzTest.java
@@ -28,14 +28,16 @@
     void aTextThatIsSlowOnceAloneIsNoFind() {
         long[] nanos = new long[1];
         int[] reads = new int[1];
-        assertEquals("", Fuzz.broken(text -> nanos[0] += reads[0]++ == 0 ? 3_550_000_000L : 1, () -> nanos[0], new byte[0]));
+        assertEquals(
+                "", Fuzz.broken(text -> nanos[0] += reads[0]++ == 0 ? 3_550_000_000L : 1, () -> nanos[0], new byte[0]));
         assertEquals(2, reads[0], "it is read again");
         assertEquals("it took 3550 ms", Fuzz.broken(text -> nanos[0] += 3_550_000_000L, () -> nanos[0], new byte[0]));
     }
 
     @Test
     void textsAreTheSameForTheSameSeedAndManyOfThemDiffer() {
-        List<byte[]> corpus = List.of("abcdefgh".getBytes(StandardCharsets.UTF_8), "12345678".getBytes(StandardCharsets.UTF_8));
+        List<byte[]> corpus =
+                List.of("abcdefgh".getBytes(StandardCharsets.UTF_8), "12345678".getBytes(StandardCharsets.UTF_8));
         Mutator a = new Mutator(corpus, corpus, RandomSource.SPLIT_MIX_64.create(5L));
         Mutator b = new Mutator(corpus, corpus, RandomSource.SPLIT_MIX_64.create(5L));
         Set<String> all = new HashSet<>();
--- a/src/test/java/rushproxy/lab/search/SearchTest.java
+++ b/src/test/java/rushproxy/lab/search/SearchTest.java
@@ -28,17 +28,23 @@
     private static final int RUNS = 200, BATCH = 25;
 
     /** The first day that breaks a rule, of so many. */
-    private static void finds(String scenario, Map<String, Object> instead, Function<Scenario, World> broken, String rule) throws Exception {
+    private static void finds(
+            String scenario, Map<String, Object> instead, Function<Scenario, World> broken, String rule)
+            throws Exception {
         Search search = new Search(scenario, instead, broken);
         try (Runner runner = new Runner(Runtime.getRuntime().availableProcessors())) {
             for (int run = 0; run < RUNS; run += BATCH) {
-                for (Day d : search.play(7, run, BATCH, runner, x -> { })) {
+                for (Day d : search.play(7, run, BATCH, runner, x -> {})) {
                     if (Search.broken(d).equals(rule)) {
                         Search.Find f = search.shrink(run, d);
-                        assertTrue(f.shrunk().scenario().faults().size() <= d.scenario().faults().size());
+                        assertTrue(f.shrunk().scenario().faults().size()
+                                <= d.scenario().faults().size());
                         Scenario again = ScenarioFile.parse("found", f.toml(), Map.of());
                         assertEquals(rule, Search.broken(broken.apply(again).play()), f.toml());
-                        assertEquals("", Search.broken(Search.sound(again).play()), "sidecars as they are keep the rule on that day");
+                        assertEquals(
+                                "",
+                                Search.broken(Search.sound(again).play()),
+                                "sidecars as they are keep the rule on that day");
                         return;
                     }
                 }
@@ -53,37 +59,98 @@
     }
 
     private static Settings with(Settings s, List<RequestClass> classes, Rules rules) {
-        return new Settings(s.me(), s.balancers(), s.zone(), s.zones(), s.kinds(), classes, s.tenants(), s.limits(), rules, s.reports(),
-                s.discoveryOnRequest(), s.worthByWork(), s.overShareWorth(), s.prices(), s.tickUs());
+        return new Settings(
+                s.me(),
+                s.balancers(),
+                s.zone(),
+                s.zones(),
+                s.kinds(),
+                classes,
+                s.tenants(),
+                s.limits(),
+                rules,
+                s.reports(),
+                s.discoveryOnRequest(),
+                s.worthByWork(),
+                s.overShareWorth(),
+                s.prices(),
+                s.tickUs());
     }
 
     @Test
     void aDrainThatIsIgnoredIsFound() throws Exception {
-        finds("storm-of-faults", Map.of("fleet.length", "20s"), s -> {
-            Engine.Module real = Engine.module(s.operator());
-            return new World(s, (settings, others, seed, now, actions) -> new Deaf(real.create(settings, others, seed, now, actions)), null) {
-                @Override
-                protected boolean sendsTo(UpstreamState state) {
-                    return state != UpstreamState.GONE;
-                }
-            };
-        }, "DRAINS_KEPT");
+        finds(
+                "storm-of-faults",
+                Map.of("fleet.length", "20s"),
+                s -> {
+                    Engine.Module real = Engine.module(s.operator());
+                    return new World(
+                            s,
+                            (settings, others, seed, now, actions) ->
+                                    new Deaf(real.create(settings, others, seed, now, actions)),
+                            null) {
+                        @Override
+                        protected boolean sendsTo(UpstreamState state) {
+                            return state != UpstreamState.GONE;
+                        }
+                    };
+                },
+                "DRAINS_KEPT");
     }
 
     @Test
     void aKeyedRepeatInAnotherZoneIsFound() throws Exception {
-        finds("storm-of-faults", Map.of(), s -> new World(s, with(s, settings -> with(settings, settings.classes().stream().map(c ->
-                new RequestClass(c.name(), c.semantics(), Group.ALL, c.windowUs(), c.aimUs(), c.aimStretch(), c.deadlineUs(), c.worth(),
-                        c.lateWorth(), c.stream())).toList(), settings.rules())), null), "NO_SECOND_EFFECT");
+        finds(
+                "storm-of-faults",
+                Map.of(),
+                s -> new World(
+                        s,
+                        with(
+                                s,
+                                settings -> with(
+                                        settings,
+                                        settings.classes().stream()
+                                                .map(c -> new RequestClass(
+                                                        c.name(),
+                                                        c.semantics(),
+                                                        Group.ALL,
+                                                        c.windowUs(),
+                                                        c.aimUs(),
+                                                        c.aimStretch(),
+                                                        c.deadlineUs(),
+                                                        c.worth(),
+                                                        c.lateWorth(),
+                                                        c.stream()))
+                                                .toList(),
+                                        settings.rules())),
+                        null),
+                "NO_SECOND_EFFECT");
     }
 
     @Test
     void aColdBudgetThatIsDoubledIsFound() throws Exception {
-        finds("cold-storm", Map.of(), s -> new World(s, with(s, settings -> {
-            Rules r = settings.rules();
-            return with(settings, settings.classes(), new Rules(r.drainGraceUs(), r.coldShare(), r.rampUs(), 2 * r.fallMultiple(),
-                    r.fallWindowUs(), r.askEveryUs(), r.answerSlackUs(), r.closeOnDrainUs()));
-        }), null), "COLD_SPARED");
+        finds(
+                "cold-storm",
+                Map.of(),
+                s -> new World(
+                        s,
+                        with(s, settings -> {
+                            Rules r = settings.rules();
+                            return with(
+                                    settings,
+                                    settings.classes(),
+                                    new Rules(
+                                            r.drainGraceUs(),
+                                            r.coldShare(),
+                                            r.rampUs(),
+                                            2 * r.fallMultiple(),
+                                            r.fallWindowUs(),
+                                            r.askEveryUs(),
+                                            r.answerSlackUs(),
+                                            r.closeOnDrainUs()));
+                        }),
+                        null),
+                "COLD_SPARED");
     }
 
     @Test
@@ -98,8 +165,11 @@
     void sidecarsAsTheyAreBreakNothingOnFortyDays() throws Exception {
         Search search = new Search("storm-of-faults", Map.of("fleet.length", "20s"), Search::sound);
         try (Runner runner = new Runner(Runtime.getRuntime().availableProcessors())) {
-            for (Day d : search.play(11, 0, 40, runner, x -> { })) {
-                assertEquals("", Search.broken(d), d.fouls() + " " + d.troubles() + " " + d.scenario().faults());
+            for (Day d : search.play(11, 0, 40, runner, x -> {})) {
+                assertEquals(
+                        "",
+                        Search.broken(d),
+                        d.fouls() + " " + d.troubles() + " " + d.scenario().faults());
             }
         }
     }
@@ -108,8 +178,21 @@
     private record Deaf(Balancer real) implements Balancer {
         @Override
         public void onList(long now, ListKind kind, List<Upstream> entries) {
-            real.onList(now, kind, entries.stream().map(u -> u.state() != UpstreamState.DRAINING ? u : new Upstream(u.id(), u.zone(), u.kind(),
-                    u.cell(), u.startedUs(), u.weight(), UpstreamState.READY)).toList());
+            real.onList(
+                    now,
+                    kind,
+                    entries.stream()
+                            .map(u -> u.state() != UpstreamState.DRAINING
+                                    ? u
+                                    : new Upstream(
+                                            u.id(),
+                                            u.zone(),
+                                            u.kind(),
+                                            u.cell(),
+                                            u.startedUs(),
+                                            u.weight(),
+                                            UpstreamState.READY))
+                            .toList());
         }
 
         @Override
@@ -118,8 +201,15 @@
         }
 
         @Override
-        public void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs, boolean done,
-                              LoadReport report) {
+        public void onOutcome(
+                long now,
+                String request,
+                int attempt,
+                String upstream,
+                Outcome outcome,
+                long latencyUs,
+                boolean done,
+                LoadReport report) {
             real.onOutcome(now, request, attempt, upstream, outcome, latencyUs, done, report);
         }
 
--- a/src/test/java/rushproxy/membership/BansTest.java
+++ b/src/test/java/rushproxy/membership/BansTest.java
@@ -24,13 +24,23 @@
 
     private static Membership started() {
         Membership m = new Membership(Trust.BLIND, 7, NOW);
-        m.start(NOW, List.of(new Listing(Origin.KNOWN, 1, true, 0, List.of(node("a", UpstreamState.READY, 0, 1),
-                node("b", UpstreamState.READY, 0, 2)))));
+        m.start(
+                NOW,
+                List.of(new Listing(
+                        Origin.KNOWN,
+                        1,
+                        true,
+                        0,
+                        List.of(node("a", UpstreamState.READY, 0, 1), node("b", UpstreamState.READY, 0, 2)))));
         return m;
     }
 
     private static Upstream told(Membership m, String id) {
-        return m.usable().stream().map(Member::upstream).filter(u -> u.id().equals(id)).findFirst().orElse(null);
+        return m.usable().stream()
+                .map(Member::upstream)
+                .filter(u -> u.id().equals(id))
+                .findFirst()
+                .orElse(null);
     }
 
     @Test
@@ -45,7 +55,9 @@
         assertTrue(m.has("a"));
         Change back = m.live(NOW + SECOND, live(4, false, node("a", UpstreamState.READY, NOW, 9)));
         assertEquals(UpstreamState.DRAINING, back.members().get(0).upstream().state());
-        m.live(NOW + SECOND, live(5, true, node("a", UpstreamState.READY, NOW, 9), node("b", UpstreamState.READY, 0, 2)));
+        m.live(
+                NOW + SECOND,
+                live(5, true, node("a", UpstreamState.READY, NOW, 9), node("b", UpstreamState.READY, 0, 2)));
         assertEquals(UpstreamState.DRAINING, told(m, "a").state());
         long at = NOW + 10 * SECOND;
         assertTrue(m.byHand(at, "a", false).whole());
@@ -110,7 +122,12 @@
                         m.byHand(now, id, false);
                         out.remove(id);
                     }
-                    case 2 -> m.live(now, live(2 + i, false, node(id, UpstreamState.values()[random.nextInt(3)], random.nextInt(2) * now, 3)));
+                    case 2 -> m.live(
+                            now,
+                            live(
+                                    2 + i,
+                                    false,
+                                    node(id, UpstreamState.values()[random.nextInt(3)], random.nextInt(2) * now, 3)));
                     default -> m.live(now, live(2 + i, true, node(id, UpstreamState.READY, 0, 4)));
                 }
                 for (Member u : m.usable()) {
--- a/src/test/java/rushproxy/membership/MembershipTest.java
+++ b/src/test/java/rushproxy/membership/MembershipTest.java
@@ -12,9 +12,9 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import rushproxy.Balancer.Doubt;
-import rushproxy.core.Pauses;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
+import rushproxy.core.Pauses;
 
 /** How lists of any age become the one list; time is the test's. */
 class MembershipTest {
@@ -69,7 +69,9 @@
             assertEquals(NOW, member.upstream().coldFromUs());
         }
         assertEquals(List.of(), m.trials(NOW));
-        assertTrue(change.notes().get(0).contains("5 s old: used as it is"), change.notes().toString());
+        assertTrue(
+                change.notes().get(0).contains("5 s old: used as it is"),
+                change.notes().toString());
     }
 
     @Test
@@ -85,7 +87,8 @@
         assertEquals(Doubt.IDENTITY, one.members().get(0).upstream().doubt());
         assertEquals(NOW + 1000, one.members().get(0).upstream().coldFromUs());
         for (Proof no : List.of(Proof.REFUSES, Proof.STRANGE)) {
-            assertTrue(m.tried(NOW + 2000, no == Proof.REFUSES ? "u1" : "u3", no).none());
+            assertTrue(
+                    m.tried(NOW + 2000, no == Proof.REFUSES ? "u1" : "u3", no).none());
         }
         assertEquals(2, m.suspects());
     }
@@ -96,8 +99,11 @@
         Membership m = of(TRUST);
         m.start(NOW, List.of(disk(41, DAY, ready(1))));
         m.trials(NOW);
-        assertEquals(Doubt.KIND, m.tried(NOW, "u1", Proof.ACCEPTS).members().get(0).upstream().doubt());
-        assertEquals(Doubt.IDENTITY, m.answered("u1").members().get(0).upstream().doubt());
+        assertEquals(
+                Doubt.KIND,
+                m.tried(NOW, "u1", Proof.ACCEPTS).members().get(0).upstream().doubt());
+        assertEquals(
+                Doubt.IDENTITY, m.answered("u1").members().get(0).upstream().doubt());
         assertTrue(m.answered("u1").none());
         assertTrue(m.answered("nobody").none());
     }
@@ -105,11 +111,16 @@
     @Test
     void aListThatIsTooOldIsNotUsedAndTheNextBestIs() {
         Membership m = of(TRUST);
-        Change change = m.start(NOW, List.of(disk(90, 31 * DAY, ready(1)),
-                new Listing(Origin.KNOWN, 41, true, NOW - SECOND, List.of(ready(2)))));
+        Change change = m.start(
+                NOW,
+                List.of(
+                        disk(90, 31 * DAY, ready(1)),
+                        new Listing(Origin.KNOWN, 41, true, NOW - SECOND, List.of(ready(2)))));
         assertEquals(List.of("u2"), ids(change));
         assertEquals(41, m.generation());
-        assertTrue(change.notes().get(0).contains("31 days old, which is too old"), change.notes().toString());
+        assertTrue(
+                change.notes().get(0).contains("31 days old, which is too old"),
+                change.notes().toString());
     }
 
     /** Nothing at all is a list too: the sidecar waits for discovery, and says so. */
@@ -129,18 +140,28 @@
         m.start(NOW, List.of(known, disk(41, SECOND, ready(2))));
         assertEquals(42, m.generation());
         Membership n = of(TRUST);
-        assertEquals(List.of("u2"), ids(n.start(NOW, List.of(new Listing(Origin.KNOWN, 41, true, 0, List.of(ready(1))),
-                disk(41, SECOND, ready(2))))));
+        assertEquals(
+                List.of("u2"),
+                ids(n.start(
+                        NOW,
+                        List.of(
+                                new Listing(Origin.KNOWN, 41, true, 0, List.of(ready(1))),
+                                disk(41, SECOND, ready(2))))));
     }
 
     /** A list that names a start of three seconds ago was not made before it, whoever forgot to say when. */
     @Test
     void aStartInAListShowsHowOldItIsAtTheMost() {
         Member started = member("u1", "10.0.0.1:80", NOW - 3 * SECOND, UpstreamState.READY);
-        Change change = of(TRUST).start(NOW, List.of(new Listing(Origin.KNOWN, 1, true, 0, List.of(started, ready(2)))));
+        Change change =
+                of(TRUST).start(NOW, List.of(new Listing(Origin.KNOWN, 1, true, 0, List.of(started, ready(2)))));
         assertEquals(List.of("u1", "u2"), ids(change));
-        assertEquals(List.of(), of(TRUST).start(NOW, List.of(new Listing(Origin.KNOWN, 1, true, 0, List.of(ready(2)))))
-                .members(), "a list of unknown age was taken for a fresh one");
+        assertEquals(
+                List.of(),
+                of(TRUST)
+                        .start(NOW, List.of(new Listing(Origin.KNOWN, 1, true, 0, List.of(ready(2)))))
+                        .members(),
+                "a list of unknown age was taken for a fresh one");
     }
 
     /** The clock was set back, or another machine's ran ahead: an age below zero is no age. */
@@ -157,8 +178,13 @@
     @Test
     void ofTwoThatHadOneAddressTheOneThatStartedLastIsTried() {
         Membership m = of(TRUST);
-        m.start(NOW, List.of(disk(41, DAY, member("old", "10.0.0.1:80", NOW - 9 * DAY, UpstreamState.READY),
-                member("new", "10.0.0.1:80", NOW - 2 * DAY, UpstreamState.READY))));
+        m.start(
+                NOW,
+                List.of(disk(
+                        41,
+                        DAY,
+                        member("old", "10.0.0.1:80", NOW - 9 * DAY, UpstreamState.READY),
+                        member("new", "10.0.0.1:80", NOW - 2 * DAY, UpstreamState.READY))));
         assertEquals(List.of("new"), ids(m.trials(NOW)));
     }
 
@@ -197,7 +223,9 @@
         assertEquals(List.of("u3"), ids(change));
         assertTrue(m.tried(NOW, "u2", Proof.ANSWERS).none());
         assertEquals(List.of(), m.trials(NOW + DAY));
-        assertTrue(change.notes().get(0).contains("1 upstreams confirmed"), change.notes().toString());
+        assertTrue(
+                change.notes().get(0).contains("1 upstreams confirmed"),
+                change.notes().toString());
     }
 
     @Test
@@ -241,13 +269,31 @@
     void aRefusedConnectionMakesANodeColdWhileDiscoveryIsSilent() {
         Membership m = of(TRUST);
         m.start(NOW, List.of(disk(41, SECOND, ready(1), ready(2))));
-        assertEquals(NOW + 9 * SECOND, m.refused(NOW + 9 * SECOND, "u1", false).members().get(0).upstream().coldFromUs());
+        assertEquals(
+                NOW + 9 * SECOND,
+                m.refused(NOW + 9 * SECOND, "u1", false)
+                        .members()
+                        .get(0)
+                        .upstream()
+                        .coldFromUs());
         assertTrue(m.refused(NOW + 9 * SECOND + 50_000, "u1", false).none());
         m.live(NOW + 10 * SECOND, live(41, false));
         assertTrue(m.refused(NOW + 11 * SECOND, "u1", false).none(), "discovery would have told");
         m.silent();
-        assertEquals(NOW + 12 * SECOND, m.refused(NOW + 12 * SECOND, "u2", false).members().get(1).upstream().coldFromUs());
-        assertEquals(0, m.live(NOW + 13 * SECOND, live(42, true, ready(2))).members().get(0).upstream().coldFromUs());
+        assertEquals(
+                NOW + 12 * SECOND,
+                m.refused(NOW + 12 * SECOND, "u2", false)
+                        .members()
+                        .get(1)
+                        .upstream()
+                        .coldFromUs());
+        assertEquals(
+                0,
+                m.live(NOW + 13 * SECOND, live(42, true, ready(2)))
+                        .members()
+                        .get(0)
+                        .upstream()
+                        .coldFromUs());
         Membership blind = of(Trust.BLIND);
         blind.start(NOW, List.of(disk(41, SECOND, ready(1))));
         assertTrue(blind.refused(NOW, "u1", false).none());
@@ -262,12 +308,20 @@
         Membership m = of(TRUST);
         m.start(NOW, List.of(disk(41, SECOND, ready(1), ready(2))));
         m.live(NOW, live(41, false));
-        assertEquals(NOW + 1_500_000, m.refused(NOW + SECOND + 7, "u1", true).members().get(0).upstream().coldFromUs(), "as others see it");
+        assertEquals(
+                NOW + 1_500_000,
+                m.refused(NOW + SECOND + 7, "u1", true)
+                        .members()
+                        .get(0)
+                        .upstream()
+                        .coldFromUs(),
+                "as others see it");
         assertTrue(m.refused(NOW + SECOND + 400_000, "u1", true).none(), "one restart costs one change");
         m.live(NOW + 2 * SECOND, live(42, false, ready(3)));
         Change late = m.live(NOW + 3 * SECOND, live(43, false, ready(1)));
         assertEquals(NOW + 1_500_000, late.members().get(0).upstream().coldFromUs(), "a word of before the restart");
-        Change whole = m.live(NOW + 4 * SECOND, live(44, true, member("u1", "10.0.0.1:80", NOW + 2 * SECOND, UpstreamState.READY)));
+        Change whole = m.live(
+                NOW + 4 * SECOND, live(44, true, member("u1", "10.0.0.1:80", NOW + 2 * SECOND, UpstreamState.READY)));
         assertEquals(NOW + 2 * SECOND, whole.members().get(0).upstream().coldFromUs(), "its start, once that is told");
     }
 
@@ -277,8 +331,17 @@
     @Test
     void trialsThatFailArePaced() {
         Membership m = of(TRUST);
-        m.start(NOW, List.of(new Listing(Origin.DISK, 41, true, NOW - DAY, IntStream.range(0, 1000)
-                .mapToObj(i -> member("u" + i, "10.0." + i / 250 + "." + i % 250 + ":80", 0, UpstreamState.READY)).toList())));
+        m.start(
+                NOW,
+                List.of(new Listing(
+                        Origin.DISK,
+                        41,
+                        true,
+                        NOW - DAY,
+                        IntStream.range(0, 1000)
+                                .mapToObj(i -> member(
+                                        "u" + i, "10.0." + i / 250 + "." + i % 250 + ":80", 0, UpstreamState.READY))
+                                .toList())));
         int tried = 0;
         for (long t = 0; t < 60 * SECOND; t += 50_000) {
             List<Member> now = m.trials(NOW + t);
@@ -295,8 +358,16 @@
     @Test
     void trialsThatAreAnsweredCostNoPace() {
         Membership m = of(TRUST);
-        m.start(NOW, List.of(new Listing(Origin.DISK, 41, true, NOW - DAY, IntStream.range(0, 200)
-                .mapToObj(i -> member("u" + i, "10.0.0." + i + ":80", 0, UpstreamState.READY)).toList())));
+        m.start(
+                NOW,
+                List.of(new Listing(
+                        Origin.DISK,
+                        41,
+                        true,
+                        NOW - DAY,
+                        IntStream.range(0, 200)
+                                .mapToObj(i -> member("u" + i, "10.0.0." + i + ":80", 0, UpstreamState.READY))
+                                .toList())));
         int rounds = 0;
         for (List<Member> due; !(due = m.trials(NOW)).isEmpty(); rounds++) {
             due.forEach(one -> m.tried(NOW, one.id(), Proof.ANSWERS));
@@ -330,8 +401,14 @@
         List<String> orders = new ArrayList<>();
         for (long seed = 0; seed < 4; seed++) {
             Membership m = new Membership(new Trust(0, DAY, Trust.AGE_UNKNOWN, 4, 3), seed, NOW);
-            m.start(NOW, List.of(disk(41, SECOND, IntStream.range(0, 9).mapToObj(MembershipTest::ready)
-                    .toArray(Member[]::new))));
+            m.start(
+                    NOW,
+                    List.of(disk(
+                            41,
+                            SECOND,
+                            IntStream.range(0, 9)
+                                    .mapToObj(MembershipTest::ready)
+                                    .toArray(Member[]::new))));
             orders.add(m.trials(NOW).stream().map(Member::id).collect(Collectors.joining()));
         }
         assertTrue(orders.stream().distinct().count() > 1, orders.toString());
@@ -346,16 +423,29 @@
             List<String> proven = new ArrayList<>();
             List<String> listed = new ArrayList<>();
             boolean confirmed = false;
-            Change last = m.start(NOW, List.of(disk(41, DAY, IntStream.range(0, 12).mapToObj(MembershipTest::ready)
-                    .toArray(Member[]::new))));
+            Change last = m.start(
+                    NOW,
+                    List.of(disk(
+                            41,
+                            DAY,
+                            IntStream.range(0, 12)
+                                    .mapToObj(MembershipTest::ready)
+                                    .toArray(Member[]::new))));
             long now = NOW;
             for (int step = 0; step < 60; step++) {
                 now += random.nextLong(SECOND);
                 switch (random.nextInt(8)) {
                     case 0 -> {
-                        int[] names = random.ints(random.nextInt(5), 0, 20).distinct().toArray();
-                        Change change = m.live(now, live(50 + step, true,
-                                Arrays.stream(names).mapToObj(MembershipTest::ready).toArray(Member[]::new)));
+                        int[] names =
+                                random.ints(random.nextInt(5), 0, 20).distinct().toArray();
+                        Change change = m.live(
+                                now,
+                                live(
+                                        50 + step,
+                                        true,
+                                        Arrays.stream(names)
+                                                .mapToObj(MembershipTest::ready)
+                                                .toArray(Member[]::new)));
                         if (names.length > 0) {
                             confirmed = true;
                             listed = Arrays.stream(names).mapToObj(i -> "u" + i).toList();
@@ -390,6 +480,10 @@
         }
         pauses.succeeded();
         assertTrue(pauses.afterFailure() <= SECOND * 3 / 2);
-        assertTrue(IntStream.range(0, 9).mapToLong(s -> new Pauses(SECOND, SECOND, s).afterFailure()).distinct().count() > 5);
+        assertTrue(IntStream.range(0, 9)
+                        .mapToLong(s -> new Pauses(SECOND, SECOND, s).afterFailure())
+                        .distinct()
+                        .count()
+                > 5);
     }
 }
--- a/src/test/java/rushproxy/membership/TrustTest.java
+++ b/src/test/java/rushproxy/membership/TrustTest.java
@@ -13,8 +13,15 @@
     @Test
     void eachBound() {
         Trust t = new Trust(30, 1_000, Trust.AGE_UNKNOWN, 4, 8);
-        Object[][] table = {{0L, Grade.FRESH}, {30L, Grade.FRESH}, {31L, Grade.OLD}, {1_000L, Grade.OLD},
-            {1_001L, Grade.EXPIRED}, {-1L, Grade.OLD}, {-1_000_000_000L, Grade.OLD}};
+        Object[][] table = {
+            {0L, Grade.FRESH},
+            {30L, Grade.FRESH},
+            {31L, Grade.OLD},
+            {1_000L, Grade.OLD},
+            {1_001L, Grade.EXPIRED},
+            {-1L, Grade.OLD},
+            {-1_000_000_000L, Grade.OLD}
+        };
         for (Object[] line : table) {
             assertEquals(line[1], t.grade(NOW, NOW - (long) line[0]), "age " + line[0]);
         }
--- a/src/test/java/rushproxy/membership/disk/ListStoreTest.java
+++ b/src/test/java/rushproxy/membership/disk/ListStoreTest.java
@@ -32,12 +32,20 @@
 
     @TempDir
     Path folder;
+
     private final List<String> notes = new ArrayList<>();
 
     private static Listing list(long generation) {
-        return new Listing(Origin.DISK, generation, true, 1_700_000_000_000_000L + generation * 1000, List.of(
-                new Member(new Upstream("ü-1", "za", "k", 3, 12_345_000, 1.5, UpstreamState.READY), "127.0.0.1:8081"),
-                new Member(new Upstream("u2", "zb", "k", -1, 0, 1, UpstreamState.DRAINING), "10.0.0.2:1")));
+        return new Listing(
+                Origin.DISK,
+                generation,
+                true,
+                1_700_000_000_000_000L + generation * 1000,
+                List.of(
+                        new Member(
+                                new Upstream("ü-1", "za", "k", 3, 12_345_000, 1.5, UpstreamState.READY),
+                                "127.0.0.1:8081"),
+                        new Member(new Upstream("u2", "zb", "k", -1, 0, 1, UpstreamState.DRAINING), "10.0.0.2:1")));
     }
 
     private ListStore store() {
@@ -91,7 +99,9 @@
             next.write(list(3));
         }
         assertEquals(list(3), store().read(notes::add));
-        assertTrue(Files.readString(folder.resolve("list.1"), StandardCharsets.ISO_8859_1).contains("\"generation\":1"),
+        assertTrue(
+                Files.readString(folder.resolve("list.1"), StandardCharsets.ISO_8859_1)
+                        .contains("\"generation\":1"),
                 "the only whole list was written over");
     }
 
@@ -107,7 +117,7 @@
             byte[] damaged = whole.clone();
             damaged[at] ^= 4;
             Files.write(newest, damaged);
-            Listing read = store().read(note -> { });
+            Listing read = store().read(note -> {});
             assertTrue(list(1).equals(read) || list(2).equals(read) && isNumber(whole, at), "byte " + at + ": " + read);
         }
     }
@@ -153,7 +163,8 @@
     /** By mistake two get one folder: the first keeps it, the second reads and goes on without. */
     @Test
     void ofTwoThatWereGivenOneFolderTheFirstKeepsIt() throws Exception {
-        try (ListStore first = store(); ListStore second = store()) {
+        try (ListStore first = store();
+                ListStore second = store()) {
             first.write(list(1));
             IOException e = assertThrows(IOException.class, () -> second.write(list(7)));
             assertTrue(e.getMessage().contains("another sidecar keeps its list in"), e.getMessage());
@@ -185,7 +196,9 @@
     @Test
     void aListThatIsTooLongIsNotKept() {
         ListStore s = new ListStore(folder, "fleet", 300);
-        assertTrue(assertThrows(IOException.class, () -> s.write(list(1))).getMessage().contains("too long"));
+        assertTrue(assertThrows(IOException.class, () -> s.write(list(1)))
+                .getMessage()
+                .contains("too long"));
     }
 
     // ---- the thread ----------------------------------------------------------------------------------
@@ -225,7 +238,10 @@
         for (String name : new String[] {"list.0", "list.1"}) {
             // Where the thread was slow, all became one write, to one of the two.
             if (Files.exists(folder.resolve(name))) {
-                head.append(Files.readString(folder.resolve(name)).lines().findFirst().orElse(""));
+                head.append(Files.readString(folder.resolve(name))
+                        .lines()
+                        .findFirst()
+                        .orElse(""));
             }
         }
         assertTrue(head.toString().matches(".*number=[1-4] .*"), "more writes than the pace allows: " + head);
--- a/src/test/java/rushproxy/membership/registry/RegistryListTest.java
+++ b/src/test/java/rushproxy/membership/registry/RegistryListTest.java
@@ -20,12 +20,16 @@
 
 /** The registry's form, in and out. */
 class RegistryListTest {
-    private static final String ENTRY = "{\"instanceId\":\"s-1\",\"hostPort\":\"10.1.0.18:8081\",\"zone\":\"a\",\"machineType\":\"m2\","
-            + "\"cell\":3,\"lifecycle\":\"Ready\",\"weight\":1.5,\"startedAtMs\":1700000000123,\"new\":{\"x\":[1]}}";
+    private static final String ENTRY =
+            "{\"instanceId\":\"s-1\",\"hostPort\":\"10.1.0.18:8081\",\"zone\":\"a\",\"machineType\":\"m2\","
+                    + "\"cell\":3,\"lifecycle\":\"Ready\",\"weight\":1.5,\"startedAtMs\":1700000000123,\"new\":{\"x\":[1]}}";
 
     private static Listing read(String... entries) {
-        return RegistryList.read(Json.parse(("{\"generation\":41,\"reset\":true,\"instances\":[" + String.join(",", entries)
-                + "]}").getBytes(StandardCharsets.UTF_8)), Origin.LIVE, 99);
+        return RegistryList.read(
+                Json.parse(("{\"generation\":41,\"reset\":true,\"instances\":[" + String.join(",", entries) + "]}")
+                        .getBytes(StandardCharsets.UTF_8)),
+                Origin.LIVE,
+                99);
     }
 
     @Test
@@ -51,21 +55,28 @@
 
     @Test
     void lifecycles() {
-        assertEquals(List.of(UpstreamState.DRAINING, UpstreamState.GONE), read(ENTRY.replace("Ready", "Terminating"),
-                ENTRY.replace("Ready", "Gone")).members().stream().map(m -> m.upstream().state()).toList());
+        assertEquals(
+                List.of(UpstreamState.DRAINING, UpstreamState.GONE),
+                read(ENTRY.replace("Ready", "Terminating"), ENTRY.replace("Ready", "Gone")).members().stream()
+                        .map(m -> m.upstream().state())
+                        .toList());
     }
 
     /** One node, two ports: the second is at the same address. */
     @Test
     void aNodeThatSpeaksBoth() {
-        Member m = read(ENTRY.replace("\"cell\"", "\"grpcPort\":9090,\"cell\"")).members().get(0);
+        Member m = read(ENTRY.replace("\"cell\"", "\"grpcPort\":9090,\"cell\""))
+                .members()
+                .get(0);
         assertEquals("10.1.0.18:9090", m.grpcAddress());
         assertEquals(Balancer.HTTP1 | Balancer.GRPC, m.upstream().speaks());
     }
 
     @Test
     void whatIsMissingHasItsDefault() {
-        Balancer.Upstream u = read("{\"instanceId\":\"s\",\"hostPort\":\"[::1]:80\",\"lifecycle\":\"Ready\"}").members().get(0)
+        Balancer.Upstream u = read("{\"instanceId\":\"s\",\"hostPort\":\"[::1]:80\",\"lifecycle\":\"Ready\"}")
+                .members()
+                .get(0)
                 .upstream();
         assertEquals("", u.zone());
         assertEquals(-1, u.cell());
@@ -84,19 +95,25 @@
         broken.put(ENTRY.replace("\"cell\"", "\"grpcPort\":70000,\"cell\""), "no address: '10.1.0.18:70000'");
         broken.put(ENTRY.replace("\"instanceId\":\"s-1\",", ""), "'instanceId' is missing");
         broken.put(ENTRY.replace("1700000000123", "\"soon\""), "'startedAtMs' is not a number");
-        broken.forEach((entry, message) -> assertEquals(message,
-                assertThrows(IllegalArgumentException.class, () -> read(ENTRY, entry), entry).getMessage()));
+        broken.forEach((entry, message) -> assertEquals(
+                message,
+                assertThrows(IllegalArgumentException.class, () -> read(ENTRY, entry), entry)
+                        .getMessage()));
     }
 
     @Test
     void whatIsWrittenIsReadAgain() {
-        for (String entry : List.of(ENTRY, ENTRY.replace("Ready", "Terminating"),
+        for (String entry : List.of(
+                ENTRY,
+                ENTRY.replace("Ready", "Terminating"),
                 ENTRY.replace("\"cell\"", "\"grpcPort\":9090,\"cell\""))) {
             Listing list = read(entry);
             Map<String, Object> json = new LinkedHashMap<>();
             json.put("generation", 41);
             json.put("reset", true);
-            json.put("instances", list.members().stream().map(RegistryList::write).toList());
+            json.put(
+                    "instances",
+                    list.members().stream().map(RegistryList::write).toList());
             assertEquals(list, RegistryList.read(Json.parse(Json.write(json)), Origin.LIVE, 99));
         }
     }
@@ -106,10 +123,13 @@
     void addressesAreNumbers() {
         assertEquals(8081, Addresses.parse("10.1.0.18:8081").getPort());
         assertEquals(80, Addresses.parse("[::1]:80").getPort());
-        for (String none : new String[] {"", ":", ":80", "localhost:80", "10.1.0.18:", "10.1.0.18:x", "10.1.0.18:-1",
-            "10.1.0:80", "256.1.1.1:80"}) {
-            assertEquals("no address: '" + none + "'",
-                    assertThrows(IllegalArgumentException.class, () -> Addresses.parse(none), none).getMessage());
+        for (String none : new String[] {
+            "", ":", ":80", "localhost:80", "10.1.0.18:", "10.1.0.18:x", "10.1.0.18:-1", "10.1.0:80", "256.1.1.1:80"
+        }) {
+            assertEquals(
+                    "no address: '" + none + "'",
+                    assertThrows(IllegalArgumentException.class, () -> Addresses.parse(none), none)
+                            .getMessage());
         }
     }
 }
--- a/src/test/java/rushproxy/membership/registry/RegistryWatchTest.java
+++ b/src/test/java/rushproxy/membership/registry/RegistryWatchTest.java
@@ -18,7 +18,8 @@
 /** When a watch calls, on virtual time: what it misses counts as told at stated times, whether or not it arrives. */
 class RegistryWatchTest {
     private static final long GRACE_MS = 250;
-    private static final byte[] NO_CHANGE = "{\"generation\":41,\"reset\":false,\"instances\":[]}".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] NO_CHANGE =
+            "{\"generation\":41,\"reset\":false,\"instances\":[]}".getBytes(StandardCharsets.UTF_8);
 
     private record Call(long atMs, String uri, RegistryCalls.Result result) {
         long waitMs() {
@@ -39,7 +40,7 @@
 
             @Override
             public void cancel() {
-                what = () -> { };
+                what = () -> {};
             }
         }
 
@@ -101,7 +102,7 @@
         }
 
         @Override
-        public void listed(Listing list, boolean answersAsk) { }
+        public void listed(Listing list, boolean answersAsk) {}
 
         @Override
         public void failed(Runnable goOn) {
@@ -139,7 +140,13 @@
             Call late = stage.next(2);
             long timeOutMs = late.atMs + late.waitMs() + 500;
             stage.until(answerFirst ? timeOutMs - 1 : timeOutMs);
-            late.result().answered(200, new String(NO_CHANGE, StandardCharsets.UTF_8).replace("41", "42").getBytes(StandardCharsets.UTF_8), true);
+            late.result()
+                    .answered(
+                            200,
+                            new String(NO_CHANGE, StandardCharsets.UTF_8)
+                                    .replace("41", "42")
+                                    .getBytes(StandardCharsets.UTF_8),
+                            true);
             Call next = stage.next(3);
             assertTrue(next.uri.contains("?index=" + (answerFirst ? 42 : 41) + "&wait="), next.uri);
             stage.until(timeOutMs + 1);
@@ -188,7 +195,9 @@
             assertEquals("/registry/instances", stage.next(calls + 1).uri);
             Call again = stage.next(calls + 2);
             assertEquals("/registry/instances", again.uri);
-            assertTrue(Rhythm.MOVED_TOLD_MS + GRACE_MS - (again.atMs - movedMs) >= 1_100, again.atMs - movedMs + " ms after the move");
+            assertTrue(
+                    Rhythm.MOVED_TOLD_MS + GRACE_MS - (again.atMs - movedMs) >= 1_100,
+                    again.atMs - movedMs + " ms after the move");
             assertEquals(List.of(), stage.failedMs);
         }
     }
