--- a/src/test/java/rushproxy/operator/PolicyFileTest.java
+++ b/src/test/java/rushproxy/operator/PolicyFileTest.java
@@ -26,8 +26,10 @@
 
     @Test
     void itIsReadStrictly() throws Broken {
-        assertEquals(new Policy(Set.of("b"), List.of(List.of("a"), List.of("b", "c"))),
-                read("[zones]\naway = [\"b\"]\n[[zones.tier]]\nzones = [\"a\"]\n[[zones.tier]]\nzones = [\"b\", \"c\"]\n"));
+        assertEquals(
+                new Policy(Set.of("b"), List.of(List.of("a"), List.of("b", "c"))),
+                read(
+                        "[zones]\naway = [\"b\"]\n[[zones.tier]]\nzones = [\"a\"]\n[[zones.tier]]\nzones = [\"b\", \"c\"]\n"));
         broken("", "[zones]");
         broken("[zones]\naway = [\"d\"]\n", "there is no zone 'd'; there are a, b, c");
         broken("[zones]\n[[zones.tier]]\nzones = [\"d\"]\n", "'d'");
@@ -47,13 +49,19 @@
 
     @Test
     void whatIsDecidedInCommonIsReadFromTheOperatorsFile() throws Broken {
-        Operator o = OperatorFile.read(Table.parse("f", "[zones]\n[accord]\nfleet = \"x\"\nfile = \"p.toml\"\n", Map.of()));
+        Operator o =
+                OperatorFile.read(Table.parse("f", "[zones]\n[accord]\nfleet = \"x\"\nfile = \"p.toml\"\n", Map.of()));
         assertEquals(new rushproxy.accord.Options("x", 5, 3_000_000, java.nio.file.Path.of("p.toml")), o.accord());
         assertTrue(OperatorFile.explain(o).toString().contains("accord: "));
         assertNull(OperatorFile.read(Table.parse("f", "[zones]\n", Map.of())).accord());
-        for (String[] wrong : new String[][] {{"[accord]\nfleet = \"x\"\nfile = \"p\"\n", "[zones]"}, {"[zones]\n[accord]\nfleet = \"x\"\nfile = \"p\"\nvoters = 4\n", "odd"},
-                {"[zones]\n[accord]\nfile = \"p\"\n", "fleet"}, {"[zones]\n[accord]\nfleet = \"x\"\nfile = \"p\"\nlease = \"10ms\"\n", "lease"}}) {
-            String found = assertThrows(Broken.class, () -> OperatorFile.read(Table.parse("f", wrong[0], Map.of()))).getMessage();
+        for (String[] wrong : new String[][] {
+            {"[accord]\nfleet = \"x\"\nfile = \"p\"\n", "[zones]"},
+            {"[zones]\n[accord]\nfleet = \"x\"\nfile = \"p\"\nvoters = 4\n", "odd"},
+            {"[zones]\n[accord]\nfile = \"p\"\n", "fleet"},
+            {"[zones]\n[accord]\nfleet = \"x\"\nfile = \"p\"\nlease = \"10ms\"\n", "lease"}
+        }) {
+            String found = assertThrows(Broken.class, () -> OperatorFile.read(Table.parse("f", wrong[0], Map.of())))
+                    .getMessage();
             assertTrue(found.contains(wrong[1]), found);
         }
     }
--- a/src/test/java/rushproxy/settings/CompleteTest.java
+++ b/src/test/java/rushproxy/settings/CompleteTest.java
@@ -10,7 +10,8 @@
 import rushproxy.json.Json;
 
 class CompleteTest {
-    private static final String FILE = """
+    private static final String FILE =
+            """
             {"name":"n","settings":{"me":0,"profiles":[{"name":"a","group":"all","aim_stretch":1},{"name":"b","group":"zone","window_us":3}],
              "accounts":[{"name":"t","share":1}],"azs":["x","y"],"limits":{"max_attempts":4},"extra":{"warm_keys":false}}}""";
 
@@ -46,15 +47,27 @@
 
     @Test
     void whatIsNotOverNothingIsNoSetting() {
-        String right = """
+        String right =
+                """
                 {"me":0,"balancers":1,"zone":"z","profiles":[{"name":"a","semantics":"safe","objective_us":1,"give_up_us":2}],
                  "rules":{"drain_grace_us":1,"cold_share":0.1,"ramp_time_us":1,"fall_multiple":3,"fall_us":1},"limits":{"max_attempts":1}}""";
         new SettingsReader(flat(right)).read();
-        for (String[] wrong : new String[][] {{"\"give_up_us\":2", "\"give_up_us\":0"}, {"\"give_up_us\":2", "\"give_up_us\":-5"},
-                {"\"max_attempts\":1", "\"max_attempts\":0"}, {"\"objective_us\":1", "\"objective_us\":-1"}, {"\"give_up_us\":2", "\"give_up_us\":\"NaN\""},
-                {"\"give_up_us\":2}", "\"give_up_us\":2},{\"name\":\"a\",\"semantics\":\"safe\",\"objective_us\":1,\"give_up_us\":2}"},
-                {"\"fall_multiple\":3", "\"fall_multiple\":\"Infinity\""}}) {
-            assertThrows(SettingsException.class, () -> new SettingsReader(flat(right.replace(wrong[0], wrong[1]))).read(), wrong[1]);
+        for (String[] wrong : new String[][] {
+            {"\"give_up_us\":2", "\"give_up_us\":0"},
+            {"\"give_up_us\":2", "\"give_up_us\":-5"},
+            {"\"max_attempts\":1", "\"max_attempts\":0"},
+            {"\"objective_us\":1", "\"objective_us\":-1"},
+            {"\"give_up_us\":2", "\"give_up_us\":\"NaN\""},
+            {
+                "\"give_up_us\":2}",
+                "\"give_up_us\":2},{\"name\":\"a\",\"semantics\":\"safe\",\"objective_us\":1,\"give_up_us\":2}"
+            },
+            {"\"fall_multiple\":3", "\"fall_multiple\":\"Infinity\""}
+        }) {
+            assertThrows(
+                    SettingsException.class,
+                    () -> new SettingsReader(flat(right.replace(wrong[0], wrong[1]))).read(),
+                    wrong[1]);
         }
     }
 }
--- a/src/test/java/rushproxy/settings/SettingsReaderTest.java
+++ b/src/test/java/rushproxy/settings/SettingsReaderTest.java
@@ -24,11 +24,18 @@
 /** The settings that both the wire and a sidecar's configuration bring, as path and value. */
 class SettingsReaderTest {
     private final Map<String, String> values = new HashMap<>(Map.ofEntries(
-            Map.entry("me", "2"), Map.entry("balancers", "5"), Map.entry("zone", "za"),
-            Map.entry("profiles.count", "1"), Map.entry("profiles.0.name", "c"), Map.entry("profiles.0.semantics", "keyed"),
-            Map.entry("profiles.0.objective_us", "330000"), Map.entry("profiles.0.give_up_us", "830000"),
-            Map.entry("rules.drain_grace_us", "500000"), Map.entry("rules.cold_share", "0.13"),
-            Map.entry("rules.ramp_time_us", "24000000"), Map.entry("rules.fall_multiple", "3"),
+            Map.entry("me", "2"),
+            Map.entry("balancers", "5"),
+            Map.entry("zone", "za"),
+            Map.entry("profiles.count", "1"),
+            Map.entry("profiles.0.name", "c"),
+            Map.entry("profiles.0.semantics", "keyed"),
+            Map.entry("profiles.0.objective_us", "330000"),
+            Map.entry("profiles.0.give_up_us", "830000"),
+            Map.entry("rules.drain_grace_us", "500000"),
+            Map.entry("rules.cold_share", "0.13"),
+            Map.entry("rules.ramp_time_us", "24000000"),
+            Map.entry("rules.fall_multiple", "3"),
             Map.entry("rules.fall_us", "1000000")));
 
     private Settings read() {
@@ -37,9 +44,27 @@
 
     @Test
     void whatIsThere() {
-        values.putAll(Map.of("azs", "za,zb", "kinds", "k1,k2", "profiles.0.group", "zone", "profiles.0.window_us", "4e6",
-                "profiles.0.importance", "9", "accounts.count", "1", "accounts.0.name", "t", "accounts.0.share", "0.4",
-                "limits.second_copies", "1", "load_info.how", "inline"));
+        values.putAll(Map.of(
+                "azs",
+                "za,zb",
+                "kinds",
+                "k1,k2",
+                "profiles.0.group",
+                "zone",
+                "profiles.0.window_us",
+                "4e6",
+                "profiles.0.importance",
+                "9",
+                "accounts.count",
+                "1",
+                "accounts.0.name",
+                "t",
+                "accounts.0.share",
+                "0.4",
+                "limits.second_copies",
+                "1",
+                "load_info.how",
+                "inline"));
         values.put("discovery", "on_request");
         values.put("load_info.fields", "busy_reqs,cpu_share");
         Settings s = read();
@@ -63,15 +88,21 @@
         for (String us : List.of("0", "1")) {
             values.put("rules.fall_us", us);
             List<String> sent = new ArrayList<>();
-            Balancer.Actions out = (Balancer.Actions) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class}, (p, m, args) -> {
-                if (m.getName().equals("send")) {
-                    sent.add(args[0] + " to " + args[1]);
-                }
-                return null;
-            });
+            Balancer.Actions out = (Balancer.Actions) Proxy.newProxyInstance(
+                    Balancer.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class}, (p, m, args) -> {
+                        if (m.getName().equals("send")) {
+                            sent.add(args[0] + " to " + args[1]);
+                        }
+                        return null;
+                    });
             Policy module = new Policy(read(), Guide.NONE, Others.SILENT, 1, 0, out);
-            module.onList(0, Balancer.ListKind.FULL, List.of(new Balancer.Upstream("u0", "za", "k", 0, 1, 1, Balancer.UpstreamState.READY)));
-            module.onRequest(30_000_000, new Balancer.Request("a", -1, false, false, 0, 800_000, "t", "c", Balancer.HTTP1, false, "key"));
+            module.onList(
+                    0,
+                    Balancer.ListKind.FULL,
+                    List.of(new Balancer.Upstream("u0", "za", "k", 0, 1, 1, Balancer.UpstreamState.READY)));
+            module.onRequest(
+                    30_000_000,
+                    new Balancer.Request("a", -1, false, false, 0, 800_000, "t", "c", Balancer.HTTP1, false, "key"));
             assertEquals(List.of("a to u0"), sent, us);
         }
     }
@@ -91,11 +122,21 @@
 
     @Test
     void whatIsWrongIsNamed() {
-        Map.of("profiles.0.semantics", "semantics 'x' is unknown", "profiles.0.group", "group 'x' is unknown",
-                "me", "setting 'me' is no number: 'x'", "rules.cold_share", "setting 'rules.cold_share' is no number: 'x'")
+        Map.of(
+                        "profiles.0.semantics",
+                        "semantics 'x' is unknown",
+                        "profiles.0.group",
+                        "group 'x' is unknown",
+                        "me",
+                        "setting 'me' is no number: 'x'",
+                        "rules.cold_share",
+                        "setting 'rules.cold_share' is no number: 'x'")
                 .forEach((path, message) -> {
                     String before = values.put(path, "x");
-                    assertEquals(message, assertThrows(SettingsException.class, this::read, path).getMessage());
+                    assertEquals(
+                            message,
+                            assertThrows(SettingsException.class, this::read, path)
+                                    .getMessage());
                     if (before == null) {
                         values.remove(path);
                     } else {
@@ -104,7 +145,9 @@
                 });
         for (String path : List.copyOf(values.keySet())) {
             String before = values.remove(path);
-            assertTrue(assertThrows(SettingsException.class, this::read, path).getMessage().contains("'" + path + "' is missing"));
+            assertTrue(assertThrows(SettingsException.class, this::read, path)
+                    .getMessage()
+                    .contains("'" + path + "' is missing"));
             values.put(path, before);
         }
     }
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -42,17 +42,24 @@
         cases.put("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /apiary HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", 200);
-        cases.put("POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k1\r\nContent-Length: 65537\r\n\r\n"
-                + "x".repeat(65_537), 200);
-        cases.put("POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k1\r\nContent-Length: 65536\r\n\r\n"
-                + "x".repeat(65_536), 200);
+        cases.put(
+                "POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k1\r\nContent-Length: 65537\r\n\r\n"
+                        + "x".repeat(65_537),
+                200);
+        cases.put(
+                "POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k1\r\nContent-Length: 65536\r\n\r\n"
+                        + "x".repeat(65_536),
+                200);
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.start();
             for (Map.Entry<String, Integer> c : cases.entrySet()) {
                 try (Peer.Client client = rig.client()) {
                     client.send(c.getKey());
-                    assertEquals(c.getValue(), client.status(), c.getKey().lines().limit(9).toList().toString());
+                    assertEquals(
+                            c.getValue(),
+                            client.status(),
+                            c.getKey().lines().limit(9).toList().toString());
                 }
             }
         }
@@ -107,7 +114,8 @@
             });
             rig.start();
             try (Peer.Client client = rig.client()) {
-                client.send(Rig.get("a1", 20_000) + "POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000000\r\n\r\n");
+                client.send(Rig.get("a1", 20_000)
+                        + "POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000000\r\n\r\n");
                 rig.await("request a1");
                 answer.countDown();
                 assertEquals("first", client.answer().body());
@@ -123,8 +131,10 @@
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.start();
-            try (Peer.Client silent = rig.client(); Peer.Client half = rig.client(); Peer.Client body = rig.client();
-                 Peer.Client once = rig.client()) {
+            try (Peer.Client silent = rig.client();
+                    Peer.Client half = rig.client();
+                    Peer.Client body = rig.client();
+                    Peer.Client once = rig.client()) {
                 half.send("GET /api HTTP/1.1\r\nX-T");
                 body.send("POST /api HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
                 once.send(Rig.get("a1", 20_000));
@@ -156,9 +166,10 @@
     @Test
     void theIdOfAnOpenRequestIsTaken() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
-            try (Peer.Client one = rig.client(); Peer.Client other = rig.client()) {
+            try (Peer.Client one = rig.client();
+                    Peer.Client other = rig.client()) {
                 one.send(Rig.get("a1", 20_000));
                 rig.await("request a1");
                 other.send(Rig.get("a1", 20_000));
@@ -189,9 +200,11 @@
 
     @Test
     void aBrokenConfigurationIsOneLineThatNamesTheField() throws Exception {
-        String good = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\","
-                + "\"peers\":[\"127.0.0.1:7\"],\"known\":" + Rig.list(1, true, Rig.entry("u", "127.0.0.1:8", "Ready", 7))
-                + ",\"settings\":" + Rig.SETTINGS + ",\"new\":{\"x\":[1]}}";
+        String good =
+                "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\","
+                        + "\"peers\":[\"127.0.0.1:7\"],\"known\":"
+                        + Rig.list(1, true, Rig.entry("u", "127.0.0.1:8", "Ready", 7))
+                        + ",\"settings\":" + Rig.SETTINGS + ",\"new\":{\"x\":[1]}}";
         assertEquals(7000, Rig.config(good).known().members().get(0).upstream().startedUs());
         assertEquals(0x8c1f30d27a5be964L, Rig.config(good).seed());
         broken("", "JSON");
--- a/src/test/java/rushproxy/sidecar/ClientGoneTest.java
+++ b/src/test/java/rushproxy/sidecar/ClientGoneTest.java
@@ -20,10 +20,11 @@
         void leave(Peer.Client client) throws IOException;
     }
 
-    private static final Map<String, Leaves> WAYS = Map.of("FIN", c -> c.socket.close(), "FIN alone", c -> c.socket.shutdownOutput(), "RST", c -> {
-        c.socket.setSoLinger(true, 0);
-        c.socket.close();
-    });
+    private static final Map<String, Leaves> WAYS =
+            Map.of("FIN", c -> c.socket.close(), "FIN alone", c -> c.socket.shutdownOutput(), "RST", c -> {
+                c.socket.setSoLinger(true, 0);
+                c.socket.close();
+            });
 
     private static Rig rig() throws IOException {
         Rig rig = new Rig();
@@ -34,7 +35,8 @@
     /** What is sent waits at a door that does not open, the first of it as a request; then its client goes, in each way. */
     private static void isWithdrawn(String id, String sent) throws Exception {
         for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
-            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+            try (Rig rig = rig();
+                    LateDoor late = new LateDoor()) {
                 rig.upstreamAt(late.address());
                 rig.start();
                 try (Peer.Client client = rig.client()) {
@@ -81,7 +83,8 @@
                 }
                 try (Peer.Client next = rig.client()) {
                     next.send(Rig.get("b", 20_000));
-                    assertTrue(up.next().head().contains("X-Txn: b"), way.getKey() + ": what waited behind was sent on");
+                    assertTrue(
+                            up.next().head().contains("X-Txn: b"), way.getKey() + ": what waited behind was sent on");
                 }
             }
         }
@@ -102,11 +105,13 @@
     void whileItsLargeBodyWaitsForAConnection() throws Exception {
         for (int length : new int[] {150_000, 3_000_000}) {
             for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
-                try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+                try (Rig rig = rig();
+                        LateDoor late = new LateDoor()) {
                     rig.upstreamAt(late.address());
                     rig.start();
                     try (Peer.Client client = rig.client()) {
-                        client.send(Rig.post("a1", "k", "key-1", 20_000).replace("Content-Length: 0", "Content-Length: " + length)
+                        client.send(Rig.post("a1", "k", "key-1", 20_000)
+                                        .replace("Content-Length: 0", "Content-Length: " + length)
                                 + "x".repeat(length));
                         rig.await("request a1");
                         rig.dials();
@@ -136,7 +141,8 @@
                     out.send(r.id(), "u0", 0);
                 };
                 rig.start();
-                try (Peer.Client other = rig.client(); Peer.Client known = rig.client()) {
+                try (Peer.Client other = rig.client();
+                        Peer.Client known = rig.client()) {
                     assertEquals(200, known.send(Rig.get("first", 20_000)).status());
                     other.send(Rig.get("stall", 20_000));
                     assertTrue(standing.await(20, TimeUnit.SECONDS));
@@ -161,7 +167,8 @@
         for (Map.Entry<String, Leaves> way : WAYS.entrySet()) {
             CountDownLatch standing = new CountDownLatch(1);
             CountDownLatch goOn = new CountDownLatch(1);
-            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+            try (Rig rig = rig();
+                    LateDoor late = new LateDoor()) {
                 rig.upstreamAt(late.address());
                 rig.start();
                 try (Peer.Client client = rig.client()) {
@@ -197,7 +204,7 @@
                             out.send(r.id(), "u0", 0);
                         }
                     };
-                    rig.onOutcome = (id, outcome, done, out) -> { };
+                    rig.onOutcome = (id, outcome, done, out) -> {};
                     rig.start();
                     try (Peer.Client client = rig.client()) {
                         client.send(Rig.get("a1", 20_000));
@@ -223,17 +230,19 @@
     /** The same at the end of a request of any kind: a copy that waits for its connection goes out to nobody. */
     @Test
     void aSecondCopyIsNotSentOnceTheFirstIsAnswered() throws Exception {
-        try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+        try (Rig rig = rig();
+                LateDoor late = new LateDoor()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "first"));
             rig.upstreamAt(late.address());
             rig.onRequest = (now, r, out) -> {
                 out.send(r.id(), "u1", 0);
                 out.send(r.id(), "u0", 0);
             };
-            rig.onOutcome = (id, outcome, done, out) -> { };
+            rig.onOutcome = (id, outcome, done, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
-                assertEquals("first", client.send(Rig.get("a1", 20_000)).answer().body());
+                assertEquals(
+                        "first", client.send(Rig.get("a1", 20_000)).answer().body());
                 assertEquals("outcome a1 0 NOT_SENT true -", rig.await("outcome"));
                 assertEquals("outcome a1 1 OK true -", rig.await("outcome"));
             }
@@ -245,7 +254,8 @@
     @Test
     void whatTheModuleHasEndedIsNotSentWhenItsConnectionComesUp() throws Exception {
         for (int status : new int[] {502, 503}) {
-            try (Rig rig = rig(); LateDoor late = new LateDoor()) {
+            try (Rig rig = rig();
+                    LateDoor late = new LateDoor()) {
                 rig.upstreamAt(late.address());
                 rig.onRequest = (now, r, out) -> {
                     out.send(r.id(), "u0", 0);
@@ -255,7 +265,7 @@
                         out.refuse(r.id(), 0);
                     }
                 };
-                rig.onOutcome = (id, outcome, done, out) -> { };
+                rig.onOutcome = (id, outcome, done, out) -> {};
                 rig.start();
                 try (Peer.Client client = rig.client()) {
                     assertEquals(status, client.send(Rig.get("a1", 20_000)).status());
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -20,10 +20,10 @@
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 2 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
                 case 3 -> line.answer("200 OK", "Connection: close\r\n", Rig.list(44, true, UP));
-                default -> { }
+                default -> {}
             }
         })) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             assertEquals("list CACHED u0=READY", rig.await("list"));
             // The first answer tells the module that it is subscribed, even without a change.
@@ -40,19 +40,29 @@
     /** A bad answer is a failed call; taken for an empty list it would end all service. */
     @Test
     void aBadAnswerIsAFailedCallAndThenTheWholeListIsAskedFor() throws Exception {
-        String[] bad = {"no json", "", "{}", "[]", "null", "{\"generation\":50,\"reset\":true,\"instances\":[]}",
-            "{\"generation\":50,\"reset\":true}", Rig.list(40, false, UP), Rig.list(50, false, UP.replace("Ready", "?")),
-            Rig.list(50, true, UP.replace("127.0.0.1:9", "nowhere")), "{\"generation\":50,\"reset\":true,\"instances\":[7]}"};
+        String[] bad = {
+            "no json",
+            "",
+            "{}",
+            "[]",
+            "null",
+            "{\"generation\":50,\"reset\":true,\"instances\":[]}",
+            "{\"generation\":50,\"reset\":true}",
+            Rig.list(40, false, UP),
+            Rig.list(50, false, UP.replace("Ready", "?")),
+            Rig.list(50, true, UP.replace("127.0.0.1:9", "nowhere")),
+            "{\"generation\":50,\"reset\":true,\"instances\":[7]}"
+        };
         for (String answer : bad) {
             AtomicInteger calls = new AtomicInteger();
             try (Rig rig = new Rig((m, line) -> {
                 switch (calls.incrementAndGet()) {
                     case 1 -> line.answer("200 OK", "", answer);
                     case 2 -> line.answer("200 OK", "", Rig.list(60, true, UP));
-                    default -> { }
+                    default -> {}
                 }
             })) {
-                rig.upstream((m, line) -> { });
+                rig.upstream((m, line) -> {});
                 rig.start();
                 rig.await("list CACHED");
                 assertEquals("list FAILED ", rig.await("list"), answer);
@@ -73,10 +83,10 @@
                 case 2 -> line.reset();
                 case 3 -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n");
                 case 4 -> line.answer("200 OK", "", Rig.list(43, false, UP));
-                default -> { }
+                default -> {}
             }
         })) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             for (int i = 0; i < 3; i++) {
@@ -96,12 +106,12 @@
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 2 -> line.answer("503 Down", "", "");
                 case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP));
-                default -> { }
+                default -> {}
             }
         })) {
             rig.settings = rig.settings.replace("on_request", "pushed");
             rig.asks = false;
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             assertEquals("list DELTA u0=READY", rig.await("list"), "told of a call it has not made, or of no change");
@@ -115,12 +125,12 @@
     @Test
     void anotherServiceIsAskedForTheWholeListAtOnce() throws Exception {
         try (Peer next = new Peer((m, line) -> {
-            if (m.path().equals("/registry/instances")) {
-                line.answer("200 OK", "", Rig.list(3, true, UP));
-            }
-        });
-             Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+                    if (m.path().equals("/registry/instances")) {
+                        line.answer("200 OK", "", Rig.list(3, true, UP));
+                    }
+                });
+                Rig rig = new Rig()) {
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             assertTrue(rig.discovery.next().path().contains("?index=41&wait="));
@@ -148,16 +158,19 @@
                     line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
                 }
             })) {
-                rig.settings = rig.settings.replace("\"ask_every_us\":10000000", "\"ask_every_us\":400000").replace("on_request", discovery);
+                rig.settings = rig.settings
+                        .replace("\"ask_every_us\":10000000", "\"ask_every_us\":400000")
+                        .replace("on_request", discovery);
                 rig.asks = discovery.equals("on_request");
-                rig.upstream((m, line) -> { });
+                rig.upstream((m, line) -> {});
                 rig.start();
                 assertEquals("list CACHED u0=READY", rig.await("list"));
                 if (rig.asks) {
                     assertEquals("list DELTA ", rig.await("list"));
                 }
                 assertEquals("list DELTA u0=DRAINING", rig.await("list"), discovery);
-                assertEquals(2, rig.discovery.accepted.size(), "the call after the silence went on the silent connection");
+                assertEquals(
+                        2, rig.discovery.accepted.size(), "the call after the silence went on the silent connection");
             }
         }
     }
@@ -167,12 +180,12 @@
     void aDrainAtANewPlaceIsSeenThoughTheFirstCallThereIsLost() throws Exception {
         AtomicInteger calls = new AtomicInteger();
         try (Peer next = new Peer((m, line) -> {
-            if (calls.incrementAndGet() == 2) {
-                line.answer("200 OK", "", Rig.list(3, true, UP.replace("Ready", "Terminating")));
-            }
-        });
-             Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+                    if (calls.incrementAndGet() == 2) {
+                        line.answer("200 OK", "", Rig.list(3, true, UP.replace("Ready", "Terminating")));
+                    }
+                });
+                Rig rig = new Rig()) {
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             rig.discovery.next();
--- a/src/test/java/rushproxy/sidecar/IdleTest.java
+++ b/src/test/java/rushproxy/sidecar/IdleTest.java
@@ -30,7 +30,9 @@
                 }
                 long begun = System.nanoTime();
                 assertTrue(left.get(149).ended());
-                assertTrue(System.nanoTime() - begun < 2_000_000_000L, "closed only after " + (System.nanoTime() - begun) / 1_000_000 + " ms");
+                assertTrue(
+                        System.nanoTime() - begun < 2_000_000_000L,
+                        "closed only after " + (System.nanoTime() - begun) / 1_000_000 + " ms");
             } finally {
                 for (Peer.Client c : left) {
                     c.close();
--- a/src/test/java/rushproxy/sidecar/LargeTest.java
+++ b/src/test/java/rushproxy/sidecar/LargeTest.java
@@ -31,7 +31,8 @@
 
     /** Writes so many blocks, of stated length or as chunks. */
     private static void answer(Peer.Line line, boolean chunked, int blocks) throws IOException {
-        line.raw("HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + blocks * BLOCK.length) + "\r\n\r\n");
+        line.raw("HTTP/1.1 200 OK\r\n"
+                + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + blocks * BLOCK.length) + "\r\n\r\n");
         OutputStream out = line.socket().getOutputStream();
         for (int i = 0; i < blocks; i++) {
             if (chunked) {
@@ -61,7 +62,9 @@
         long total = (long) blocks * BLOCK.length;
         long at = 0;
         while (at < total) {
-            int size = head.contains("chunked") ? Integer.parseInt(line(in).trim(), 16) : (int) Math.min(BLOCK.length, total - at);
+            int size = head.contains("chunked")
+                    ? Integer.parseInt(line(in).trim(), 16)
+                    : (int) Math.min(BLOCK.length, total - at);
             byte[] piece = in.readNBytes(size);
             assertEquals(size, piece.length, "cut at " + at);
             for (int i = 0; i < size; i++, at++) {
@@ -91,7 +94,8 @@
     void anAnswerOf32MbPassesUnchangedInEitherFramingAndTheConnectionGoesOn() throws Exception {
         for (boolean chunked : new boolean[] {false, true}) {
             try (Rig rig = new Rig()) {
-                rig.upstream((m, line) -> answer(line, chunked, m.header("X-Txn").equals("big") ? 512 : 1));
+                rig.upstream(
+                        (m, line) -> answer(line, chunked, m.header("X-Txn").equals("big") ? 512 : 1));
                 rig.start();
                 try (Peer.Client client = rig.client()) {
                     InputStream in = client.socket.getInputStream();
@@ -124,13 +128,15 @@
                 }
             });
             rig.start();
-            long before = io.netty.buffer.PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory();
+            long before =
+                    io.netty.buffer.PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory();
             try (Peer.Client client = rig.client()) {
                 InputStream in = client.socket.getInputStream();
                 client.send(Rig.get("slow", 20_000));
                 String head = head(in);
                 blocked.await(2, TimeUnit.SECONDS);
-                long held = io.netty.buffer.PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() - before;
+                long held =
+                        io.netty.buffer.PooledByteBufAllocator.DEFAULT.metric().usedDirectMemory() - before;
                 assertTrue(held < 8 * MB, held + " bytes are held");
                 read(in, head, 512);
                 assertEquals(32 * MB, written.get());
@@ -265,8 +271,8 @@
     }
 
     private static String post(String id, String framing) {
-        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: k\r\nIdempotency-Key: " + id + "\r\nX-Remaining-Ms: 20000\r\n"
-                + framing + "\r\n\r\n";
+        return "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + id + "\r\nX-Lane: k\r\nIdempotency-Key: " + id
+                + "\r\nX-Remaining-Ms: 20000\r\n" + framing + "\r\n\r\n";
     }
 
     private static void write(OutputStream out, boolean chunked, int blocks) throws IOException {
@@ -289,7 +295,9 @@
         byte[] body = m.body().getBytes(StandardCharsets.ISO_8859_1);
         assertEquals(blocks * BLOCK.length, body.length);
         for (int i = 0; i < blocks; i++) {
-            assertTrue(Arrays.equals(BLOCK, Arrays.copyOfRange(body, i * BLOCK.length, (i + 1) * BLOCK.length)), "block " + i);
+            assertTrue(
+                    Arrays.equals(BLOCK, Arrays.copyOfRange(body, i * BLOCK.length, (i + 1) * BLOCK.length)),
+                    "block " + i);
         }
     }
 
@@ -300,7 +308,8 @@
                 Peer node = rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
                 rig.start();
                 try (Peer.Client client = rig.client()) {
-                    client.send(post("big", chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + 512 * BLOCK.length));
+                    client.send(post(
+                            "big", chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + 512 * BLOCK.length));
                     write(client.socket.getOutputStream(), chunked, 512);
                     assertEquals("done", client.answer().body());
                     assertBody(node.next(), 512);
@@ -316,7 +325,7 @@
     @Test
     void aBodyOfWhichNothingIsGoneGoesToAnotherUpstream() throws Exception {
         try (Rig rig = new Rig()) {
-            Peer dead = rig.upstream((m, line) -> { });
+            Peer dead = rig.upstream((m, line) -> {});
             Peer node = rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
             dead.close();
             rig.onOutcome = (id, outcome, done, out) -> {
@@ -339,7 +348,8 @@
     void aBodyOnItsWayWhileItsUpstreamDrainsArrivesWhole() throws Exception {
         java.util.concurrent.BlockingQueue<Peer.Line> watch = new java.util.concurrent.LinkedBlockingQueue<>();
         try (Rig rig = new Rig((m, line) -> watch.add(line));
-             java.net.ServerSocket node = new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
+                java.net.ServerSocket node =
+                        new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
             String address = "127.0.0.1:" + node.getLocalPort();
             rig.upstreamAt(address);
             rig.start();
@@ -365,7 +375,9 @@
     /** An upstream that breaks off half way has run nothing; what is gone can't be sent again, and that can be said. */
     @Test
     void aBodyThatIsGoneIsSentToNobodyElse() throws Exception {
-        try (Rig rig = new Rig(); java.net.ServerSocket breaks = new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
+        try (Rig rig = new Rig();
+                java.net.ServerSocket breaks =
+                        new java.net.ServerSocket(0, 50, java.net.InetAddress.getByName("127.0.0.1"))) {
             Thread reads = new Thread(() -> {
                 try (java.net.Socket s = breaks.accept()) {
                     s.getInputStream().readNBytes(4 * MB);
@@ -443,9 +455,16 @@
                     c.send("x".repeat(4_000));
                 }
                 for (Peer.Client c : clients) {
-                    assertEquals(200, c.status(), rig.told.stream().filter(t -> t.startsWith("outcome") && !t.contains(" OK ")).toList().toString());
+                    assertEquals(
+                            200,
+                            c.status(),
+                            rig.told.stream()
+                                    .filter(t -> t.startsWith("outcome") && !t.contains(" OK "))
+                                    .toList()
+                                    .toString());
                 }
-                assertEquals(200, rig.peers.stream().mapToInt(p -> p.messages.size()).sum());
+                assertEquals(
+                        200, rig.peers.stream().mapToInt(p -> p.messages.size()).sum());
             } finally {
                 for (Peer.Client c : clients) {
                     c.close();
@@ -460,8 +479,10 @@
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "done"));
             rig.start();
-            for (String wrong : new String[] {post("a", "Content-Length: 33554432").replace("X-Lane: k", "X-Lane: nobody"),
-                    post("b", "Content-Length: 33554432").replace("/api", "/other")}) {
+            for (String wrong : new String[] {
+                post("a", "Content-Length: 33554432").replace("X-Lane: k", "X-Lane: nobody"),
+                post("b", "Content-Length: 33554432").replace("/api", "/other")
+            }) {
                 try (Peer.Client client = rig.client()) {
                     client.send(wrong);
                     write(client.socket.getOutputStream(), false, 512);
@@ -495,7 +516,8 @@
                 byte[] body = in.readAllBytes();
                 assertEquals(3 * BLOCK.length, body.length);
                 assertTrue(Arrays.equals(BLOCK, Arrays.copyOf(body, BLOCK.length)));
-                assertTrue(new String(head.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8).startsWith("HTTP/1.1 200"));
+                assertTrue(new String(head.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8)
+                        .startsWith("HTTP/1.1 200"));
             }
         }
     }
--- a/src/test/java/rushproxy/sidecar/LateDoor.java
+++ b/src/test/java/rushproxy/sidecar/LateDoor.java
@@ -73,7 +73,8 @@
         try (Socket last = new Socket(server.getInetAddress(), server.getLocalPort())) {
             last.getOutputStream().write('.');
             try (Socket next = server.accept()) {
-                return next.getInputStream().read() == '.' && next.getInputStream().available() == 0;
+                return next.getInputStream().read() == '.'
+                        && next.getInputStream().available() == 0;
             }
         }
     }
--- a/src/test/java/rushproxy/sidecar/LeavingTest.java
+++ b/src/test/java/rushproxy/sidecar/LeavingTest.java
@@ -67,15 +67,18 @@
             long askedNanos = System.nanoTime();
             rig.sidecar.stop(stopped);
             loop.execute(() -> {
-                loop.schedule(() -> {
-                    try {
-                        what.it();
-                    } catch (IOException e) {
-                        throw new UncheckedIOException(e);
-                    } finally {
-                        done.countDown();
-                    }
-                }, 0, TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        () -> {
+                            try {
+                                what.it();
+                            } catch (IOException e) {
+                                throw new UncheckedIOException(e);
+                            } finally {
+                                done.countDown();
+                            }
+                        },
+                        0,
+                        TimeUnit.NANOSECONDS);
                 inOrder.set(System.nanoTime() - askedNanos < TimeUnit.MILLISECONDS.toNanos(LOOK_LEAST_MS));
                 LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(PAST_MS));
             });
@@ -93,7 +96,8 @@
                 rig.start();
                 CountDownLatch stopped = new CountDownLatch(1);
                 try (Peer.Client client = rig.client()) {
-                    assertEquals("a0", client.send(Rig.get("a0", 30_000)).answer().body());
+                    assertEquals(
+                            "a0", client.send(Rig.get("a0", 30_000)).answer().body());
                     inOrder = beforeTheNextLook(rig, stopped::countDown, () -> client.send(Rig.get("a1", 30_000)));
                     if (inOrder) {
                         Peer.Message m = client.answer();
@@ -137,7 +141,7 @@
     @Test
     void whatHangsAtAnUpstreamIsAnsweredInTimeAndTheStopEnds() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
             try (Peer.Client client = rig.client()) {
--- a/src/test/java/rushproxy/sidecar/OperatorsTest.java
+++ b/src/test/java/rushproxy/sidecar/OperatorsTest.java
@@ -126,13 +126,19 @@
         try (Rig rig = rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "x"));
             rig.start();
-            try (Peer.Client asks = rig.client(); Peer.Client idle = rig.client(); Peer.Client late = rig.client()) {
-                assertEquals(200, asks.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+            try (Peer.Client asks = rig.client();
+                    Peer.Client idle = rig.client();
+                    Peer.Client late = rig.client()) {
+                assertEquals(
+                        200,
+                        asks.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                                .status());
                 assertEquals(200, idle.send(Rig.get("a1", 20_000)).status());
                 assertEquals(200, status(call(rig, "POST", "/control/out-of-service")));
                 assertEquals(200, status(call(rig, "POST", "/control/out-of-service")));
                 assertEquals(503, status(call(rig, "GET", "/control/ready")));
-                Peer.Message no = asks.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").answer();
+                Peer.Message no = asks.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                        .answer();
                 assertTrue(no.head().startsWith("HTTP/1.1 503 "), no.head());
                 Peer.Message served = late.send(Rig.get("a2", 20_000)).answer();
                 assertTrue(served.head().startsWith("HTTP/1.1 200 "), served.head());
@@ -145,7 +151,10 @@
             assertEquals(200, status(call(rig, "POST", "/control/in-service")));
             assertEquals(200, status(call(rig, "GET", "/control/ready")));
             try (Peer.Client client = rig.client()) {
-                assertEquals(200, client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                assertEquals(
+                        200,
+                        client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                                .status());
                 assertNull(client.send(Rig.get("a4", 20_000)).answer().header("Connection"));
             }
         }
@@ -160,17 +169,23 @@
                 silent.add(new Peer.Client(rig.sidecar.adminAt()).send("GET /control/re"));
             }
             assertEquals(200, status(call(rig, "GET", "/control/counters")));
-            for (String[] wrong : new String[][] {{"GET", "/", "404"}, {"DELETE", "/control/ready", "405"}, {"GET", "/" + "x".repeat(5_000), "431"},
-                    {"POST", "/control/upstreams/%zz/offline", "400"}}) {
+            for (String[] wrong : new String[][] {
+                {"GET", "/", "404"},
+                {"DELETE", "/control/ready", "405"},
+                {"GET", "/" + "x".repeat(5_000), "431"},
+                {"POST", "/control/upstreams/%zz/offline", "400"}
+            }) {
                 assertEquals(Integer.parseInt(wrong[2]), status(call(rig, wrong[0], wrong[1])), wrong[1]);
             }
             try (Peer.Client two = new Peer.Client(rig.sidecar.adminAt())) {
-                two.send("POST /control/in-service HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /control/ready HTTP/1.1\r\n\r\n");
+                two.send(
+                        "POST /control/in-service HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /control/ready HTTP/1.1\r\n\r\n");
                 assertEquals(200, two.status());
                 assertTrue(two.ended());
             }
             try (Peer.Client noise = new Peer.Client(rig.sidecar.adminAt())) {
-                assertEquals(400, noise.send("\u0016\u0003\u0001 nothing\r\n\r\n").status());
+                assertEquals(
+                        400, noise.send("\u0016\u0003\u0001 nothing\r\n\r\n").status());
             }
             for (Peer.Client c : silent) {
                 assertTrue(c.ended());
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -28,20 +28,24 @@
         try {
             outcome("SPOILT false -", 502, (m, line) -> line.raw(answer));
         } catch (AssertionError e) {
-            throw new AssertionError("taken for an answer: " + answer.lines().limit(4).toList(), e);
+            throw new AssertionError(
+                    "taken for an answer: " + answer.lines().limit(4).toList(), e);
         }
     }
 
     @Test
     void aServedAnswerCarriesItsLoadReport() throws Exception {
-        outcome("OK true 7.0", 200, (m, line) ->
-                line.answer("200 OK", "X-Pressure: TEXT inflight=7, queue=2, util=0.61\r\n", "slot"));
+        outcome(
+                "OK true 7.0",
+                200,
+                (m, line) -> line.answer("200 OK", "X-Pressure: TEXT inflight=7, queue=2, util=0.61\r\n", "slot"));
     }
 
     @Test
     void malformedLoadReportsAreNoReports() throws Exception {
-        for (String report : new String[] {"TEXT inflight=", "TEXT inflight=NaN", "TEXT inflight=-1", "TEXT inflight=1e300, queue=0",
-            "JSON {}", "TEXT"}) {
+        for (String report : new String[] {
+            "TEXT inflight=", "TEXT inflight=NaN", "TEXT inflight=-1", "TEXT inflight=1e300, queue=0", "JSON {}", "TEXT"
+        }) {
             outcome("OK true -", 200, (m, line) -> line.answer("200 OK", "X-Pressure: " + report + "\r\n", "slot"));
         }
     }
@@ -90,7 +94,8 @@
             ok + "\r\nslot",
             ok + "a line without a colon\r\nContent-Length: 4\r\n\r\nslot",
             "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\nslot",
-            "HTTP/9.9 twohundred OK\r\nContent-Length: 4\r\n\r\nslot"}) {
+            "HTTP/9.9 twohundred OK\r\nContent-Length: 4\r\n\r\nslot"
+        }) {
             spoilt(answer);
         }
         outcome("SPOILT false -", 502, (m, line) -> {
@@ -102,11 +107,15 @@
     /** What comes behind an answer belongs to no request: it must not become the answer to the next one. */
     @Test
     void whatComesBehindAnAnswerIsServedToNobody() throws Exception {
-        for (String behind : new String[] {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy", "noise",
-            "noise\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Le"}) {
+        for (String behind : new String[] {
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy",
+            "noise",
+            "noise\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Le"
+        }) {
             try (Rig rig = new Rig()) {
-                Peer up = rig.upstream((m, line) -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
-                        + m.header("X-Txn") + behind));
+                Peer up = rig.upstream((m, line) ->
+                        line.raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + m.header("X-Txn") + behind));
                 rig.start();
                 try (Peer.Client client = rig.client()) {
                     for (String id : new String[] {"a1", "a2", "a3"}) {
@@ -150,7 +159,7 @@
     @Test
     void aRefusedConnectionCouldNotConnect() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { }).close();
+            rig.upstream((m, line) -> {}).close();
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -163,7 +172,7 @@
     @Test
     void aTimeOutClosesTheConnectionAndTheNextCallOpensAnother() throws Exception {
         try (Rig rig = new Rig()) {
-            Peer up = rig.upstream((m, line) -> { });
+            Peer up = rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", now + 100_000);
             rig.start();
             try (Peer.Client client = rig.client()) {
@@ -185,7 +194,7 @@
     @Test
     void aCancelledAttemptClosesItsConnection() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> {
                 out.send(r.id(), "u0", 0);
                 out.cancel(r.id(), 0);
@@ -253,8 +262,9 @@
             Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "b\u00f6dy\u0000" + "y".repeat(60_000)));
             rig.start();
             try (Peer.Client client = rig.client()) {
-                client.send("POST /api/x?y=%20z HTTP/1.1\r\nHost: a\r\nX-Txn: q7\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\n"
-                        + "Idempotency-Key: k9\r\nContent-Length: 5\r\n\r\nh\u00e9llo");
+                client.send(
+                        "POST /api/x?y=%20z HTTP/1.1\r\nHost: a\r\nX-Txn: q7\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\n"
+                                + "Idempotency-Key: k9\r\nContent-Length: 5\r\n\r\nh\u00e9llo");
                 Peer.Message answer = client.answer();
                 assertEquals("b\u00f6dy\u0000" + "y".repeat(60_000), answer.body());
                 Peer.Message sent = up.next();
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -28,8 +28,12 @@
 
         /** Null where there is no such header. */
         String header(String name) {
-            return head.lines().skip(1).filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
-                    .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+            return head.lines()
+                    .skip(1)
+                    .filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
+                    .map(l -> l.substring(name.length() + 1).trim())
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
--- a/src/test/java/rushproxy/sidecar/PeersTest.java
+++ b/src/test/java/rushproxy/sidecar/PeersTest.java
@@ -19,10 +19,12 @@
 
     @Test
     void onlyPeersAreHeardAndOnlyWhatFits() throws Exception {
-        try (DatagramSocket peer = socket(); DatagramSocket stranger = socket(); DatagramSocket everyone = socket();
-             Rig rig = new Rig()) {
-            rig.peerFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:" + peer.getLocalPort()
-                    + "\"],\"peers_all\":\"127.0.0.1:" + everyone.getLocalPort() + "\",";
+        try (DatagramSocket peer = socket();
+                DatagramSocket stranger = socket();
+                DatagramSocket everyone = socket();
+                Rig rig = new Rig()) {
+            rig.peerFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:"
+                    + peer.getLocalPort() + "\"],\"peers_all\":\"127.0.0.1:" + everyone.getLocalPort() + "\",";
             rig.onRequest = (now, r, out) -> {
                 out.tell(1, new byte[5]);
                 out.tell(7, new byte[5]);
--- a/src/test/java/rushproxy/sidecar/RehearsalTest.java
+++ b/src/test/java/rushproxy/sidecar/RehearsalTest.java
@@ -22,18 +22,22 @@
         CountDownLatch many = new CountDownLatch(1);
         Engine.Module counting = (settings, others, seed, now, actions) -> {
             Balancer policy = new Policy(settings, rushproxy.Guide.NONE, others, seed, now, actions);
-            return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class},
-                    (proxy, method, arguments) -> {
-                        if (method.getName().equals("onOutcome") && arguments[4] == Outcome.OK
+            return (Balancer) Proxy.newProxyInstance(
+                    Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                        if (method.getName().equals("onOutcome")
+                                && arguments[4] == Outcome.OK
                                 && served.incrementAndGet() >= 10) {
                             many.countDown();
                         }
                         return method.invoke(policy, arguments);
                     });
         };
-        Rehearsal rehearsal = new Rehearsal(Rig.config("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
-                + "\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":" + Rig.list(1, true) + ",\"settings\":"
-                + Rig.SETTINGS + "}"), counting);
+        Rehearsal rehearsal = new Rehearsal(
+                Rig.config("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
+                        + "\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":" + Rig.list(1, true)
+                        + ",\"settings\":"
+                        + Rig.SETTINGS + "}"),
+                counting);
         rehearsal.play();
         assertTrue(many.await(0, TimeUnit.SECONDS), served + " were served");
     }
--- a/src/test/java/rushproxy/sidecar/RepeatsTest.java
+++ b/src/test/java/rushproxy/sidecar/RepeatsTest.java
@@ -18,9 +18,16 @@
     /** As the settings have them: two upstreams, no reports, and a class that must not be repeated. */
     private static Rig rig() throws IOException {
         Rig rig = new Rig();
-        rig.settings = rig.settings.replace("\"profiles\":[", "\"profiles\":[{\"name\":\"u\",\"semantics\":\"unsafe\",\"objective_us\":300000,"
-                + "\"give_up_us\":60000000},").replace("\"how\":\"inline\",\"fields\":[\"busy_reqs\",\"pending\",\"cpu_share\"]", "\"how\":\"off\",\"fields\":[]")
-                .replace("\"probing\":true", "\"probing\":false").replace("\"peers\":true", "\"peers\":false")
+        rig.settings = rig.settings
+                .replace(
+                        "\"profiles\":[",
+                        "\"profiles\":[{\"name\":\"u\",\"semantics\":\"unsafe\",\"objective_us\":300000,"
+                                + "\"give_up_us\":60000000},")
+                .replace(
+                        "\"how\":\"inline\",\"fields\":[\"busy_reqs\",\"pending\",\"cpu_share\"]",
+                        "\"how\":\"off\",\"fields\":[]")
+                .replace("\"probing\":true", "\"probing\":false")
+                .replace("\"peers\":true", "\"peers\":false")
                 .replace("\"cancelling\":true", "\"cancelling\":true,\"second_copies\":true");
         rig.decides = true;
         return rig;
@@ -43,7 +50,9 @@
     }
 
     private static String request(String lane, String id, long remainingMs) {
-        return lane.equals("c") ? Rig.get(id, remainingMs) : Rig.post(id, lane, lane.equals("k") ? "key-" + id : null, remainingMs);
+        return lane.equals("c")
+                ? Rig.get(id, remainingMs)
+                : Rig.post(id, lane, lane.equals("k") ? "key-" + id : null, remainingMs);
     }
 
     /**
@@ -65,7 +74,10 @@
                     line.answer("200 OK", "", "again");
                 }
             };
-            assertEquals(List.of(200, c.getValue()), statuses(script, Rig.get("warm", 20_000), request(c.getKey(), "a1", 20_000)), c.getKey());
+            assertEquals(
+                    List.of(200, c.getValue()),
+                    statuses(script, Rig.get("warm", 20_000), request(c.getKey(), "a1", 20_000)),
+                    c.getKey());
             assertEquals(1, broken.get());
             assertEquals(c.getKey().equals("u") ? 1 : 2, sent.get(), c.getKey() + ": times sent");
         }
@@ -102,8 +114,11 @@
      */
     @Test
     void aKeyedRepeatIsNotSentWhenItsConnectionComesUpAfterTheWindow() throws Exception {
-        try (Rig rig = new Rig(); LateDoor late = new LateDoor()) {
-            rig.settings = rig.settings.replace("\"window_us\":4000000", "\"window_us\":200000").replace("\"dial_timeout_us\":2000000", "\"dial_timeout_us\":20000000");
+        try (Rig rig = new Rig();
+                LateDoor late = new LateDoor()) {
+            rig.settings = rig.settings
+                    .replace("\"window_us\":4000000", "\"window_us\":200000")
+                    .replace("\"dial_timeout_us\":2000000", "\"dial_timeout_us\":20000000");
             rig.upstream((m, line) -> line.answer("500 No", "", ""));
             rig.upstreamAt(late.address());
             rig.onOutcome = (id, outcome, done, out) -> {
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -41,7 +41,7 @@
     @Test
     void aRequestThatTheModuleHoldsIsAnsweredBeforeItsTimeIsUp() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.onRequest = (now, r, out) -> { };
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 300));
@@ -57,11 +57,16 @@
         for (boolean inTime = false; !inTime; ) {
             try (Rig rig = new Rig()) {
                 BlockingQueue<Long> lateNanos = new LinkedBlockingQueue<>();
-                rig.upstream((m, line) -> { });
+                rig.upstream((m, line) -> {});
                 rig.onRequest = (now, r, out) -> {
                     out.send(r.id(), "u0", now + 60_000_000);
                     long dueNanos = System.nanoTime() + r.remainingUs() * 1_000;
-                    rig.sidecar.loop().schedule(() -> lateNanos.add(System.nanoTime() - dueNanos), r.remainingUs(), TimeUnit.MICROSECONDS);
+                    rig.sidecar
+                            .loop()
+                            .schedule(
+                                    () -> lateNanos.add(System.nanoTime() - dueNanos),
+                                    r.remainingUs(),
+                                    TimeUnit.MICROSECONDS);
                 };
                 rig.start();
                 try (Peer.Client client = rig.client()) {
@@ -105,7 +110,7 @@
     @Test
     void aClientThatLeavesEndsItsRequestAndNoOther() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -132,7 +137,7 @@
             });
             rig.upstream((m, line) -> line.answer("200 OK", "", "second"));
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", 0);
-            rig.onOutcome = (id, outcome, done, out) -> { };
+            rig.onOutcome = (id, outcome, done, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -202,8 +207,8 @@
     @Test
     void aLoopThatStoodStillDoesNotTakeItForTheUpstreams() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> line.answer("200 OK", "", m.path().equals("/stats")
-                    ? "TEXT inflight=1, queue=0, util=0.5" : "ok"));
+            rig.upstream((m, line) ->
+                    line.answer("200 OK", "", m.path().equals("/stats") ? "TEXT inflight=1, queue=0, util=0.5" : "ok"));
             rig.onRequest = (now, r, out) -> {
                 out.probe("u0");
                 out.timer("stall", 0);
--- a/src/test/java/rushproxy/sidecar/RetuneTest.java
+++ b/src/test/java/rushproxy/sidecar/RetuneTest.java
@@ -11,7 +11,10 @@
 /** Settings that change while requests are held. */
 @Timeout(60)
 class RetuneTest {
-    private static final String ADDED = Rig.SETTINGS.replace("{\"name\":\"c\"", """
+    private static final String ADDED = Rig.SETTINGS
+            .replace(
+                    "{\"name\":\"c\"",
+                    """
             {"name":"new","semantics":"unsafe","objective_us":300000,"give_up_us":60000000},{"name":"c\"""")
             .replace("\"max_attempts\":4", "\"max_attempts\":1");
 
@@ -42,7 +45,8 @@
                 }
             };
             rig.start();
-            try (Peer.Client open = rig.client(); Peer.Client client = rig.client()) {
+            try (Peer.Client open = rig.client();
+                    Peer.Client client = rig.client()) {
                 assertEquals(400, client.send(post("early", "new")).status());
                 open.send(Rig.get("open", 20_000));
                 rig.await("request open");
@@ -69,16 +73,24 @@
     /** A file that is cut anywhere, or has lost a key, is no configuration. */
     @Test
     void noCutFileIsTaken() throws Exception {
-        String json = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":" + Rig.list(1, true)
-                + ",\"limits\":{\"sockets\":99},\"settings\":" + Rig.SETTINGS + "}";
+        String json =
+                "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\",\"known\":"
+                        + Rig.list(1, true) + ",\"limits\":{\"sockets\":99},\"settings\":" + Rig.SETTINGS + "}";
         Config inForce = Rig.config(json);
         Rig.config(json).holdsAllOf(inForce);
         for (int cut = 0; cut < json.length(); cut++) {
             String torn = json.substring(0, cut);
             assertThrows(Config.Broken.class, () -> Rig.config(torn), torn);
         }
-        for (String key : new String[] {"\"seed\":\"1\",", "\"max_attempts\":4,", "\"peers\":true,", "\"limits\":{\"sockets\":99},",
-                "\"cold_share\":0.2,", "\"objective_us\":300000,", "\"retry_after\":true,"}) {
+        for (String key : new String[] {
+            "\"seed\":\"1\",",
+            "\"max_attempts\":4,",
+            "\"peers\":true,",
+            "\"limits\":{\"sockets\":99},",
+            "\"cold_share\":0.2,",
+            "\"objective_us\":300000,",
+            "\"retry_after\":true,"
+        }) {
             String without = json.replace(key, "");
             assertThrows(Config.Broken.class, () -> Rig.config(without).holdsAllOf(inForce), key);
         }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -16,7 +16,8 @@
 
 /** A sidecar in this process, with a module that does what the test says and writes down what it is told. */
 final class Rig implements AutoCloseable {
-    static final String SETTINGS = """
+    static final String SETTINGS =
+            """
             {"me":0,"balancers":2,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"on_request",
              "profiles":[{"name":"c","semantics":"safe","objective_us":300000,"give_up_us":60000000},
                          {"name":"k","semantics":"keyed","group":"all","window_us":4000000,"objective_us":300000,
@@ -52,13 +53,16 @@
     String listen = "127.0.0.1:0";
     /** Set before the start: another process's part is played by another rig. */
     Handover handover;
+
     String settings = SETTINGS;
     /** Whether the module asks for a watch. */
     boolean asks = true;
+
     int sockets = 1024;
     Operator operator = Operator.NONE;
     /** The program's own module decides, and the test is told nothing. */
     boolean decides;
+
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
@@ -67,7 +71,7 @@
 
     /** Discovery that keeps every watch waiting. */
     Rig() throws IOException {
-        this((m, line) -> { });
+        this((m, line) -> {});
     }
 
     Peer upstream(Peer.Script script) throws IOException {
@@ -89,8 +93,8 @@
     }
 
     static String list(long generation, boolean whole, String... entries) {
-        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":["
-                + String.join(",", entries) + "]}";
+        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":[" + String.join(",", entries)
+                + "]}";
     }
 
     String known() {
@@ -130,10 +134,16 @@
 
     Rig start() throws Exception {
         Config config = config(json(discovery.address()));
-        sidecar = new Sidecar(config, operator, decides ? Engine.module(operator) : (settings, others, seed, now, out) -> {
-            actions = out;
-            return new Recorder();
-        }, handover);
+        sidecar = new Sidecar(
+                config,
+                operator,
+                decides
+                        ? Engine.module(operator)
+                        : (settings, others, seed, now, out) -> {
+                            actions = out;
+                            return new Recorder();
+                        },
+                handover);
         if (rehearsal != null) {
             sidecar.notReadyBefore(rehearsal);
         }
@@ -162,8 +172,12 @@
 
     /** With a key where {@code key} is not null. */
     static String post(String id, String lane, String key, long remainingMs) {
-        return get(id, remainingMs).replace("GET", "POST").replace("X-Lane: c", "X-Lane: " + lane).replace("\r\n\r\n",
-                (key == null ? "" : "\r\nIdempotency-Key: " + key) + "\r\nContent-Length: 0\r\n\r\n");
+        return get(id, remainingMs)
+                .replace("GET", "POST")
+                .replace("X-Lane: c", "X-Lane: " + lane)
+                .replace(
+                        "\r\n\r\n",
+                        (key == null ? "" : "\r\nIdempotency-Key: " + key) + "\r\nContent-Length: 0\r\n\r\n");
     }
 
     static String get(String id, long remainingMs) {
@@ -174,7 +188,7 @@
     /** Once the module has sent: waits until the tasks are done that begin to dial, each of which may queue the next. */
     void dials() throws InterruptedException {
         for (int i = 0; i < 10; i++) {
-            sidecar.loop().submit(() -> { }).sync();
+            sidecar.loop().submit(() -> {}).sync();
         }
     }
 
@@ -202,7 +216,10 @@
     private final class Recorder implements Balancer {
         @Override
         public void onList(long now, ListKind kind, List<Upstream> entries) {
-            told.add("list " + kind + " " + String.join(",", entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
+            told.add("list " + kind + " "
+                    + String.join(
+                            ",",
+                            entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
             if (asks && (kind == ListKind.CACHED || kind == ListKind.FAILED)) {
                 actions.subscribe();
             }
@@ -210,7 +227,8 @@
 
         @Override
         public void onSettings(long now, Settings settings) {
-            told.add("settings " + settings.classes().stream().map(RequestClass::name).toList());
+            told.add("settings "
+                    + settings.classes().stream().map(RequestClass::name).toList());
         }
 
         @Override
@@ -220,8 +238,15 @@
         }
 
         @Override
-        public void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs,
-                              boolean done, LoadReport report) {
+        public void onOutcome(
+                long now,
+                String request,
+                int attempt,
+                String upstream,
+                Outcome outcome,
+                long latencyUs,
+                boolean done,
+                LoadReport report) {
             told.add("outcome " + request + " " + attempt + " " + outcome + " " + done + " "
                     + (report == null ? "-" : report.inFlight()));
             onOutcome.take(request, outcome, done, actions);
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -27,7 +27,9 @@
             });
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
-            try (Peer.Client held = rig.client(); Peer.Client half = rig.client(); Peer.Client idle = rig.client()) {
+            try (Peer.Client held = rig.client();
+                    Peer.Client half = rig.client();
+                    Peer.Client idle = rig.client()) {
                 held.send(Rig.get("held", 30_000));
                 rig.await("request held");
                 idle.send(Rig.get("before", 30_000));
--- a/src/test/java/rushproxy/sidecar/SlowReaderTest.java
+++ b/src/test/java/rushproxy/sidecar/SlowReaderTest.java
@@ -16,6 +16,7 @@
     private static final int BLOCK = 64 * 1024;
     /** Answers of different lengths, since only some end just while the kernel takes no more. */
     private static final int CLIENTS = 6;
+
     private static final int LEAST = 8 * 1024 * 1024;
     private static final int STEP = 40_000;
 
@@ -66,7 +67,8 @@
                 if (at < 0) {
                     line.answer("200 OK", "", "done");
                 } else {
-                    String number = m.head().substring(at + "X-Txn: long".length()).split("\\s", 2)[0];
+                    String number =
+                            m.head().substring(at + "X-Txn: long".length()).split("\\s", 2)[0];
                     answer(line, LEAST + Long.parseLong(number) * STEP);
                 }
             });
@@ -76,7 +78,8 @@
             for (int i = 0; i < CLIENTS; i++) {
                 clients.add(new Slow(rig, i));
             }
-            // Until all of it has come from the upstream: the rest lies in the sidecar then, as far as it is not with the kernel.
+            // Until all of it has come from the upstream: the rest lies in the sidecar then, as far as it is not with
+            // the kernel.
             while (clients.stream().anyMatch(c -> !c.come)) {
                 for (Slow c : clients) {
                     if (!c.come) {
--- a/src/test/java/rushproxy/sidecar/StoodStillTest.java
+++ b/src/test/java/rushproxy/sidecar/StoodStillTest.java
@@ -30,7 +30,8 @@
             };
             rig.start();
             rig.askOnceEach(ONCE);
-            try (Peer.Client other = rig.client(); Peer.Client newcomer = rig.client()) {
+            try (Peer.Client other = rig.client();
+                    Peer.Client newcomer = rig.client()) {
                 // Its answer comes when the loop has accepted both.
                 assertEquals(200, other.send(Rig.get("first", 20_000)).status());
                 other.send(Rig.get("stall", 20_000));
--- a/src/test/java/rushproxy/sidecar/TracesTest.java
+++ b/src/test/java/rushproxy/sidecar/TracesTest.java
@@ -47,8 +47,19 @@
     }
 
     private Operator traces(Sampling how) {
-        return new Operator(null, null, new TraceOptions(how, "test", 100, 20_000_000, null,
-                new CollectorOptions(Addresses.parse(collector.address()), "/v1/traces", 300_000)), null, null, false);
+        return new Operator(
+                null,
+                null,
+                new TraceOptions(
+                        how,
+                        "test",
+                        100,
+                        20_000_000,
+                        null,
+                        new CollectorOptions(Addresses.parse(collector.address()), "/v1/traces", 300_000)),
+                null,
+                null,
+                false);
     }
 
     private static String confirm(String id, String key, String more) {
@@ -61,14 +72,16 @@
     }
 
     private Seen attempt(Seen request, int number) throws InterruptedException {
-        return collector.await(s -> s.parent().equals(request.span()) && s.text(Names.ATTEMPT).equals("" + number));
+        return collector.await(
+                s -> s.parent().equals(request.span()) && s.text(Names.ATTEMPT).equals("" + number));
     }
 
     /** The user's hard case: both attempts of a confirmation that was tried again, under the app's own trace. */
     @Test
     void aConfirmationTriedAgainShowsBothAttemptsUnderOneTrace() throws Exception {
         Peer broken = rig.upstream((m, line) -> line.reset());
-        Peer good = rig.upstream((m, line) -> line.answer("200 OK", "X-Pressure: TEXT busy_reqs=3, pending=2, cpu_share=0.5\r\n", "yes"));
+        Peer good = rig.upstream((m, line) ->
+                line.answer("200 OK", "X-Pressure: TEXT busy_reqs=3, pending=2, cpu_share=0.5\r\n", "yes"));
         rig.onOutcome = (id, outcome, done, out) -> {
             if (!done) {
                 out.send(id, "u1", 0);
@@ -77,7 +90,10 @@
         rig.operator = traces(TROUBLE);
         rig.start();
         try (Peer.Client client = rig.client()) {
-            assertEquals(200, client.send(confirm("a1", "key-1", "traceparent: " + PARENT + "\r\ntracestate: app=1\r\n")).status());
+            assertEquals(
+                    200,
+                    client.send(confirm("a1", "key-1", "traceparent: " + PARENT + "\r\ntracestate: app=1\r\n"))
+                            .status());
         }
         Seen request = request("a1");
         assertEquals("4bf92f3577b34da6a3ce929d0e0e4736", request.trace());
@@ -87,13 +103,19 @@
         assertEquals("served", request.text(Names.ANSWER));
         Seen first = attempt(request, 0);
         Seen second = attempt(request, 1);
-        assertEquals("reset u0 true", first.text(Names.OUTCOME) + " " + first.text(Names.UPSTREAM) + " " + first.text(Names.MAY_HAVE_RUN));
-        assertEquals("ok u1 true", second.text(Names.OUTCOME) + " " + second.text(Names.UPSTREAM) + " " + second.text(Names.MAY_HAVE_RUN));
+        assertEquals(
+                "reset u0 true",
+                first.text(Names.OUTCOME) + " " + first.text(Names.UPSTREAM) + " " + first.text(Names.MAY_HAVE_RUN));
+        assertEquals(
+                "ok u1 true",
+                second.text(Names.OUTCOME) + " " + second.text(Names.UPSTREAM) + " " + second.text(Names.MAY_HAVE_RUN));
         assertEquals("3.0", second.text(Names.NODE_IN_FLIGHT));
         assertTrue(first.end() <= second.start() && second.end() <= request.end());
         assertTrue(second.events().get(Names.WRITTEN) >= second.start());
         // The nodes were told the very spans, and the second one to keep its part.
-        assertEquals("00-" + request.trace() + "-" + first.span() + "-00", broken.next().header("traceparent"));
+        assertEquals(
+                "00-" + request.trace() + "-" + first.span() + "-00",
+                broken.next().header("traceparent"));
         Peer.Message told = good.next();
         assertEquals("00-" + request.trace() + "-" + second.span() + "-01", told.header("traceparent"));
         assertEquals("app=1", told.header("tracestate"));
@@ -139,15 +161,21 @@
         try (Peer.Client client = rig.client()) {
             assertEquals(200, client.send(Rig.get("usual", 20_000)).status());
             assertEquals(503, client.send(Rig.get("refuse", 20_000)).status());
-            assertEquals(502, client.send(Rig.get("failed", 20_000).replace("slots", "bad")).status());
+            assertEquals(
+                    502,
+                    client.send(Rig.get("failed", 20_000).replace("slots", "bad"))
+                            .status());
             assertEquals(200, client.send(Rig.get("late", 20_000)).status());
         }
         Seen refused = request("refuse");
-        assertEquals("refused 165 0", refused.text(Names.REASONS) + " " + refused.text(Names.RETRY_AFTER_MS) + " "
-                + refused.text(Names.ATTEMPTS));
+        assertEquals(
+                "refused 165 0",
+                refused.text(Names.REASONS) + " " + refused.text(Names.RETRY_AFTER_MS) + " "
+                        + refused.text(Names.ATTEMPTS));
         assertEquals("failed", request("failed").text(Names.REASONS));
         assertEquals("slow", request("late").text(Names.REASONS));
-        assertTrue(collector.seen().stream().noneMatch(s -> s.text(Names.REQUEST).equals("usual")));
+        assertTrue(
+                collector.seen().stream().noneMatch(s -> s.text(Names.REQUEST).equals("usual")));
     }
 
     /** An app that knows of no traces tries again by itself: a new id, and the same key. */
@@ -158,7 +186,8 @@
         rig.start();
         try (Peer.Client client = rig.client()) {
             assertEquals(200, client.send(confirm("a1", "key-1", "")).status());
-            assertEquals(200, client.send(confirm("a2", "key-1", "X-Resent: 1\r\n")).status());
+            assertEquals(
+                    200, client.send(confirm("a2", "key-1", "X-Resent: 1\r\n")).status());
         }
         Seen second = request("a2");
         Seen first = request("a1");
@@ -178,7 +207,8 @@
             for (Manner how : List.of(Manner.SILENT, Manner.RESETS, Manner.BUSY, Manner.REFUSES)) {
                 collector.be(how);
                 for (int i = 0; i < 300; i++) {
-                    assertEquals(200, client.send(Rig.get(how + "-" + i, 20_000)).status());
+                    assertEquals(
+                            200, client.send(Rig.get(how + "-" + i, 20_000)).status());
                 }
             }
             collector.be(Manner.TAKES);
@@ -187,7 +217,9 @@
         request("after");
         assertTrue(collector.batches() > 1, "it was tried while it failed");
         // The shelf holds a hundred: what matters as much and is older gave way.
-        assertTrue(collector.seen().size() < 2 * 500, "more than was held came: " + collector.seen().size());
+        assertTrue(
+                collector.seen().size() < 2 * 500,
+                "more than was held came: " + collector.seen().size());
     }
 
     /** Told on SIGHUP: on, otherwise, and off, with requests under way. */
@@ -219,7 +251,10 @@
 
     /** What its node was told. */
     private static String ask(Peer.Client client, Peer node, String id) throws Exception {
-        assertEquals(200, client.send(Rig.get(id, 20_000).replace("\r\n\r\n", "\r\ntraceparent: " + PARENT + "\r\n\r\n")).status());
+        assertEquals(
+                200,
+                client.send(Rig.get(id, 20_000).replace("\r\n\r\n", "\r\ntraceparent: " + PARENT + "\r\n\r\n"))
+                        .status());
         return node.next().header("traceparent");
     }
 
@@ -229,12 +264,20 @@
         rig.operator = traces(EVERYTHING);
         rig.start();
         try (Peer.Client client = rig.client()) {
-            for (String bad : List.of("traceparent: nonsense\r\n", "traceparent: " + PARENT + "\r\ntraceparent: " + PARENT + "\r\n",
-                    "tracestate: a=1\r\n", "traceparent: " + PARENT.replace("00-4", "ff-4") + "\r\n")) {
+            for (String bad : List.of(
+                    "traceparent: nonsense\r\n",
+                    "traceparent: " + PARENT + "\r\ntraceparent: " + PARENT + "\r\n",
+                    "tracestate: a=1\r\n",
+                    "traceparent: " + PARENT.replace("00-4", "ff-4") + "\r\n")) {
                 String id = "a" + bad.hashCode();
-                assertEquals(200, client.send(Rig.get(id, 20_000).replace("\r\n\r\n", "\r\n" + bad + "\r\n")).status());
+                assertEquals(
+                        200,
+                        client.send(Rig.get(id, 20_000).replace("\r\n\r\n", "\r\n" + bad + "\r\n"))
+                                .status());
                 Peer.Message told = node.next();
-                assertNotEquals("4bf92f3577b34da6a3ce929d0e0e4736", told.header("traceparent").substring(3, 35));
+                assertNotEquals(
+                        "4bf92f3577b34da6a3ce929d0e0e4736",
+                        told.header("traceparent").substring(3, 35));
                 assertEquals("ot=th:0", told.header("tracestate"));
                 assertEquals("", request(id).parent());
             }
--- a/src/test/java/rushproxy/sidecar/TrialTest.java
+++ b/src/test/java/rushproxy/sidecar/TrialTest.java
@@ -36,7 +36,7 @@
         loop.execute(() -> new Trial(loop, how, ms).of(Addresses.parse(address), proofs::add));
         Proof proof = proofs.poll(20, TimeUnit.SECONDS);
         // Once alone: its time-out, which comes later, says nothing more.
-        loop.submit(() -> { }).syncUninterruptibly();
+        loop.submit(() -> {}).syncUninterruptibly();
         assertNull(proofs.poll());
         return proof;
     }
@@ -49,20 +49,30 @@
 
     @Test
     void anUpstreamAnswersWithItsLoad() throws Exception {
-        assertEquals(Proof.ANSWERS, of((m, line) -> {
-            assertEquals("/stats", m.path());
-            assertNull(m.header("X-Txn"));
-            line.answer("200 OK", "", LOAD);
-        }, Trial.How.STATS, 20_000));
+        assertEquals(
+                Proof.ANSWERS,
+                of(
+                        (m, line) -> {
+                            assertEquals("/stats", m.path());
+                            assertNull(m.header("X-Txn"));
+                            line.answer("200 OK", "", LOAD);
+                        },
+                        Trial.How.STATS,
+                        20_000));
         assertEquals(Proof.ANSWERS, of((m, line) -> line.answer("503 Full", "", ""), Trial.How.STATS, 20_000));
     }
 
     @Test
     void whereThereAreNoReportsItSaysThatItLives() throws Exception {
-        assertEquals(Proof.ANSWERS, of((m, line) -> {
-            assertEquals("/health/live", m.path());
-            line.answer("200 OK", "", "");
-        }, Trial.How.LIVE, 20_000));
+        assertEquals(
+                Proof.ANSWERS,
+                of(
+                        (m, line) -> {
+                            assertEquals("/health/live", m.path());
+                            line.answer("200 OK", "", "");
+                        },
+                        Trial.How.LIVE,
+                        20_000));
     }
 
     @Test
@@ -84,7 +94,7 @@
 
     @Test
     void whoSaysNothingIsSilent() throws Exception {
-        assertEquals(Proof.SILENT, of((m, line) -> { }, Trial.How.STATS, 100));
+        assertEquals(Proof.SILENT, of((m, line) -> {}, Trial.How.STATS, 100));
         assertEquals(Proof.SILENT, of((m, line) -> line.raw("HTTP/1.1 200 OK\r\nContent-Le"), Trial.How.STATS, 100));
     }
 
@@ -100,7 +110,7 @@
     /** Without probes all that shows is that something takes the connection. */
     @Test
     void withoutProbesAnAcceptedConnectionIsAllThereIs() throws Exception {
-        try (Peer peer = new Peer((m, line) -> { })) {
+        try (Peer peer = new Peer((m, line) -> {})) {
             assertEquals(Proof.ACCEPTS, of(peer.address(), Trial.How.CONNECT, 20_000));
             assertEquals(0, peer.messages.size());
         }
--- a/src/test/java/rushproxy/sidecar/UpgradeTest.java
+++ b/src/test/java/rushproxy/sidecar/UpgradeTest.java
@@ -21,6 +21,7 @@
 class UpgradeTest {
     @TempDir
     Path folder;
+
     private final List<Notebook> notebooks = new ArrayList<>();
 
     @AfterEach
@@ -35,8 +36,9 @@
         rig.peerFields = "\"admin\":\"127.0.0.1:0\",";
         Notebook notebook = new Notebook(folder, "n0");
         notebooks.add(notebook);
-        rig.handover = new Handover(notebook, Rig.config(rig.json("127.0.0.1:1")).settings());
-        rig.rehearsal = () -> { };
+        rig.handover =
+                new Handover(notebook, Rig.config(rig.json("127.0.0.1:1")).settings());
+        rig.rehearsal = () -> {};
         return rig;
     }
 
@@ -49,7 +51,8 @@
 
     private static int call(Rig rig, String path) throws Exception {
         try (Peer.Client c = new Peer.Client(rig.sidecar.adminAt())) {
-            return c.send("POST /control/" + path + " HTTP/1.1\r\nHost: a\r\n\r\n").status();
+            return c.send("POST /control/" + path + " HTTP/1.1\r\nHost: a\r\n\r\n")
+                    .status();
         }
     }
 
@@ -68,7 +71,8 @@
                 clients.add(new Thread(() -> {
                     for (int n = 0; n < 500 && !Thread.currentThread().isInterrupted(); n++) {
                         try (Peer.Client c = old.client()) {
-                            int status = c.send(Rig.get("r" + number + "-" + n, 20_000)).status();
+                            int status = c.send(Rig.get("r" + number + "-" + n, 20_000))
+                                    .status();
                             if (status == 200) {
                                 served.incrementAndGet();
                             } else {
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -38,11 +38,13 @@
     }
 
     private Upstreams upstreams(long idleUs, int most) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, 20_000, most)).get();
+        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, 20_000, most))
+                .get();
     }
 
     private static Listing list(boolean whole, String... entries) {
-        return RegistryList.read(Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)), Origin.LIVE, 0);
+        return RegistryList.read(
+                Json.parse(Rig.list(1, whole, entries).getBytes(StandardCharsets.UTF_8)), Origin.LIVE, 0);
     }
 
     private static void update(Upstreams upstreams, Listing list) {
@@ -50,7 +52,9 @@
     }
 
     private Upstreams.Call call(Upstreams upstreams, String upstream) {
-        return upstreams.call(upstream, clock.now() + 20_000_000,
+        return upstreams.call(
+                upstream,
+                clock.now() + 20_000_000,
                 left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
                 (c, outcome, report, body) -> outcomes.add(upstream + " " + outcome));
     }
@@ -66,7 +70,7 @@
     @Test
     void nothingIsSentToAnUpstreamThatChangedWhileItsConnectionCameUp() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"));
-             Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+                Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = upstreams(15_000_000, 100);
             Listing ready = list(true, Rig.entry("u", up.address(), "Ready", 0));
             for (Listing change : new Listing[] {
@@ -74,7 +78,8 @@
                 list(false, Rig.entry("u", up.address(), "Gone", 0)),
                 list(false, Rig.entry("u", up.address(), "Ready", 5_000_000)),
                 list(false, Rig.entry("u", moved.address(), "Ready", 0)),
-                list(true, Rig.entry("other", moved.address(), "Ready", 0))}) {
+                list(true, Rig.entry("other", moved.address(), "Ready", 0))
+            }) {
                 loop.execute(() -> {
                     update(upstreams, ready);
                     call(upstreams, "u").start();
@@ -114,7 +119,8 @@
                 });
                 assertEquals("u OK", outcome());
                 loop.execute(() -> {
-                    Runnable drain = () -> update(upstreams, list(false, Rig.entry("u", up.address(), "Terminating", 0)));
+                    Runnable drain =
+                            () -> update(upstreams, list(false, Rig.entry("u", up.address(), "Terminating", 0)));
                     Runnable ask = () -> call(upstreams, "u").start();
                     (drainFirst ? drain : ask).run();
                     (drainFirst ? ask : drain).run();
@@ -150,10 +156,14 @@
     @Test
     void connectionsStayWithinTheirCap() throws Exception {
         try (Peer a = new Peer((m, line) -> line.answer("200 OK", "", ""));
-             Peer silent = new Peer((m, line) -> { })) {
+                Peer silent = new Peer((m, line) -> {})) {
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> update(upstreams, list(true, Rig.entry("a", a.address(), "Ready", 0),
-                    Rig.entry("silent", silent.address(), "Ready", 0))));
+            loop.execute(() -> update(
+                    upstreams,
+                    list(
+                            true,
+                            Rig.entry("a", a.address(), "Ready", 0),
+                            Rig.entry("silent", silent.address(), "Ready", 0))));
             loop.execute(() -> call(upstreams, "a").start());
             assertEquals("a OK", outcome());
             loop.execute(() -> call(upstreams, "silent").start());
@@ -170,8 +180,9 @@
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", ""))) {
             String gone = "127.0.0.1:" + ClosedPort.hold(0).getPort();
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> update(upstreams, list(true, Rig.entry("u", up.address(), "Ready", 0),
-                    Rig.entry("gone", gone, "Ready", 0))));
+            loop.execute(() -> update(
+                    upstreams,
+                    list(true, Rig.entry("u", up.address(), "Ready", 0), Rig.entry("gone", gone, "Ready", 0))));
             for (int i = 0; i < 3; i++) {
                 loop.execute(() -> call(upstreams, "gone").start());
                 assertEquals("gone CONNECT_FAILED", outcome());
@@ -187,12 +198,13 @@
     void whatIsGoneIsForgotten() throws Exception {
         Upstreams upstreams = upstreams(15_000_000, 100);
         int kept = loop.submit(() -> {
-            for (int i = 0; i < 50; i++) {
-                update(upstreams, list(false, Rig.entry("u" + i, "127.0.0.1:9", "Ready", 0)));
-                update(upstreams, list(false, Rig.entry("u" + i, "127.0.0.1:9", "Gone", 0)));
-            }
-            return upstreams.known();
-        }).get();
+                    for (int i = 0; i < 50; i++) {
+                        update(upstreams, list(false, Rig.entry("u" + i, "127.0.0.1:9", "Ready", 0)));
+                        update(upstreams, list(false, Rig.entry("u" + i, "127.0.0.1:9", "Gone", 0)));
+                    }
+                    return upstreams.known();
+                })
+                .get();
         assertEquals(0, kept);
     }
 
--- a/src/test/java/rushproxy/standin/GrpcAbuseTest.java
+++ b/src/test/java/rushproxy/standin/GrpcAbuseTest.java
@@ -23,7 +23,13 @@
 /** Frames that a well-meaning client never sends: each ends its own connection, and nobody else's calls. */
 @Timeout(120)
 class GrpcAbuseTest {
-    private static final int HEADERS = 1, RST_STREAM = 3, SETTINGS = 4, PING = 6, WINDOW_UPDATE = 8, CONTINUATION = 9, DATA = 0;
+    private static final int HEADERS = 1,
+            RST_STREAM = 3,
+            SETTINGS = 4,
+            PING = 6,
+            WINDOW_UPDATE = 8,
+            CONTINUATION = 9,
+            DATA = 0;
     private static final int GOAWAY = 7;
     private static final int ENHANCE_YOUR_CALM = 11;
 
@@ -41,8 +47,13 @@
         }
 
         void frame(int type, int flags, int stream, int... payload) throws IOException {
-            out.write(new byte[] {(byte) (payload.length >> 16), (byte) (payload.length >> 8), (byte) payload.length,
-                (byte) type, (byte) flags});
+            out.write(new byte[] {
+                (byte) (payload.length >> 16),
+                (byte) (payload.length >> 8),
+                (byte) payload.length,
+                (byte) type,
+                (byte) flags
+            });
             out.writeInt(stream);
             for (int b : payload) {
                 out.write(b);
@@ -143,11 +154,15 @@
         };
         for (Attack way : ways) {
             try (World world = new World(Shape.SMALL).patient().grpc().nodes(1)) {
-                SidecarProcess sidecar = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()),
-                        World.grpcTable());
+                SidecarProcess sidecar = world.sidecar(
+                        1, World.list(1, world.nodes().stream().map(Listed::of).toList()), World.grpcTable());
                 world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
                 ManagedChannel good = GrpcRig.channel(sidecar.grpcAddress());
-                assertEquals(Status.Code.OK, Call.unary(good, "stage.Booking/Lookup", null, "{}", 0).status().getCode());
+                assertEquals(
+                        Status.Code.OK,
+                        Call.unary(good, "stage.Booking/Lookup", null, "{}", 0)
+                                .status()
+                                .getCode());
                 try (Attacker known = new Attacker(sidecar.grpcAddress())) {
                     sidecar.pause();
                     known.frame(HEADERS, 4, 1, known.head("/stage.Booking/Lookup"));
@@ -155,7 +170,11 @@
                     known.out.flush();
                     way.on(known);
                     sidecar.goOn();
-                    assertEquals(Status.Code.OK, Call.unary(good, "stage.Booking/Lookup", null, "{}", 0).status().getCode());
+                    assertEquals(
+                            Status.Code.OK,
+                            Call.unary(good, "stage.Booking/Lookup", null, "{}", 0)
+                                    .status()
+                                    .getCode());
                 }
                 assertEquals(2, world.nodes().get(0).grpc().calls.get(), "what its client has left was sent on");
                 good.shutdownNow();
@@ -166,8 +185,8 @@
     @Test
     void eachFloodEndsItsOwnConnectionAndNobodyElses() throws Exception {
         try (World world = new World(Shape.SMALL).patient().grpc().nodes(2)) {
-            SidecarProcess sidecar = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()),
-                    World.grpcTable());
+            SidecarProcess sidecar = world.sidecar(
+                    1, World.list(1, world.nodes().stream().map(Listed::of).toList()), World.grpcTable());
             world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
             InetSocketAddress to = sidecar.grpcAddress();
             ManagedChannel good = GrpcRig.channel(to);
@@ -229,11 +248,14 @@
                     }
                 }
                 Call call = Call.unary(good, "stage.Booking/Lookup", null, "{}", 2_000);
-                assertEquals(Status.Code.OK, call.status().getCode(), "after attack " + codes.size() + ": " + call.status());
+                assertEquals(
+                        Status.Code.OK, call.status().getCode(), "after attack " + codes.size() + ": " + call.status());
             }
             assertEquals(ENHANCE_YOUR_CALM, codes.get(0), codes.toString());
             assertEquals(ENHANCE_YOUR_CALM, codes.get(1), codes.toString());
-            assertTrue(sidecar.log().stream().noneMatch(l -> l.contains("a gRPC") || l.contains("Exception")), sidecar.log().toString());
+            assertTrue(
+                    sidecar.log().stream().noneMatch(l -> l.contains("a gRPC") || l.contains("Exception")),
+                    sidecar.log().toString());
             good.shutdownNow();
             assertEquals(0, sidecar.terminate());
         }
--- a/src/test/java/rushproxy/standin/GrpcJavaNode.java
+++ b/src/test/java/rushproxy/standin/GrpcJavaNode.java
@@ -26,9 +26,14 @@
         ServerServiceDefinition service = ServerServiceDefinition.builder("stage.Booking")
                 .addMethod(GrpcRig.method("stage.Booking/Echo", MethodType.BIDI_STREAMING), echo(0))
                 .addMethod(GrpcRig.method("stage.Booking/LateEcho", MethodType.BIDI_STREAMING), echo(LATE_MS))
-                .addMethod(GrpcRig.method("stage.Booking/Lookup", MethodType.UNARY), echo(0)).build();
-        server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0)).directExecutor()
-                .maxConcurrentCallsPerConnection(streamsAtOnce).addService(service).build().start();
+                .addMethod(GrpcRig.method("stage.Booking/Lookup", MethodType.UNARY), echo(0))
+                .build();
+        server = NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
+                .directExecutor()
+                .maxConcurrentCallsPerConnection(streamsAtOnce)
+                .addService(service)
+                .build()
+                .start();
     }
 
     int port() {
--- a/src/test/java/rushproxy/standin/GrpcRig.java
+++ b/src/test/java/rushproxy/standin/GrpcRig.java
@@ -40,7 +40,10 @@
     };
 
     static MethodDescriptor<String, String> method(String name, MethodDescriptor.MethodType type) {
-        return MethodDescriptor.<String, String>newBuilder(TEXT, TEXT).setType(type).setFullMethodName(name).build();
+        return MethodDescriptor.<String, String>newBuilder(TEXT, TEXT)
+                .setType(type)
+                .setFullMethodName(name)
+                .build();
     }
 
     static ManagedChannel channel(InetSocketAddress to) {
@@ -55,24 +58,29 @@
         final List<Metadata> heads = new ArrayList<>();
 
         Call(ManagedChannel channel, MethodDescriptor<String, String> method, Metadata head, long deadlineMs, int ask) {
-            call = channel.newCall(method, deadlineMs == 0 ? CallOptions.DEFAULT
-                    : CallOptions.DEFAULT.withDeadlineAfter(deadlineMs, TimeUnit.MILLISECONDS));
-            call.start(new ClientCall.Listener<>() {
-                @Override
-                public void onHeaders(Metadata headers) {
-                    heads.add(headers);
-                }
-
-                @Override
-                public void onMessage(String message) {
-                    messages.add(message);
-                }
-
-                @Override
-                public void onClose(Status status, Metadata trailers) {
-                    closed.add(new Object[] {status, trailers});
-                }
-            }, head);
+            call = channel.newCall(
+                    method,
+                    deadlineMs == 0
+                            ? CallOptions.DEFAULT
+                            : CallOptions.DEFAULT.withDeadlineAfter(deadlineMs, TimeUnit.MILLISECONDS));
+            call.start(
+                    new ClientCall.Listener<>() {
+                        @Override
+                        public void onHeaders(Metadata headers) {
+                            heads.add(headers);
+                        }
+
+                        @Override
+                        public void onMessage(String message) {
+                            messages.add(message);
+                        }
+
+                        @Override
+                        public void onClose(Status status, Metadata trailers) {
+                            closed.add(new Object[] {status, trailers});
+                        }
+                    },
+                    head);
             call.request(ask);
         }
 
@@ -112,11 +120,15 @@
     }
 
     /** A node of grpc-java's own. */
-    static io.grpc.Server node(List<MethodDescriptor<String, String>> methods, ServerCallHandler<String, String> handler)
+    static io.grpc.Server node(
+            List<MethodDescriptor<String, String>> methods, ServerCallHandler<String, String> handler)
             throws IOException {
         io.grpc.ServerServiceDefinition.Builder service = io.grpc.ServerServiceDefinition.builder("stage.Booking");
         methods.forEach(m -> service.addMethod(m, handler));
         return io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
-                .directExecutor().addService(service.build()).build().start();
+                .directExecutor()
+                .addService(service.build())
+                .build()
+                .start();
     }
 }
--- a/src/test/java/rushproxy/standin/GrpcStreamsTest.java
+++ b/src/test/java/rushproxy/standin/GrpcStreamsTest.java
@@ -20,13 +20,17 @@
 /** Streams to one node, many at once and for long: against the stand-in's node and against grpc-java's, with the same cases. */
 @Timeout(120)
 class GrpcStreamsTest {
-    private static final MethodDescriptor<String, String> ECHO = GrpcRig.method("stage.Booking/Echo", MethodType.BIDI_STREAMING);
+    private static final MethodDescriptor<String, String> ECHO =
+            GrpcRig.method("stage.Booking/Echo", MethodType.BIDI_STREAMING);
     private static final MethodDescriptor<String, String> LATE =
             GrpcRig.method("stage.Booking/LateEcho", MethodType.BIDI_STREAMING);
     /** So many a connection, as the sidecar allows its clients. */
     private static final int PER_CHANNEL = 100;
 
-    enum Server { STAND_IN, GRPC_JAVA }
+    enum Server {
+        STAND_IN,
+        GRPC_JAVA
+    }
 
     /** One node of either make behind a sidecar, with channels of grpc-java in front. */
     private static final class Stage implements AutoCloseable {
@@ -48,7 +52,9 @@
             // The list names the other port, and discovery, which would take that back, is down.
             world.registry().down(true);
             int port = real == null ? node.grpcPort() : real.port();
-            sidecar = world.sidecar(1, World.list(1, List.of(new Listed(node.id(), node.address(), node.zone(), 0, port))),
+            sidecar = world.sidecar(
+                    1,
+                    World.list(1, List.of(new Listed(node.id(), node.address(), node.zone(), 0, port))),
                     World.grpcTable());
             world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
         }
@@ -79,7 +85,8 @@
         }
 
         Status unary() throws Exception {
-            return Call.unary(channel(9), "stage.Booking/Lookup", null, "{}", 10_000).status();
+            return Call.unary(channel(9), "stage.Booking/Lookup", null, "{}", 10_000)
+                    .status();
         }
 
         int held() {
@@ -173,7 +180,10 @@
             call.call.sendMessage("m");
             assertEquals("m", call.next());
             assertEquals(1, s.held());
-            assertEquals(Status.Code.DEADLINE_EXCEEDED, call.status().getCode(), call.status().toString());
+            assertEquals(
+                    Status.Code.DEADLINE_EXCEEDED,
+                    call.status().getCode(),
+                    call.status().toString());
             s.nothingHeld();
             assertEquals(Status.Code.OK, s.unary().getCode());
         }
@@ -212,7 +222,10 @@
                 if (limit == 1) {
                     Call beyond = s.open(ECHO, 0, 60_000);
                     beyond.call.sendMessage("one too many");
-                    assertEquals(Status.Code.UNAVAILABLE, beyond.status().getCode(), beyond.status().toString());
+                    assertEquals(
+                            Status.Code.UNAVAILABLE,
+                            beyond.status().getCode(),
+                            beyond.status().toString());
                     assertTrue(Integer.parseInt(beyond.trailer("grpc-retry-pushback-ms")) > 0);
                 }
                 for (int i = 0; i < 5; i++) {
--- a/src/test/java/rushproxy/standin/GrpcTest.java
+++ b/src/test/java/rushproxy/standin/GrpcTest.java
@@ -28,8 +28,10 @@
 /** gRPC through a real sidecar: grpc-java on either side, scripted cuts, and the referee. */
 @Timeout(120)
 class GrpcTest {
-    private static final String LOOKUP = "stage.Booking/Lookup", NOTE = "stage.Booking/Note",
-            CONFIRM = "stage.Booking/Confirm", ECHO = "stage.Booking/Echo";
+    private static final String LOOKUP = "stage.Booking/Lookup",
+            NOTE = "stage.Booking/Note",
+            CONFIRM = "stage.Booking/Confirm",
+            ECHO = "stage.Booking/Echo";
 
     private static final class Stage implements AutoCloseable {
         final World world = new World(Shape.SMALL).grpc().patient();
@@ -138,7 +140,8 @@
         try (Stage s = new Stage(4)) {
             for (int i = 0; i < 6; i++) {
                 s.cut(Cut.AFTER_MESSAGE, 1);
-                List<Integer> before = s.world.nodes().stream().map(n -> n.grpc().calls.get()).toList();
+                List<Integer> before =
+                        s.world.nodes().stream().map(n -> n.grpc().calls.get()).toList();
                 Call call = s.call(CONFIRM, "key-" + i);
                 call.status();
                 List<String> zones = new ArrayList<>();
@@ -158,7 +161,10 @@
         try (Stage s = new Stage(1)) {
             s.cut(Cut.TURNED_AWAY, 1_000);
             Call call = s.call(NOTE, null);
-            assertEquals(Status.Code.UNAVAILABLE, call.status().getCode(), call.status().toString());
+            assertEquals(
+                    Status.Code.UNAVAILABLE,
+                    call.status().getCode(),
+                    call.status().toString());
             assertTrue(Integer.parseInt(call.trailer("grpc-retry-pushback-ms")) > 0);
         }
     }
@@ -166,9 +172,13 @@
     @Test
     void whatIsNoCallIsSaidSo() throws Exception {
         try (Stage s = new Stage(1)) {
-            assertEquals(Status.Code.INVALID_ARGUMENT, s.call(CONFIRM, null).status().getCode());
-            assertEquals(Status.Code.RESOURCE_EXHAUSTED,
-                    Call.unary(s.channel, NOTE, null, "x".repeat(70_000), 5_000).status().getCode());
+            assertEquals(
+                    Status.Code.INVALID_ARGUMENT, s.call(CONFIRM, null).status().getCode());
+            assertEquals(
+                    Status.Code.RESOURCE_EXHAUSTED,
+                    Call.unary(s.channel, NOTE, null, "x".repeat(70_000), 5_000)
+                            .status()
+                            .getCode());
             assertEquals(0, s.calls());
             assertEquals(Status.Code.OK, s.call(NOTE, null).status().getCode());
         }
@@ -200,8 +210,11 @@
         });
         try (World world = new World(Shape.SMALL).patient()) {
             world.registry().down(true);
-            SidecarProcess sidecar = world.sidecar(1, World.list(1,
-                    List.of(new Listed("real", "127.0.0.1:" + node.getPort(), "north", 0, node.getPort()))), World.grpcTable());
+            SidecarProcess sidecar = world.sidecar(
+                    1,
+                    World.list(
+                            1, List.of(new Listed("real", "127.0.0.1:" + node.getPort(), "north", 0, node.getPort()))),
+                    World.grpcTable());
             world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
             ManagedChannel channel = GrpcRig.channel(sidecar.grpcAddress());
             try {
@@ -214,8 +227,10 @@
                 assertEquals(Status.Code.FAILED_PRECONDITION, call.status().getCode());
                 assertEquals("as the service says", call.status().getDescription());
                 assertEquals("good", call.trailer("mood"));
-                assertTrue(heads.get().containsKey(Metadata.Key.of("grpc-timeout", Metadata.ASCII_STRING_MARSHALLER))
-                        || heads.get().keys().contains("x-txn"), heads.get().toString());
+                assertTrue(
+                        heads.get().containsKey(Metadata.Key.of("grpc-timeout", Metadata.ASCII_STRING_MARSHALLER))
+                                || heads.get().keys().contains("x-txn"),
+                        heads.get().toString());
             } finally {
                 channel.shutdownNow();
             }
@@ -294,7 +309,10 @@
             Call running = new Call(s.channel, echo, new Metadata(), 60_000, 10);
             running.call.sendMessage("before");
             assertEquals("before", running.next());
-            Node drains = s.world.nodes().stream().filter(n -> n.grpc().opened.get() > 0).findFirst().orElseThrow();
+            Node drains = s.world.nodes().stream()
+                    .filter(n -> n.grpc().opened.get() > 0)
+                    .findFirst()
+                    .orElseThrow();
             s.world.registry().list(drains, "Terminating");
             Clients http = s.world.clients(s.sidecar.name());
             Clients grpc = s.world.grpcClients(s.sidecar.name());
@@ -346,7 +364,8 @@
             sent.await();
             assertEquals(0, s.sidecar.terminate(), s.sidecar.log().toString());
             for (Call call : held) {
-                assertEquals(Status.Code.OK, call.status().getCode(), call.status().toString());
+                assertEquals(
+                        Status.Code.OK, call.status().getCode(), call.status().toString());
             }
         }
     }
@@ -355,14 +374,22 @@
     @Test
     void offItLoadsNothing() throws Exception {
         try (World world = new World(Shape.SMALL).patient().nodes(1)) {
-            SidecarProcess sidecar = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()), null);
+            SidecarProcess sidecar = world.sidecar(
+                    1, World.list(1, world.nodes().stream().map(Listed::of).toList()), null);
             world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
-            Process jcmd = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
-                    "" + sidecar.process().pid(), "VM.classloaders", "show-classes").redirectErrorStream(true).start();
+            Process jcmd = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "jcmd")
+                                    .toString(),
+                            "" + sidecar.process().pid(),
+                            "VM.classloaders",
+                            "show-classes")
+                    .redirectErrorStream(true)
+                    .start();
             String classes = new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(classes.contains("rushproxy.sidecar.Sidecar"), classes);
-            for (String part : new String[] {"http2", "rushproxy.grpc", "rushproxy.standin", "tomlj", "protobuf",
-                "membership.disk.ListKeeper"}) {
+            for (String part : new String[] {
+                "http2", "rushproxy.grpc", "rushproxy.standin", "tomlj", "protobuf", "membership.disk.ListKeeper"
+            }) {
                 assertFalse(classes.contains(part), "a class of " + part + " is loaded");
             }
         }
@@ -372,11 +399,13 @@
     @Test
     void aClassThatThePlatformDoesNotKnowEndsTheStart() throws Exception {
         try (World world = new World(Shape.SMALL).patient().nodes(1)) {
-            SidecarProcess sidecar = world.sidecar(1, World.list(1, List.of()),
-                    World.grpcTable().replace("slot-lookup", "no-such-class"));
+            SidecarProcess sidecar = world.sidecar(
+                    1, World.list(1, List.of()), World.grpcTable().replace("slot-lookup", "no-such-class"));
             assertTrue(sidecar.process().waitFor(60, TimeUnit.SECONDS));
             assertEquals(2, sidecar.process().exitValue());
-            assertTrue(sidecar.awaitLog("no class 'no-such-class'").contains("grpc"), sidecar.log().toString());
+            assertTrue(
+                    sidecar.awaitLog("no class 'no-such-class'").contains("grpc"),
+                    sidecar.log().toString());
         }
     }
 }
--- a/src/test/java/rushproxy/standin/GrpcTracesTest.java
+++ b/src/test/java/rushproxy/standin/GrpcTracesTest.java
@@ -24,7 +24,8 @@
     private static final String APP = "4bf92f3577b34da6a3ce929d0e0e4736";
     private static final Metadata.Key<String> PARENT = Metadata.Key.of("traceparent", Metadata.ASCII_STRING_MARSHALLER);
     private static final Metadata.Key<String> ID = Metadata.Key.of("x-txn", Metadata.ASCII_STRING_MARSHALLER);
-    private static final Metadata.Key<String> KEY = Metadata.Key.of("idempotency-key", Metadata.ASCII_STRING_MARSHALLER);
+    private static final Metadata.Key<String> KEY =
+            Metadata.Key.of("idempotency-key", Metadata.ASCII_STRING_MARSHALLER);
 
     private static final class Stage implements AutoCloseable {
         final World world = new World(Shape.SMALL).grpc().patient();
@@ -34,8 +35,10 @@
 
         Stage(int nodes) throws Exception {
             world.nodes(nodes);
-            sidecar = world.sidecar(1, World.list(1, world.nodes().stream().map(Listed::of).toList()), World.grpcTable()
-                    + World.tracesTable(collector, "ordinary_per_second = 100\n"));
+            sidecar = world.sidecar(
+                    1,
+                    World.list(1, world.nodes().stream().map(Listed::of).toList()),
+                    World.grpcTable() + World.tracesTable(collector, "ordinary_per_second = 100\n"));
             world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
             channel = GrpcRig.channel(sidecar.grpcAddress());
         }
@@ -45,8 +48,14 @@
             head.put(PARENT, "00-" + APP + "-00f067aa0ba902b7-00");
             head.put(ID, id);
             head.put(KEY, "key-" + id);
-            Call c = new Call(channel, GrpcRig.method("stage.Booking/" + method, method.equals("Echo") ? MethodType.BIDI_STREAMING
-                    : MethodType.UNARY), head, 15_000, 2);
+            Call c = new Call(
+                    channel,
+                    GrpcRig.method(
+                            "stage.Booking/" + method,
+                            method.equals("Echo") ? MethodType.BIDI_STREAMING : MethodType.UNARY),
+                    head,
+                    15_000,
+                    2);
             c.call.sendMessage("{}");
             if (!method.equals("Echo")) {
                 c.call.halfClose();
@@ -59,7 +68,8 @@
         }
 
         Seen attempt(Seen request, int number) throws InterruptedException {
-            return collector.await(s -> s.parent().equals(request.span()) && s.text(Names.ATTEMPT).equals("" + number));
+            return collector.await(s ->
+                    s.parent().equals(request.span()) && s.text(Names.ATTEMPT).equals("" + number));
         }
 
         @Override
@@ -76,7 +86,9 @@
     @Test
     void aCallThatIsTriedAgainShowsBothAttempts() throws Exception {
         try (Stage s = new Stage(2)) {
-            for (int i = 0; i < 100 && s.world.nodes().stream().anyMatch(n -> n.ran().isEmpty()); i++) {
+            for (int i = 0;
+                    i < 100 && s.world.nodes().stream().anyMatch(n -> n.ran().isEmpty());
+                    i++) {
                 s.call("Lookup", "warm-" + i).status();
             }
             s.world.nodes().forEach(n -> n.grpc().cut(Cut.TURNED_AWAY, 1));
@@ -89,8 +101,15 @@
             assertTrue(request.text(Names.REASONS).startsWith("retried"), request.text(Names.REASONS));
             assertEquals("rejected false", ending(s.attempt(request, 1)));
             assertEquals(status.isOk() ? "served" : "refused", request.text(Names.ANSWER));
-            assertEquals(status.isOk() ? List.of("00-" + APP + "-" + s.attempt(request, 2).span() + "-01") : List.of(),
-                    s.world.nodes().stream().flatMap(n -> n.ran().stream()).filter(r -> r.id().equals("s0-a")).map(Node.Ran::parent).toList());
+            assertEquals(
+                    status.isOk()
+                            ? List.of("00-" + APP + "-" + s.attempt(request, 2).span() + "-01")
+                            : List.of(),
+                    s.world.nodes().stream()
+                            .flatMap(n -> n.ran().stream())
+                            .filter(r -> r.id().equals("s0-a"))
+                            .map(Node.Ran::parent)
+                            .toList());
         }
     }
 
@@ -122,7 +141,9 @@
             assertTrue(request.text(Names.REASONS).startsWith("left"), request.text(Names.REASONS));
             Seen attempt = s.attempt(request, 0);
             assertEquals("cancelled true", attempt.text(Names.OUTCOME) + " " + attempt.text(Names.MAY_HAVE_RUN));
-            assertTrue(attempt.events().containsKey(Names.STREAMING), attempt.events().toString());
+            assertTrue(
+                    attempt.events().containsKey(Names.STREAMING),
+                    attempt.events().toString());
         }
     }
 
--- a/src/test/java/rushproxy/standin/RefereeTest.java
+++ b/src/test/java/rushproxy/standin/RefereeTest.java
@@ -20,7 +20,10 @@
     }
 
     private void fouls(Rule... rules) {
-        assertEquals(List.of(rules), referee.fouls().stream().map(Referee.Foul::rule).toList(), referee.fouls().toString());
+        assertEquals(
+                List.of(rules),
+                referee.fouls().stream().map(Referee.Foul::rule).toList(),
+                referee.fouls().toString());
         assertEquals(rules.length, referee.count());
     }
 
--- a/src/test/java/rushproxy/standin/StageTest.java
+++ b/src/test/java/rushproxy/standin/StageTest.java
@@ -46,8 +46,10 @@
             Node node = world.node();
             String served = ask(node.address(), request("s0-1"));
             assertTrue(served.startsWith("HTTP/1.1 200") && served.contains("\"txn\":\"s0-1\""), served);
-            assertTrue(ask(node.address(), "GET /stats HTTP/1.1\r\nHost: a\r\n\r\n").endsWith("TEXT inflight=0, queue=0, util=0.00"));
-            assertTrue(ask(node.address(), "GET /api HTTP/1.1\r\nHost: a\r\n\r\n").startsWith("HTTP/1.1 404"));
+            assertTrue(ask(node.address(), "GET /stats HTTP/1.1\r\nHost: a\r\n\r\n")
+                    .endsWith("TEXT inflight=0, queue=0, util=0.00"));
+            assertTrue(
+                    ask(node.address(), "GET /api HTTP/1.1\r\nHost: a\r\n\r\n").startsWith("HTTP/1.1 404"));
             assertEquals(1, node.served());
             assertEquals(0, node.startedMs());
             node.drain();
@@ -92,9 +94,15 @@
             String address = world.registry().addressFor("s0");
             String call = "GET /registry/instances%s HTTP/1.1\r\nHost: a\r\n\r\n";
             String all = ask(address, call.formatted(""));
-            assertTrue(all.contains("\"generation\":42,\"reset\":true") && all.contains("\"n0\"") && all.contains("\"n1\""), all);
+            assertTrue(
+                    all.contains("\"generation\":42,\"reset\":true")
+                            && all.contains("\"n0\"")
+                            && all.contains("\"n1\""),
+                    all);
             String changes = ask(address, call.formatted("?index=41&wait=0"));
-            assertTrue(changes.contains("\"reset\":false") && !changes.contains("\"n0\"") && changes.contains("\"n1\""), changes);
+            assertTrue(
+                    changes.contains("\"reset\":false") && !changes.contains("\"n0\"") && changes.contains("\"n1\""),
+                    changes);
             String none = ask(address, call.formatted("?index=42&wait=0"));
             assertTrue(none.contains("\"instances\":[]"), none);
             // A watch is answered by the change it waits for.
--- a/src/test/java/rushproxy/standin/StartTest.java
+++ b/src/test/java/rushproxy/standin/StartTest.java
@@ -26,11 +26,26 @@
     private static final Map<String, Object> NOTHING_KNOWN = World.list(1, List.of());
 
     /** Puts a list of this age into the folder, as a sidecar before would have. */
-    private static void keep(World world, Path folder, long generation, long ageUs, List<Listed> entries) throws Exception {
+    private static void keep(World world, Path folder, long generation, long ageUs, List<Listed> entries)
+            throws Exception {
         try (ListStore store = new ListStore(folder, "stage", 1 << 20)) {
-            store.write(new Listing(Origin.DISK, generation, true, world.clock().now() - ageUs, entries.stream()
-                    .map(e -> new Member(new Upstream(e.id(), e.zone(), "stand-in", 0, e.startedMs() * 1000, 1,
-                            UpstreamState.READY), e.address())).toList()));
+            store.write(new Listing(
+                    Origin.DISK,
+                    generation,
+                    true,
+                    world.clock().now() - ageUs,
+                    entries.stream()
+                            .map(e -> new Member(
+                                    new Upstream(
+                                            e.id(),
+                                            e.zone(),
+                                            "stand-in",
+                                            0,
+                                            e.startedMs() * 1000,
+                                            1,
+                                            UpstreamState.READY),
+                                    e.address()))
+                            .toList()));
         }
     }
 
@@ -58,7 +73,8 @@
             List<Listed> list = new ArrayList<>();
             for (Impostor.Manner manner : Impostor.Manner.values()) {
                 strangers.add(world.impostor(manner));
-                list.add(new Listed("gone-" + manner, strangers.get(strangers.size() - 1).address(), "north", 0));
+                list.add(new Listed(
+                        "gone-" + manner, strangers.get(strangers.size() - 1).address(), "north", 0));
             }
             for (int i = 0; i < 3; i++) {
                 list.add(new Listed("dead-" + i, nobodysAddress(), "south", 0));
@@ -89,7 +105,8 @@
     /** Four sidecars start from a fresh list while all that it names restarted cold a moment ago, and nobody tells them. */
     @Test
     void aFreshListThatNamesNodesRestartingColdRightThen() throws Exception {
-        try (World world = new World(new Shape(1, 100, 12, 0.13, 24_000)).patient().nodes(4)) {
+        try (World world =
+                new World(new Shape(1, 100, 12, 0.13, 24_000)).patient().nodes(4)) {
             List<Listed> list = world.nodes().stream().map(Listed::of).toList();
             world.registry().down(true);
             world.nodes().forEach(Node::kill);
@@ -119,7 +136,12 @@
     void discoveryThatContradictsTheDiskHasTheLastWord() throws Exception {
         try (World world = new World(Shape.SMALL).patient().nodes(3)) {
             Path folder = world.folder().resolve("kept");
-            keep(world, folder, 90, 2 * SECOND_US, world.nodes().subList(0, 2).stream().map(Listed::of).toList());
+            keep(
+                    world,
+                    folder,
+                    90,
+                    2 * SECOND_US,
+                    world.nodes().subList(0, 2).stream().map(Listed::of).toList());
             world.registry().down(true);
             world.registry().list(world.nodes().get(0), "Gone");
             world.registry().list(world.nodes().get(1), "Gone");
@@ -132,7 +154,9 @@
             sidecar.awaitLog("discovery has spoken: 1 upstreams confirmed, 2 are gone");
             world.play(1_500);
             kept(world.verdict());
-            assertTrue(world.nodes().get(0).served() + world.nodes().get(1).served() > 0, "the disk's nodes did not serve");
+            assertTrue(
+                    world.nodes().get(0).served() + world.nodes().get(1).served() > 0,
+                    "the disk's nodes did not serve");
             assertTrue(world.nodes().get(2).served() > 0, "discovery's node does not serve");
         }
     }
@@ -148,7 +172,9 @@
             world.registry().down(true);
             SidecarProcess second = world.sidecar(1, NOTHING_KNOWN, operator(folder));
             world.ready(second.address()).get(30, TimeUnit.SECONDS);
-            assertTrue(second.awaitLog("starts from the list on disk").contains("of 2 upstreams"), second.log().toString());
+            assertTrue(
+                    second.awaitLog("starts from the list on disk").contains("of 2 upstreams"),
+                    second.log().toString());
             Clients clients = world.clients(second.name());
             clients.start(second.address(), 30);
             world.play(700);
@@ -180,7 +206,12 @@
     void terminatedDuringAStartWithoutDiscoveryItAnswersAll() throws Exception {
         try (World world = new World(Shape.SMALL).patient().nodes(2)) {
             Path folder = world.folder().resolve("kept");
-            keep(world, folder, 41, SECOND_US, world.nodes().stream().map(Listed::of).toList());
+            keep(
+                    world,
+                    folder,
+                    41,
+                    SECOND_US,
+                    world.nodes().stream().map(Listed::of).toList());
             world.registry().down(true);
             SidecarProcess sidecar = world.sidecar(1, NOTHING_KNOWN, operator(folder));
             Clients clients = world.clients(sidecar.name());
@@ -220,7 +251,12 @@
     void aDiscoveryThatFlapsAndAnswersEmptyListsChangesNothing() throws Exception {
         try (World world = new World(Shape.SMALL).patient().nodes(3)) {
             Path folder = world.folder().resolve("kept");
-            keep(world, folder, 30, DAY_US, world.nodes().stream().map(Listed::of).toList());
+            keep(
+                    world,
+                    folder,
+                    30,
+                    DAY_US,
+                    world.nodes().stream().map(Listed::of).toList());
             SidecarProcess sidecar = world.sidecar(1, NOTHING_KNOWN, operator(folder));
             world.ready(sidecar.address()).get(30, TimeUnit.SECONDS);
             Clients clients = world.clients(sidecar.name());
--- a/src/test/java/rushproxy/standin/SubsetStageTest.java
+++ b/src/test/java/rushproxy/standin/SubsetStageTest.java
@@ -27,7 +27,10 @@
             }
         }
         int[] at = {0};
-        return world.nodes().stream().filter(n -> n.served() > before[at[0]++]).map(Node::id).collect(Collectors.toSet());
+        return world.nodes().stream()
+                .filter(n -> n.served() > before[at[0]++])
+                .map(Node::id)
+                .collect(Collectors.toSet());
     }
 
     @Test
@@ -37,7 +40,10 @@
             for (Node n : world.nodes()) {
                 known.add(World.Listed.of(n));
             }
-            SidecarProcess sidecar = world.sidecar(8, World.list(1, known), "[subset]\nleast = 3\nrequests_per_node = 1000\n[log]\nformat = \"json\"\n");
+            SidecarProcess sidecar = world.sidecar(
+                    8,
+                    World.list(1, known),
+                    "[subset]\nleast = 3\nrequests_per_node = 1000\n[log]\nformat = \"json\"\n");
             world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
             Clients clients = world.clients(sidecar.name());
             clients.start(sidecar.address(), 60);
@@ -48,9 +54,16 @@
             Set<String> others = served(world, 100);
             assertTrue(others.stream().noneMatch(first::contains) && !others.isEmpty(), others + " after " + first);
             assertEquals(0, world.verdict().fouls(), world.verdict().first().toString());
-            List<Json> log = sidecar.log().stream().filter(l -> l.startsWith("{")).map(l -> Json.parse(l.getBytes(StandardCharsets.UTF_8))).toList();
-            assertTrue(log.stream().anyMatch(l -> l.text("event").equals("ready")), sidecar.log().toString());
-            assertTrue(log.stream().anyMatch(l -> l.text("event").equals("serves") && l.has("address")), sidecar.log().toString());
+            List<Json> log = sidecar.log().stream()
+                    .filter(l -> l.startsWith("{"))
+                    .map(l -> Json.parse(l.getBytes(StandardCharsets.UTF_8)))
+                    .toList();
+            assertTrue(
+                    log.stream().anyMatch(l -> l.text("event").equals("ready")),
+                    sidecar.log().toString());
+            assertTrue(
+                    log.stream().anyMatch(l -> l.text("event").equals("serves") && l.has("address")),
+                    sidecar.log().toString());
         }
     }
 }
--- a/src/test/java/rushproxy/standin/ZonesTest.java
+++ b/src/test/java/rushproxy/standin/ZonesTest.java
@@ -15,7 +15,8 @@
 class ZonesTest {
     /** One that believes in two others: it asks nodes for their load. */
     private static SidecarProcess sidecar(World world, String operator) throws Exception {
-        SidecarProcess s = world.sidecar(3, World.list(1, world.nodes().stream().map(Listed::of).toList()), operator);
+        SidecarProcess s = world.sidecar(
+                3, World.list(1, world.nodes().stream().map(Listed::of).toList()), operator);
         world.ready(s.address()).get(60, TimeUnit.SECONDS);
         return s;
     }
@@ -49,7 +50,11 @@
             clients.start(sidecar.address(), 100);
             world.play(1_000);
             Files.writeString(world.folder().resolve("s0.toml"), "[zones]\naway = [\"west\"]\n");
-            assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + sidecar.process().pid()).start().waitFor());
+            assertEquals(
+                    0,
+                    new ProcessBuilder("kill", "-HUP", "" + sidecar.process().pid())
+                            .start()
+                            .waitFor());
             sidecar.awaitLog("zone west is well, and gets nothing, by the operator's word");
             // What was sent before it heard ends within its own work.
             world.play(500);
@@ -57,9 +62,15 @@
             world.play(1_500);
             assertEquals(before, west(world).stream().mapToInt(Node::served).sum());
             Files.writeString(world.folder().resolve("s0.toml"), "[zones]\n");
-            assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + sidecar.process().pid()).start().waitFor());
-            
-            for (int i = 0; i < 100 && west(world).stream().mapToInt(Node::served).sum() == before; i++) {
+            assertEquals(
+                    0,
+                    new ProcessBuilder("kill", "-HUP", "" + sidecar.process().pid())
+                            .start()
+                            .waitFor());
+
+            for (int i = 0;
+                    i < 100 && west(world).stream().mapToInt(Node::served).sum() == before;
+                    i++) {
                 world.play(100);
             }
             assertTrue(west(world).stream().mapToInt(Node::served).sum() > before);
--- a/src/test/java/rushproxy/standin/fleet/LinksTest.java
+++ b/src/test/java/rushproxy/standin/fleet/LinksTest.java
@@ -54,17 +54,23 @@
         links.of(0, 1, new byte[] {'H', 1, 5, 5});
         links.of(0, 1, new byte[] {'H', 2, 6, 6});
         links.lies(0, FalseWords.Lie.IDLE);
-        assertArrayEquals(new byte[] {'H', 3}, links.of(0, 1, new byte[] {'H', 3, 7, 7}).bytes());
+        assertArrayEquals(
+                new byte[] {'H', 3}, links.of(0, 1, new byte[] {'H', 3, 7, 7}).bytes());
         links.lies(0, FalseWords.Lie.FULL);
         byte[] full = links.of(0, 1, new byte[] {'H', 4}).bytes();
         assertEquals(256, full.length);
         assertEquals(4, full[1]);
         assertEquals(List.of(5, 6, 7, 5), List.of((int) full[2], (int) full[4], (int) full[6], (int) full[8]));
         links.lies(0, null);
-        assertArrayEquals(new byte[] {'H', 5, 8, 8}, links.of(0, 1, new byte[] {'H', 5, 8, 8}).bytes());
+        assertArrayEquals(
+                new byte[] {'H', 5, 8, 8},
+                links.of(0, 1, new byte[] {'H', 5, 8, 8}).bytes());
         links.lies(0, FalseWords.Lie.REPLAYED);
         links.of(0, 1, new byte[] {'H', 6, 9, 9});
-        assertArrayEquals(new byte[] {'H', 7, 9, 9}, links.of(0, 1, new byte[] {'H', 7, 1, 1}).bytes());
-        assertArrayEquals(new byte[] {'R', 7, 1}, links.of(0, 1, new byte[] {'R', 7, 1}).bytes());
+        assertArrayEquals(
+                new byte[] {'H', 7, 9, 9},
+                links.of(0, 1, new byte[] {'H', 7, 1, 1}).bytes());
+        assertArrayEquals(
+                new byte[] {'R', 7, 1}, links.of(0, 1, new byte[] {'R', 7, 1}).bytes());
     }
 }
--- a/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
+++ b/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
@@ -33,17 +33,27 @@
     private static final Pattern IN_FORCE = Pattern.compile(".*policy ([0-9a-f]+) is in force.*");
 
     private static Processes fleet() throws Exception {
-        Map<String, Object> instead = Map.of("fleet.sidecars", (long) SIDECARS, "fleet.nodes", 9L, "fleet.length", "3s", "traffic.load", 0.2);
-        return new Processes(ScenarioFile.read("spread", instead), true, null, folder -> "[log]\nformat = \"json\"\n[zones]\n[accord]\nfleet = \"test\"\nvoters = 3\nlease = \"1s\"\nfile = \""
-                + folder.resolve("policy.toml") + "\"\n");
+        Map<String, Object> instead =
+                Map.of("fleet.sidecars", (long) SIDECARS, "fleet.nodes", 9L, "fleet.length", "3s", "traffic.load", 0.2);
+        return new Processes(
+                ScenarioFile.read("spread", instead),
+                true,
+                null,
+                folder ->
+                        "[log]\nformat = \"json\"\n[zones]\n[accord]\nfleet = \"test\"\nvoters = 3\nlease = \"1s\"\nfile = \""
+                                + folder.resolve("policy.toml") + "\"\n");
     }
 
     private static String call(SidecarProcess p, String method, String path) throws Exception {
         InetSocketAddress at = p.adminAddress();
-        HttpURLConnection c = (HttpURLConnection) URI.create("http://127.0.0.1:" + at.getPort() + path).toURL().openConnection();
+        HttpURLConnection c = (HttpURLConnection)
+                URI.create("http://127.0.0.1:" + at.getPort() + path).toURL().openConnection();
         c.setRequestMethod(method);
         int status = c.getResponseCode();
-        return status + " " + new String((status < 400 ? c.getInputStream() : c.getErrorStream()).readAllBytes(), StandardCharsets.UTF_8);
+        return status + " "
+                + new String(
+                        (status < 400 ? c.getInputStream() : c.getErrorStream()).readAllBytes(),
+                        StandardCharsets.UTF_8);
     }
 
     private static String propose(Processes fleet, int by, String policy) throws Exception {
@@ -53,9 +63,12 @@
 
     /** The version that the proposer says is in force, once it is; {@code known}: those that were before. */
     private static String changed(Processes fleet, int by, String policy, List<String> known) throws Exception {
-        assertTrue(propose(fleet, by, policy).startsWith("200"), fleet.sidecars().get(by).log().toString());
+        assertTrue(
+                propose(fleet, by, policy).startsWith("200"),
+                fleet.sidecars().get(by).log().toString());
         SidecarProcess p = fleet.sidecars().get(by);
-        String line = p.awaitLog(l -> IN_FORCE.matcher(l).matches() && known.stream().noneMatch(l::contains));
+        String line =
+                p.awaitLog(l -> IN_FORCE.matcher(l).matches() && known.stream().noneMatch(l::contains));
         Matcher m = IN_FORCE.matcher(line);
         assertTrue(m.matches());
         return m.group(1);
@@ -71,7 +84,10 @@
     }
 
     private static int served(Processes fleet, String zone) {
-        return fleet.world().nodes().stream().filter(n -> n.zone().equals(zone)).mapToInt(Node::served).sum();
+        return fleet.world().nodes().stream()
+                .filter(n -> n.zone().equals(zone))
+                .mapToInt(Node::served)
+                .sum();
     }
 
     @Test
@@ -105,7 +121,9 @@
                 fleet.sidecars().get(down).awaitLog("ready after a rehearsal");
                 List<String> log = fleet.sidecars().get(down).log();
                 int learnt = index(log, "policy " + second + " is in force");
-                assertTrue(learnt >= 0 && learnt < index(log, "ready after a rehearsal"), "it knows before it is ready: " + log);
+                assertTrue(
+                        learnt >= 0 && learnt < index(log, "ready after a rehearsal"),
+                        "it knows before it is ready: " + log);
                 assertFalse(log.stream().anyMatch(l -> l.contains(first)), "and nothing of what was: " + log);
             }
 
@@ -165,7 +183,9 @@
             SidecarProcess paused = fleet.sidecars().get(4);
             paused.pause();
             assertTrue(propose(fleet, 0, "[zones]\naway = [\"south\"]\n").startsWith("200"));
-            String joint = fleet.sidecars().get(2).awaitLog(l -> l.contains("policy " + first + " and ") && l.contains("go together"));
+            String joint = fleet.sidecars()
+                    .get(2)
+                    .awaitLog(l -> l.contains("policy " + first + " and ") && l.contains("go together"));
             proposer.close();
             String second = joint.replaceAll(".* and ([0-9a-f]+) go together.*", "$1");
             everywhere(fleet, second, 0, 4);
@@ -174,21 +194,40 @@
             everywhere(fleet, second);
             audited(fleet, List.of(proposer));
             List<String> log = paused.log();
-            assertFalse(log.stream().anyMatch(l -> l.contains("go together") && l.contains(second)), "it was never in between: " + log);
+            assertFalse(
+                    log.stream().anyMatch(l -> l.contains("go together") && l.contains(second)),
+                    "it was never in between: " + log);
         }
     }
 
     /** Where nobody has asked for it, it costs nothing: not a class of it is there, with words between sidecars or without. */
     @Test
     void withoutItNothingOfItIsLoaded() throws Exception {
-        try (Processes fleet = new Processes(ScenarioFile.read("spread", Map.of("fleet.sidecars", 2L, "fleet.nodes", 3L)), true)) {
+        try (Processes fleet =
+                new Processes(ScenarioFile.read("spread", Map.of("fleet.sidecars", 2L, "fleet.nodes", 3L)), true)) {
             fleet.begin();
             fleet.world().play(1_500);
-            String jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
-            Process p = new ProcessBuilder(jcmd, String.valueOf(fleet.sidecars().get(0).process().pid()), "VM.class_hierarchy").start();
-            List<String> loaded = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines().filter(l -> l.contains("rushproxy.")).toList();
-            assertTrue(loaded.stream().anyMatch(l -> l.contains("rushproxy.fleet.Holdings")), "classes are told: " + loaded.size());
-            assertEquals(List.of(), loaded.stream().filter(l -> l.contains("rushproxy.accord.") || l.contains("sidecar.Policies") || l.contains("PolicyFile")).toList());
+            String jcmd =
+                    Path.of(System.getProperty("java.home"), "bin", "jcmd").toString();
+            Process p = new ProcessBuilder(
+                            jcmd,
+                            String.valueOf(fleet.sidecars().get(0).process().pid()),
+                            "VM.class_hierarchy")
+                    .start();
+            List<String> loaded = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(l -> l.contains("rushproxy."))
+                    .toList();
+            assertTrue(
+                    loaded.stream().anyMatch(l -> l.contains("rushproxy.fleet.Holdings")),
+                    "classes are told: " + loaded.size());
+            assertEquals(
+                    List.of(),
+                    loaded.stream()
+                            .filter(l -> l.contains("rushproxy.accord.")
+                                    || l.contains("sidecar.Policies")
+                                    || l.contains("PolicyFile"))
+                            .toList());
         }
     }
 
@@ -196,14 +235,22 @@
     void whoCantDecideInCommonDoesNotStart() throws Exception {
         try (World world = new World(new Shape(1, 20, 8, 0.2, 1_000))) {
             world.nodes(2);
-            Map<String, Object> known = World.list(40, world.nodes().stream().map(World.Listed::of).toList());
+            Map<String, Object> known =
+                    World.list(40, world.nodes().stream().map(World.Listed::of).toList());
             String operator = "[zones]\n[accord]\nfleet = \"test\"\nvoters = 5\nfile = \"p\"\n";
-            Map<String, Object> peers = Map.of("peer_listen", "127.0.0.1:0", "peers", List.of("127.0.0.1:9", "127.0.0.1:8", "127.0.0.1:7"), "peers_all", "127.0.0.1:9");
+            Map<String, Object> peers = Map.of(
+                    "peer_listen",
+                    "127.0.0.1:0",
+                    "peers",
+                    List.of("127.0.0.1:9", "127.0.0.1:8", "127.0.0.1:7"),
+                    "peers_all",
+                    "127.0.0.1:9");
             SidecarProcess few = world.peered(3, known, peers, operator);
             few.awaitLog("operator's file: [accord] voters: expected at most the 3 sidecars that there are, found 5");
             assertEquals(2, few.process().waitFor());
             SidecarProcess silent = world.peered(3, known, Map.of(), operator);
-            silent.awaitLog("operator's file: [accord] wants words between all sidecars: peer_listen, and peers with 3 addresses");
+            silent.awaitLog(
+                    "operator's file: [accord] wants words between all sidecars: peer_listen, and peers with 3 addresses");
             assertEquals(2, silent.process().waitFor());
         }
     }
@@ -212,10 +259,16 @@
     void whatCantBeTakenIsRefusedWithItsReason() throws Exception {
         try (Processes fleet = fleet()) {
             String no = propose(fleet, 1, "[zones]\naway = [\"nowhere\"]\n");
-            assertTrue(no.startsWith("409") && no.contains("there is no zone 'nowhere'; there are north, south, west"), no);
+            assertTrue(
+                    no.startsWith("409") && no.contains("there is no zone 'nowhere'; there are north, south, west"),
+                    no);
             assertTrue(propose(fleet, 1, "[zones]\nawy = []\n").contains("awy"));
             String status = call(fleet.sidecars().get(1), "GET", "/control/policy");
-            assertTrue(status.contains("\"version\":\"none\"") && status.contains("\"learnt\":true") && status.contains("\"sure\":true"), status);
+            assertTrue(
+                    status.contains("\"version\":\"none\"")
+                            && status.contains("\"learnt\":true")
+                            && status.contains("\"sure\":true"),
+                    status);
             assertTrue(call(fleet.sidecars().get(1), "POST", "/control/policy").startsWith("405"));
         }
     }
--- a/src/test/java/rushproxy/standin/fleet/ProcessesTest.java
+++ b/src/test/java/rushproxy/standin/fleet/ProcessesTest.java
@@ -42,11 +42,13 @@
     /** Lost by half, doubled, overtaking each other and with their bytes changed, words break no rule, and keep nobody from serving. */
     @Test
     void wordsInTroubleBreakNoRule() throws Exception {
-        try (Processes fleet = new Processes(ScenarioFile.read("spread", some(Map.of("network.peer_ms", 300L))), true)) {
+        try (Processes fleet =
+                new Processes(ScenarioFile.read("spread", some(Map.of("network.peer_ms", 300L))), true)) {
             fleet.trouble(0.5, 0.3, 0.3);
             Processes.Played played = fleet.play();
             sound(fleet, played);
-            // What is held is told to those who share it, beyond the two words a second of rates: none of it reached sixty.
+            // What is held is told to those who share it, beyond the two words a second of rates: none of it reached
+            // sixty.
             assertTrue(played.words() > 10L * SIDECARS * 6, played.line());
             assertTrue(played.words() < 30L * played.verdict().tries() * 3, played.line());
             assertTrue(played.lost() > played.words() / 3, played.line());
@@ -78,7 +80,11 @@
             Processes.Played played = fleet.end(begunUs, 0, 6);
             sound(fleet, played);
             for (int i = 3; i < SIDECARS; i++) {
-                assertEquals(0, fleet.clients(i).tally(0, 6).failed() + fleet.clients(i).tally(0, 6).unreachable(), "s" + i + " of " + played.line());
+                assertEquals(
+                        0,
+                        fleet.clients(i).tally(0, 6).failed()
+                                + fleet.clients(i).tally(0, 6).unreachable(),
+                        "s" + i + " of " + played.line());
             }
             assertTrue(fleet.clients(2).tally(0, 20).inTime() > 0, "its clients go on with the new process");
         }
@@ -101,11 +107,13 @@
     /** Half of the sidecars meet a zone's nodes that swallow answers, then fall silent, then reset; to the others these are as well as ever. */
     @Test
     void waysCutForSomeSidecarsAreNoHarmToOthers() throws Exception {
-        try (Processes fleet = new Processes(ScenarioFile.read("spread", some(Map.of("fleet.length", "6s"))), true, i -> i % 2)) {
+        try (Processes fleet =
+                new Processes(ScenarioFile.read("spread", some(Map.of("fleet.length", "6s"))), true, i -> i % 2)) {
             long begunUs = fleet.world().clock().now();
             fleet.begin();
             fleet.world().play(2_000);
-            for (Pipes.Way way : List.of(Pipes.Way.ANSWERS_LOST, Pipes.Way.REQUESTS_LOST, Pipes.Way.SILENT, Pipes.Way.RESET)) {
+            for (Pipes.Way way :
+                    List.of(Pipes.Way.ANSWERS_LOST, Pipes.Way.REQUESTS_LOST, Pipes.Way.SILENT, Pipes.Way.RESET)) {
                 fleet.way(0, n -> n.zone().equals("north"), way);
                 fleet.world().play(800);
             }
@@ -116,7 +124,11 @@
             assertTrue(fleet.swallowed() > 0, "something was lost");
             for (int i = 0; i < SIDECARS; i++) {
                 if (i % 2 == 1) {
-                    assertEquals(0, fleet.clients(i).tally(0, 8).failed() + fleet.clients(i).tally(0, 8).unreachable(), "s" + i + " of " + played.line());
+                    assertEquals(
+                            0,
+                            fleet.clients(i).tally(0, 8).failed()
+                                    + fleet.clients(i).tally(0, 8).unreachable(),
+                            "s" + i + " of " + played.line());
                 }
                 assertTrue(fleet.clients(i).tally(6, 8).inTime() > 0, "s" + i + " serves after it: " + played.line());
             }
@@ -126,17 +138,23 @@
     /** What a process can't play is refused with the scenario's name and the key. */
     @Test
     void whatProcessesCantPlayIsRefused() throws Exception {
-        for (Map<String, Object> wrong : List.<Map<String, Object>>of(Map.of("fleet.sidecars", 301L), Map.of("fleet.length", "11min"),
-                Map.of("nodes.speed_spread", 0.1), Map.of("machine.speed", 2.0))) {
+        for (Map<String, Object> wrong : List.<Map<String, Object>>of(
+                Map.of("fleet.sidecars", 301L),
+                Map.of("fleet.length", "11min"),
+                Map.of("nodes.speed_spread", 0.1),
+                Map.of("machine.speed", 2.0))) {
             try {
-                Broken b = assertThrows(Broken.class, () -> Processes.check(ScenarioFile.read("spread", wrong)), wrong.toString());
+                Broken b = assertThrows(
+                        Broken.class, () -> Processes.check(ScenarioFile.read("spread", wrong)), wrong.toString());
                 String key = wrong.keySet().iterator().next().replace("machine.speed", "machine");
                 assertTrue(b.getMessage().contains(key), b.getMessage());
             } catch (AssertionError e) {
                 throw new AssertionError(wrong + ": " + e.getMessage(), e);
             }
         }
-        assertTrue(assertThrows(Broken.class, () -> Processes.check(ScenarioFile.read("monday", Map.of()))).getMessage().contains("monday"));
+        assertTrue(assertThrows(Broken.class, () -> Processes.check(ScenarioFile.read("monday", Map.of())))
+                .getMessage()
+                .contains("monday"));
         Processes.check(ScenarioFile.read("spread", Map.of()));
     }
 }
--- a/src/test/java/rushproxy/subset/SubsetTest.java
+++ b/src/test/java/rushproxy/subset/SubsetTest.java
@@ -40,7 +40,10 @@
     }
 
     private static List<String> ready(Subset s, long now) {
-        return s.told(now).stream().filter(u -> u.state() == UpstreamState.READY).map(Upstream::id).toList();
+        return s.told(now).stream()
+                .filter(u -> u.state() == UpstreamState.READY)
+                .map(Upstream::id)
+                .toList();
     }
 
     /** No node is without clients, and none has far more than another. */
@@ -54,7 +57,8 @@
         }
         assertEquals(nodes, clients.size());
         int[] counts = clients.values().stream().mapToInt(i -> i).toArray();
-        double ratio = Arrays.stream(counts).max().orElse(0) / (double) Arrays.stream(counts).min().orElse(1);
+        double ratio = Arrays.stream(counts).max().orElse(0)
+                / (double) Arrays.stream(counts).min().orElse(1);
         assertTrue(ratio <= 1.3, "most over least " + ratio);
     }
 
@@ -62,7 +66,8 @@
     void sidecarsThatAreToldAnotherNumberOfThemDoNoHarm() {
         Map<String, Integer> clients = new HashMap<>();
         for (int me = 0; me < 1_000; me++) {
-            ready(of(me, me % 3 == 0 ? 600 : me % 3 == 1 ? 1_000 : 100_000, nodes(20)), 0).forEach(id -> clients.merge(id, 1, Integer::sum));
+            ready(of(me, me % 3 == 0 ? 600 : me % 3 == 1 ? 1_000 : 100_000, nodes(20)), 0)
+                    .forEach(id -> clients.merge(id, 1, Integer::sum));
         }
         int[] counts = clients.values().stream().mapToInt(i -> i).sorted().toArray();
         assertTrue(counts[counts.length - 1] <= 1.3 * counts[0], Arrays.toString(counts));
@@ -139,8 +144,11 @@
         assertTrue(busy >= 9 && busy <= 11, "20 a second are for " + busy + " nodes");
         long later = now + 120 * S;
         List<Upstream> told = s.told(later);
-        assertEquals(5, told.stream().filter(u -> u.state() == UpstreamState.READY).count());
-        assertEquals(busy - 5, told.stream().filter(u -> u.state() == UpstreamState.DRAINING).count());
+        assertEquals(
+                5, told.stream().filter(u -> u.state() == UpstreamState.READY).count());
+        assertEquals(
+                busy - 5,
+                told.stream().filter(u -> u.state() == UpstreamState.DRAINING).count());
         assertFalse(s.due(later));
         assertTrue(s.due(later + 11 * S));
         assertEquals(5, s.told(later + 11 * S).size());
@@ -161,7 +169,11 @@
         List<Upstream> all = nodes(12);
         Subset s = of(2, 100, all);
         String first = ready(s, 0).get(0);
-        s.listed(all.stream().map(u -> u.id().equals(first) ? new Upstream(u.id(), u.zone(), u.kind(), -1, 0, 1, UpstreamState.DRAINING) : u).toList());
+        s.listed(all.stream()
+                .map(u -> u.id().equals(first)
+                        ? new Upstream(u.id(), u.zone(), u.kind(), -1, 0, 1, UpstreamState.DRAINING)
+                        : u)
+                .toList());
         assertEquals(5, ready(s, S).size());
         assertFalse(ready(s, S).contains(first));
         assertTrue(s.told(S).stream().anyMatch(u -> u.id().equals(first) && u.state() == UpstreamState.DRAINING));
@@ -171,7 +183,10 @@
     void theModuleIsToldOfThoseThatShareItsNodes() {
         assertEquals(1_250, Subset.sharers(FIVE, 5_000, 20));
         assertEquals(30, Subset.sharers(FIVE, 30, 5));
-        assertEquals(250, Subset.sharers(new Options(5, 2, S, 1_000), 5_000, 20), "the operator's word of the fleet's size holds");
+        assertEquals(
+                250,
+                Subset.sharers(new Options(5, 2, S, 1_000), 5_000, 20),
+                "the operator's word of the fleet's size holds");
         assertEquals(1, Subset.sharers(FIVE, 3, 100));
     }
 }
--- a/src/test/java/rushproxy/trace/SpanContextTest.java
+++ b/src/test/java/rushproxy/trace/SpanContextTest.java
@@ -37,20 +37,31 @@
 
     @Test
     void whatBreaksTheFormIsNoParent() {
-        for (String bad : List.of("", "00", GOOD + "-00", GOOD.replace("00-4", "ff-4"), GOOD.replace('b', 'B'),
-                GOOD.replace("4bf92f3577b34da6a3ce929d0e0e4736", "0".repeat(32)), GOOD.replace("00f067aa0ba902b7", "0".repeat(16)),
-                GOOD.replace("-01", "_01"), GOOD.replace("-01", "-0g"), GOOD.substring(1), "01" + GOOD.substring(2) + "x")) {
+        for (String bad : List.of(
+                "",
+                "00",
+                GOOD + "-00",
+                GOOD.replace("00-4", "ff-4"),
+                GOOD.replace('b', 'B'),
+                GOOD.replace("4bf92f3577b34da6a3ce929d0e0e4736", "0".repeat(32)),
+                GOOD.replace("00f067aa0ba902b7", "0".repeat(16)),
+                GOOD.replace("-01", "_01"),
+                GOOD.replace("-01", "-0g"),
+                GOOD.substring(1),
+                "01" + GOOD.substring(2) + "x")) {
             assertNull(parse(bad), bad);
         }
         assertNull(SpanContext.parse(List.of(GOOD, GOOD), List.of()));
         // A later version may have more behind it, and is read as far as it is known.
-        assertEquals(GOOD.replace("-01", "-03"), parse("cc" + GOOD.substring(2, 53) + "ff-what-comes").parent());
+        assertEquals(
+                GOOD.replace("-01", "-03"),
+                parse("cc" + GOOD.substring(2, 53) + "ff-what-comes").parent());
     }
 
     @Test
     void aListThatBreaksItsRulesIsDroppedAlone() {
-        for (String bad : List.of("a", "a=1,a=2", "A=1", "a=", "a=b=c", "=1", "a=" + "x".repeat(257), "a=\u00e4",
-                "x=1,".repeat(200))) {
+        for (String bad : List.of(
+                "a", "a=1,a=2", "A=1", "a=", "a=b=c", "=1", "a=" + "x".repeat(257), "a=\u00e4", "x=1,".repeat(200))) {
             SpanContext c = parse(GOOD, bad);
             assertEquals(GOOD, c.parent());
             assertEquals("", c.state(), bad);
@@ -84,29 +95,42 @@
 
     @Provide
     Arbitrary<String> headers() {
-        Arbitrary<String> hex = Arbitraries.strings().withChars("0123456789abcdef").ofLength(2);
-        Arbitrary<String> digits = Arbitraries.strings().withChars("0123456789abcdefABg-").ofMinLength(0).ofMaxLength(60);
-        Arbitrary<String> near = Arbitraries.integers().between(0, GOOD.length() - 1)
-                .flatMap(i -> Arbitraries.strings().ascii().ofMaxLength(2).map(s -> GOOD.substring(0, i) + s + GOOD.substring(i + 1)));
-        return Arbitraries.oneOf(hex.map(h -> h + GOOD.substring(2)), digits, near, hex.map(h -> GOOD.substring(0, 53) + h));
+        Arbitrary<String> hex =
+                Arbitraries.strings().withChars("0123456789abcdef").ofLength(2);
+        Arbitrary<String> digits = Arbitraries.strings()
+                .withChars("0123456789abcdefABg-")
+                .ofMinLength(0)
+                .ofMaxLength(60);
+        Arbitrary<String> near = Arbitraries.integers()
+                .between(0, GOOD.length() - 1)
+                .flatMap(i -> Arbitraries.strings()
+                        .ascii()
+                        .ofMaxLength(2)
+                        .map(s -> GOOD.substring(0, i) + s + GOOD.substring(i + 1)));
+        return Arbitraries.oneOf(
+                hex.map(h -> h + GOOD.substring(2)), digits, near, hex.map(h -> GOOD.substring(0, 53) + h));
     }
 
     /** OpenTelemetry's own reader is the other witness: what it accepts and what it makes of it. */
     @Property(seed = "17", tries = 3_000)
     void itReadsWhatOpenTelemetryReads(@ForAll("headers") String header) {
         SpanContext ours = parse(header);
-        io.opentelemetry.api.trace.SpanContext theirs = Span.fromContext(W3CTraceContextPropagator.getInstance().extract(
-                Context.root(), Map.of("traceparent", header), new TextMapGetter<Map<String, String>>() {
-                    @Override
-                    public Iterable<String> keys(Map<String, String> of) {
-                        return of.keySet();
-                    }
+        io.opentelemetry.api.trace.SpanContext theirs = Span.fromContext(W3CTraceContextPropagator.getInstance()
+                        .extract(
+                                Context.root(),
+                                Map.of("traceparent", header),
+                                new TextMapGetter<Map<String, String>>() {
+                                    @Override
+                                    public Iterable<String> keys(Map<String, String> of) {
+                                        return of.keySet();
+                                    }
 
-                    @Override
-                    public String get(Map<String, String> of, String key) {
-                        return of.get(key);
-                    }
-                })).getSpanContext();
+                                    @Override
+                                    public String get(Map<String, String> of, String key) {
+                                        return of.get(key);
+                                    }
+                                }))
+                .getSpanContext();
         if (ours != null) {
             assertTrue(theirs.isValid(), header);
             assertEquals(theirs.getTraceId(), ours.traceId());
--- a/src/test/java/rushproxy/trace/TracerTest.java
+++ b/src/test/java/rushproxy/trace/TracerTest.java
@@ -40,7 +40,9 @@
     private Trace begin(Tracer tracer, SpanContext parent, String requestClass, String key) {
         String id = "r" + ids++;
         Request r = new Request(id, -1, false, false, 0, 500_000, "t", requestClass);
-        return tracer.begin(parent, new Tracer.Start(r, key == null ? Semantics.SAFE : Semantics.KEYED, "http", key, false, AIM, now, 0));
+        return tracer.begin(
+                parent,
+                new Tracer.Start(r, key == null ? Semantics.SAFE : Semantics.KEYED, "http", key, false, AIM, now, 0));
     }
 
     private void attempt(Trace t, String upstream, long us, Outcome outcome) {
@@ -162,7 +164,8 @@
     @Test
     void aClientsOwnTraceGoesOnAndKnowsTheOther() {
         Tracer tracer = tracer(ALL);
-        SpanContext app = SpanContext.parse(List.of("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00"), List.of("a=1"));
+        SpanContext app =
+                SpanContext.parse(List.of("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00"), List.of("a=1"));
         Trace first = begin(tracer, null, "c", "k");
         end(first, How.FAILED);
         Trace second = begin(tracer, app, "c", "k");
@@ -230,7 +233,10 @@
         assertTrue(kept.stream().anyMatch(k -> k.trace.steps().get(0).upstream.equals("the odd one")));
         assertTrue(kept.size() <= 20 * 30 + 20 * 4 + 3 * 3 + 1, "kept " + kept.size());
         // The first second meets the bucket; from then on each stands for as many as it says.
-        double stands = kept.stream().filter(k -> k.trace.start().sentUs() > 1_002 * SECOND).mapToDouble(k -> k.verdict.weight()).sum();
+        double stands = kept.stream()
+                .filter(k -> k.trace.start().sentUs() > 1_002 * SECOND)
+                .mapToDouble(k -> k.verdict.weight())
+                .sum();
         assertEquals(sent - 2_000, stands, 0.15 * sent);
         assertTrue(tracer.counts().dropped() > 0);
     }
@@ -250,8 +256,10 @@
 
     /** The weights are true whatever the rate of arrivals, as long as it does not rise. */
     @Property(seed = "23", tries = 40)
-    void weightsStandForWhatArrived(@ForAll @IntRange(min = 5, max = 2_000) int perSecond,
-                                    @ForAll @IntRange(min = 5, max = 200) int rate, @ForAll long seed) {
+    void weightsStandForWhatArrived(
+            @ForAll @IntRange(min = 5, max = 2_000) int perSecond,
+            @ForAll @IntRange(min = 5, max = 200) int rate,
+            @ForAll long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         long at = 7 * SECOND;
         Thinner thinner = new Thinner(rate, at);
@@ -286,9 +294,14 @@
     /** Whatever goes wrong in here, its caller goes on and nothing is tried again. */
     @Test
     void aFaultTurnsItOff() {
-        Tracer tracer = new Tracer(ALL, () -> now, 5, (t, v) -> {
-            throw new IllegalStateException("as the test wants");
-        }, broken::add);
+        Tracer tracer = new Tracer(
+                ALL,
+                () -> now,
+                5,
+                (t, v) -> {
+                    throw new IllegalStateException("as the test wants");
+                },
+                broken::add);
         Trace t = begin(tracer, null, "c", null);
         assertNotNull(t);
         Trace other = begin(tracer, null, "c", null);
--- a/src/test/java/rushproxy/trace/export/FileSinkTest.java
+++ b/src/test/java/rushproxy/trace/export/FileSinkTest.java
@@ -32,12 +32,22 @@
 
     private static List<SpanData> spans(String id) {
         List<SpanData> spans = new ArrayList<>();
-        Tracer tracer = new Tracer(new Sampling(9, 9, 9, 1, Set.of(), 0, 0), () -> 1_000_000, 5, (t, v) -> { }, e -> {
+        Tracer tracer = new Tracer(new Sampling(9, 9, 9, 1, Set.of(), 0, 0), () -> 1_000_000, 5, (t, v) -> {}, e -> {
             throw e;
         });
-        SpanContext parent = SpanContext.parse(List.of("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"), List.of("b=1,a=2"));
-        Trace t = tracer.begin(parent, new Tracer.Start(new Request(id, 0, false, false, 0, 1, "t", "c"), Semantics.SAFE, "http",
-                null, false, 1, 900_000, 0));
+        SpanContext parent = SpanContext.parse(
+                List.of("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"), List.of("b=1,a=2"));
+        Trace t = tracer.begin(
+                parent,
+                new Tracer.Start(
+                        new Request(id, 0, false, false, 0, 1, "t", "c"),
+                        Semantics.SAFE,
+                        "http",
+                        null,
+                        false,
+                        1,
+                        900_000,
+                        0));
         t.tried("u0");
         t.ended(0, Outcome.TIMEOUT, 1_000_000, true, null);
         t.answered(Trace.How.FAILED, 0);
@@ -66,9 +76,15 @@
             lines.addAll(Files.readAllLines(folder.resolve(name)));
         }
         for (int i = 0; i < lines.size(); i++) {
-            Json spans = Json.parse(lines.get(i).getBytes()).objects("resourceSpans").get(0).objects("scopeSpans").get(0);
+            Json spans = Json.parse(lines.get(i).getBytes())
+                    .objects("resourceSpans")
+                    .get(0)
+                    .objects("scopeSpans")
+                    .get(0);
             assertEquals(2, spans.objects("spans").size());
-            assertEquals("4bf92f3577b34da6a3ce929d0e0e4736", spans.objects("spans").get(0).text("traceId"));
+            assertEquals(
+                    "4bf92f3577b34da6a3ce929d0e0e4736",
+                    spans.objects("spans").get(0).text("traceId"));
             assertEquals("b=1,a=2", spans.objects("spans").get(0).text("traceState"));
             assertTrue(lines.get(i).contains("\"r" + (30 - lines.size() + i) + "\""), "in their order");
         }
--- a/src/test/java/rushproxy/trace/read/StoriesTest.java
+++ b/src/test/java/rushproxy/trace/read/StoriesTest.java
@@ -19,7 +19,8 @@
     Path folder;
 
     private static String span(String id, String parent, long startMs, long endMs, String attributes, String events) {
-        return "{\"traceId\":\"" + TRACE + "\",\"spanId\":\"" + id + "\",\"parentSpanId\":\"" + parent + "\",\"name\":\"x\",\"kind\":2,"
+        return "{\"traceId\":\"" + TRACE + "\",\"spanId\":\"" + id + "\",\"parentSpanId\":\"" + parent
+                + "\",\"name\":\"x\",\"kind\":2,"
                 + "\"startTimeUnixNano\":\"" + startMs * 1_000_000 + "\",\"endTimeUnixNano\":\"" + endMs * 1_000_000
                 + "\",\"attributes\":[" + attributes + "],\"events\":[" + events + "]}";
     }
@@ -29,20 +30,35 @@
     }
 
     private static String request(String id, String answer, String reason, int weight, long startMs, long endMs) {
-        return span("r" + id, "", startMs, endMs, text("request.id", id) + "," + text("class", "confirm") + "," + text("answer", answer)
-                + ",{\"key\":\"bridgecleat.weight\",\"value\":{\"doubleValue\":" + weight + "}}"
-                + ",{\"key\":\"bridgecleat.reasons\",\"value\":{\"arrayValue\":{\"values\":[{\"stringValue\":\"" + reason + "\"}]}}}", "");
+        return span(
+                "r" + id,
+                "",
+                startMs,
+                endMs,
+                text("request.id", id) + "," + text("class", "confirm") + "," + text("answer", answer)
+                        + ",{\"key\":\"bridgecleat.weight\",\"value\":{\"doubleValue\":" + weight + "}}"
+                        + ",{\"key\":\"bridgecleat.reasons\",\"value\":{\"arrayValue\":{\"values\":[{\"stringValue\":\""
+                        + reason + "\"}]}}}",
+                "");
     }
 
     private static String attempt(String of, int number, String upstream, String outcome, long startMs, long endMs) {
-        return span("a" + of + number, "r" + of, startMs, endMs, text("attempt", "" + number) + "," + text("upstream", upstream) + ","
-                + text("outcome", outcome) + "," + text("may_have_run", "true"),
+        return span(
+                "a" + of + number,
+                "r" + of,
+                startMs,
+                endMs,
+                text("attempt", "" + number) + "," + text("upstream", upstream) + "," + text("outcome", outcome) + ","
+                        + text("may_have_run", "true"),
                 "{\"name\":\"written\",\"timeUnixNano\":\"" + (startMs + 2) * 1_000_000 + "\"}");
     }
 
     private Path file(String name, String service, String... spans) throws Exception {
-        return Files.writeString(folder.resolve(name), "{\"resourceSpans\":[{\"resource\":{\"attributes\":[{\"key\":\"service.name\","
-                + "\"value\":{\"stringValue\":\"" + service + "\"}}]},\"scopeSpans\":[{\"spans\":[" + String.join(",", spans) + "]}]}]}\n");
+        return Files.writeString(
+                folder.resolve(name),
+                "{\"resourceSpans\":[{\"resource\":{\"attributes\":[{\"key\":\"service.name\","
+                        + "\"value\":{\"stringValue\":\"" + service + "\"}}]},\"scopeSpans\":[{\"spans\":["
+                        + String.join(",", spans) + "]}]}]}\n");
     }
 
     private Stories stories(Path... files) throws Exception {
@@ -70,39 +86,68 @@
             spans.add(attempt("flood" + i, 0, "n3", "ok", 3_005, 3_398));
         }
         spans.add(request("refused", "refused", "refused", 1, 4_000, 4_150));
-        List<Causes.Cause> causes = Causes.of(stories(file("a", "s", spans.toArray(String[]::new))).all());
+        List<Causes.Cause> causes =
+                Causes.of(stories(file("a", "s", spans.toArray(String[]::new))).all());
         assertEquals(3, causes.size());
         Causes.Cause flood = causes.get(0);
-        assertEquals("slow NODE n3 150 3", flood.reason() + " " + flood.phase() + " " + flood.where() + " " + (int) flood.requests()
-                + " " + flood.kept());
+        assertEquals(
+                "slow NODE n3 150 3",
+                flood.reason() + " " + flood.phase() + " " + flood.where() + " " + (int) flood.requests() + " "
+                        + flood.kept());
         assertEquals(391, flood.ms(), 0.01);
         assertEquals(16, flood.usualMs(), 0.01);
-        assertTrue(causes.stream().anyMatch(c -> c.toString().contains("250 ms lost on attempts that came to nothing n7 (timeout)")));
-        assertTrue(causes.stream().anyMatch(c -> c.reason().equals("refused") && c.toString().contains("150 ms waited in the sidecar")));
+        assertTrue(causes.stream()
+                .anyMatch(c -> c.toString().contains("250 ms lost on attempts that came to nothing n7 (timeout)")));
+        assertTrue(causes.stream()
+                .anyMatch(c -> c.reason().equals("refused") && c.toString().contains("150 ms waited in the sidecar")));
     }
 
     /** Phases add up to the request's time, however its attempts lie. */
     @Test
     void phasesAddUp() throws Exception {
-        Stories all = stories(file("a", "s", request("x", "served", "hedged", 1, 0, 100), attempt("x", 0, "n0", "cancelled", 10, 80),
-                attempt("x", 1, "n1", "ok", 30, 80), request("y", "failed", "failed", 1, 0, 100),
-                attempt("y", 0, "n0", "reset", 5, 20), attempt("y", 1, "n1", "timeout", 40, 140), request("z", "left", "left", 1, 0, 100),
+        Stories all = stories(file(
+                "a",
+                "s",
+                request("x", "served", "hedged", 1, 0, 100),
+                attempt("x", 0, "n0", "cancelled", 10, 80),
+                attempt("x", 1, "n1", "ok", 30, 80),
+                request("y", "failed", "failed", 1, 0, 100),
+                attempt("y", 0, "n0", "reset", 5, 20),
+                attempt("y", 1, "n1", "timeout", 40, 140),
+                request("z", "left", "left", 1, 0, 100),
                 attempt("z", 0, "n0", "ok", 5, 400)));
         for (Story s : all.all()) {
-            assertEquals(100_000_000, s.phases().values().stream().mapToLong(l -> l).sum(), s.phases().toString());
+            assertEquals(
+                    100_000_000,
+                    s.phases().values().stream().mapToLong(l -> l).sum(),
+                    s.phases().toString());
         }
         String lines = String.join("\n", Waterfall.of(all.named(TRACE)));
-        assertTrue(lines.contains("10 ms waited in the sidecar, 20 ms lost on attempts that came to nothing, 2 ms took to be sent, "
-                + "48 ms at the node, 20 ms on the way back"), lines);
+        assertTrue(
+                lines.contains(
+                        "10 ms waited in the sidecar, 20 ms lost on attempts that came to nothing, 2 ms took to be sent, "
+                                + "48 ms at the node, 20 ms on the way back"),
+                lines);
         assertTrue(lines.contains("outlived its answer"), lines);
-        assertTrue(lines.contains("5 ms waited in the sidecar, 75 ms lost on attempts that came to nothing, 20 ms waited between"), lines);
+        assertTrue(
+                lines.contains(
+                        "5 ms waited in the sidecar, 75 ms lost on attempts that came to nothing, 20 ms waited between"),
+                lines);
     }
 
     /** A node's clock is a second off: its span hangs where it must have been, with a word, and work may outlive its attempt. */
     @Test
     void aNodesClockIsSetRight() throws Exception {
-        Path sidecar = file("a", "sidecar", request("x", "served", "slow", 1, 10_000, 10_100), attempt("x", 0, "n0", "ok", 10_010, 10_090));
-        Path node = file("b", "node", span("w1", "ax0", 11_020, 11_060, "", ""), span("w2", "w1", 11_030, 11_040, "", ""),
+        Path sidecar = file(
+                "a",
+                "sidecar",
+                request("x", "served", "slow", 1, 10_000, 10_100),
+                attempt("x", 0, "n0", "ok", 10_010, 10_090));
+        Path node = file(
+                "b",
+                "node",
+                span("w1", "ax0", 11_020, 11_060, "", ""),
+                span("w2", "w1", 11_030, 11_040, "", ""),
                 span("w3", "ax0", 10_020, 10_300, "", ""));
         Stories all = stories(sidecar, node, node);
         List<String> lines = Waterfall.of(all.named("x"));
@@ -115,7 +160,11 @@
     @Test
     void aBrokenLineIsNamedAndOneThatIsBeingWrittenIsLeftOut() throws Exception {
         String good = Files.readString(file("a", "s", request("x", "served", "slow", 1, 0, 100)));
-        assertEquals(1, stories(Files.writeString(folder.resolve("torn"), good + "{\"resourceSpans\":[{\"sco")).all().size());
+        assertEquals(
+                1,
+                stories(Files.writeString(folder.resolve("torn"), good + "{\"resourceSpans\":[{\"sco"))
+                        .all()
+                        .size());
         Path broken = Files.writeString(folder.resolve("broken"), good + "{\"resourceSpans\":[{\"sco\n");
         SpanFiles.Broken e = assertThrows(SpanFiles.Broken.class, () -> stories(broken));
         assertTrue(e.getMessage().startsWith(broken + ":2: no line of OTLP"), e.getMessage());
--- a/src/test/java/rushproxy/wire/SimHostTest.java
+++ b/src/test/java/rushproxy/wire/SimHostTest.java
@@ -24,8 +24,9 @@
     private void run(String input) throws Exception {
         ByteArrayOutputStream o = new ByteArrayOutputStream();
         ByteArrayOutputStream e = new ByteArrayOutputStream();
-        code = new SimHost(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), o,
-                new PrintStream(e, true)).run();
+        code = new SimHost(
+                        new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), o, new PrintStream(e, true))
+                .run();
         out = o.toString(StandardCharsets.UTF_8);
         err = e.toString(StandardCharsets.UTF_8);
     }
@@ -48,8 +49,8 @@
     @Test
     void closingOnADrainAndAWordToOnePeerAreWritten() throws Exception {
         for (boolean set : new boolean[] {true, false}) {
-            String start = set ? START.replace("new.key=1",
-                    "rules.close_on_drain_within_us=500000 limits.peers=true") : START;
+            String start =
+                    set ? START.replace("new.key=1", "rules.close_on_drain_within_us=500000 limits.peers=true") : START;
             run(start + "MARK 2000\nINSTANCE sidecar-0\nACCEPT 0f - 0 0 - 800000 - c\nEND\n"
                     + "MARK 9000\nINSTANCE sidecar-0\nREPORT_BACK 0f 0 up_a GOOD 7000 1 0,1\nEND\n"
                     + "MARK 10000\nPAGE 4 1\nROW z up_a k 0 - 1 2\nINSTANCE sidecar-0\nANNOUNCE 2 2 4\n"
--- a/src/test/java/rushproxy/zones/GuidedTest.java
+++ b/src/test/java/rushproxy/zones/GuidedTest.java
@@ -28,8 +28,8 @@
 /** The real module with zones beside it: what a client that asks again is told of a key that may have run. */
 class GuidedTest implements Balancer.Actions {
     private static final long SECOND = 1_000_000, START = 1_000_000 * SECOND;
-    private static final RequestClass CONFIRM = new RequestClass("k", Semantics.KEYED, Group.ZONE, 4 * SECOND, 300_000, 0, 800_000, 9, 0,
-            false);
+    private static final RequestClass CONFIRM =
+            new RequestClass("k", Semantics.KEYED, Group.ZONE, 4 * SECOND, 300_000, 0, 800_000, 9, 0, false);
 
     private final List<String> done = new ArrayList<>();
     private long now = START;
@@ -43,12 +43,31 @@
     }
 
     private void restart() {
-        Settings settings = new Settings(0, 1, "a", List.of("a", "b"), List.of("x"), List.of(CONFIRM), List.of(),
+        Settings settings = new Settings(
+                0,
+                1,
+                "a",
+                List.of("a", "b"),
+                List.of("x"),
+                List.of(CONFIRM),
+                List.of(),
                 new Limits(4, false, true, false, false, true, 1_000_000, 15_000_000, 0),
-                new Rules(500_000, 0.13, 24 * SECOND, 3, SECOND, 10 * SECOND, 5_000, 0), Reports.NONE, false, false, 0.1,
-                new Prices(0, 0, 0, 0, 0), 1_000);
-        Options options = new Options(List.of(), Set.of(), 1.4, 0.3, 5, 2 * SECOND, 500_000, 15 * SECOND, 100, 60 * SECOND);
-        guided = new Guided(options, settings, 3, now, this, (guide, hands) -> new Policy(settings, guide, rushproxy.Others.SILENT, 3, now, hands));
+                new Rules(500_000, 0.13, 24 * SECOND, 3, SECOND, 10 * SECOND, 5_000, 0),
+                Reports.NONE,
+                false,
+                false,
+                0.1,
+                new Prices(0, 0, 0, 0, 0),
+                1_000);
+        Options options =
+                new Options(List.of(), Set.of(), 1.4, 0.3, 5, 2 * SECOND, 500_000, 15 * SECOND, 100, 60 * SECOND);
+        guided = new Guided(
+                options,
+                settings,
+                3,
+                now,
+                this,
+                (guide, hands) -> new Policy(settings, guide, rushproxy.Others.SILENT, 3, now, hands));
         list("a1", "b1");
     }
 
--- a/src/test/java/rushproxy/zones/LedgerTest.java
+++ b/src/test/java/rushproxy/zones/LedgerTest.java
@@ -44,7 +44,8 @@
         assertTrue(ledger.hopeless(4 * SECOND, ZONED, "k"));
         // Another key, and another class's same key, are others.
         assertTrue(ledger.allows(SECOND, ZONED, "other", B1));
-        assertFalse(ledger.mayHaveRun(new RequestClass("x", Semantics.KEYED, Group.ZONE, SECOND, 1, 0, 1, 1, 0, false), "k"));
+        assertFalse(ledger.mayHaveRun(
+                new RequestClass("x", Semantics.KEYED, Group.ZONE, SECOND, 1, 0, 1, 1, 0, false), "k"));
     }
 
     @Test
--- a/src/test/java/rushproxy/zones/ZoneStateTest.java
+++ b/src/test/java/rushproxy/zones/ZoneStateTest.java
@@ -197,12 +197,16 @@
         assertArrayEquals(new double[] {1, 0, 0}, Preference.parts(new double[] {0.75, 1, 1}, size, 1.4, 0.3), 1e-9);
         assertArrayEquals(new double[] {0.7, 0.3, 0}, Preference.parts(new double[] {0.5, 1, 1}, size, 1.4, 0.3), 1e-9);
         assertArrayEquals(new double[] {0, 1, 0}, Preference.parts(new double[] {0, 1, 1}, size, 1.4, 0.3), 1e-9);
-        assertArrayEquals(new double[] {1 / 3.0, 1 / 3.0, 1 / 3.0}, Preference.parts(new double[] {0.25, 0, 0}, size, 1.4, 0.3), 1e-9);
+        assertArrayEquals(
+                new double[] {1 / 3.0, 1 / 3.0, 1 / 3.0},
+                Preference.parts(new double[] {0.25, 0, 0}, size, 1.4, 0.3),
+                1e-9);
     }
 
     /** Whatever is available, the parts are parts, and a little less of a tier takes only a little from it. */
     @Property(seed = "29", tries = 1_000)
-    void partsSumToOneAndAreSmooth(@ForAll @DoubleRange(min = 0.2, max = 1) double a, @ForAll @DoubleRange(min = 0.2, max = 1) double b) {
+    void partsSumToOneAndAreSmooth(
+            @ForAll @DoubleRange(min = 0.2, max = 1) double a, @ForAll @DoubleRange(min = 0.2, max = 1) double b) {
         int[] size = {3, 5};
         double[] parts = Preference.parts(new double[] {a, b}, size, 1.4, 0.1);
         assertEquals(1, parts[0] + parts[1], 1e-9);
