A change of the list is known 6 s after discovery can be reached, whatever calls failed

By reading: pauses grow to 1.5 times half of ask_every, 7.5 s at 10 s, and the call behind a failed one waited up to 20 s for a change. Checked: the watch alone holds (RegistryWatchTest); the sum with Policy.listAnswered does not. Change: pauses of 2 s in the mean at most, a failed call's own time counts towards its pause, the call behind a failure waits for no change. Where lists are pushed nothing changes. Measured: 3,200 drawn sequences hold; on the parent the test is red. On one core green.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -60,7 +60,8 @@
     /** Second copies for this part of the requests, and most saved up for a bad moment: they cost. */
     private static final double COPIES = 0.05, COPIES_MOST = 10;
 
-    private static final long ASK_FIRST_US = 500_000;
+    /** Mean pauses between calls to discovery that fail: a change is known 6 s after it can be reached. */
+    private static final long ASK_FIRST_US = 500_000, ASK_MOST_US = 2_000_000;
     /** A probe not answered for this long may be sent again. */
     private static final long PROBE_US = 100_000;
     /** Draws in want of room before all are looked through; pairs asked before a short queue will do. */
@@ -110,7 +111,7 @@
         home = Math.max(0, cfg.zones().indexOf(cfg.zone()));
         rateAt = startedAt = now;
         solvedAt = now - RESOLVE_US;
-        if (cfg.discoveryOnRequest()) ask();
+        if (cfg.discoveryOnRequest()) ask(now);
     }
 
     @Override
@@ -481,9 +482,8 @@
     /** When any server last told its load. */
     private long wordAt = Long.MIN_VALUE / 2;
 
-    /** Many sidecars see too little of the fleet themselves: both of a pair are asked for their load. A free
-     * core takes the request; after some pairs without, the less busy with room. One without an answer by the
-     * next sweep loses. One that {@code told} of a free core just now takes what found none. */
+    /** Both of a pair are asked for their load. A free core takes the request, later the less busy does; one
+     * with no answer by the next sweep loses. One that {@code told} of a free core takes what found none. */
     private Server sampled(long now, Req r, Server turn) {
         if (told != null && r.pairs > 0 && hasRoom(now, r, told, true)) {
             r.first = null;
@@ -1019,7 +1019,7 @@
                 sweepLater();
             }
             case "tell" -> tell(now);
-            case "ask" -> ask();
+            case "ask" -> ask(now);
             default -> {
                 Req r = open.get(mark.substring(mark.indexOf(':') + 1));
                 if (mark.startsWith(LATE)) late(now, r);
@@ -1030,22 +1030,25 @@
 
     // ---- discovery ------------------------------------------------------------------------------
     private boolean subscribed, asking;
-    private long askDelay = ASK_FIRST_US; // Jittered: who failed together asks apart.
+    private long discoveryAskedAt, askDelay = ASK_FIRST_US; // Jittered: who failed together asks apart.
 
-    private void ask() {
+    private void ask(long now) {
         if (!asking && !subscribed) {
             asking = true;
+            discoveryAskedAt = now;
             out.subscribe();
         }
     }
 
     private void listAnswered(long now, ListKind kind) {
         if (!cfg.discoveryOnRequest() || kind == ListKind.CACHED) return;
+        long spent = asking ? now - discoveryAskedAt : 0; // A call's own time counts towards the pause.
         asking = false;
         subscribed = kind != ListKind.FAILED;
-        if (!subscribed) out.timer("ask", askDelay / 2 + random.nextLong(askDelay));
-        boolean plain = subscribed || cfg.rules().askEveryUs() <= 0;
-        askDelay = plain ? ASK_FIRST_US : Math.min(askDelay * 2, cfg.rules().askEveryUs() / 2 + 1);
+        long pause = subscribed ? 0 : askDelay / 2 + random.nextLong(askDelay);
+        if (!subscribed) out.timer("ask", Math.max(pause - spent, Math.min(pause, ASK_FIRST_US) / 2));
+        long most = Math.max(ASK_FIRST_US, Math.min(ASK_MOST_US, cfg.rules().askEveryUs() / 2));
+        askDelay = subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, most);
     }
 
     // ---- peers ----------------------------------------------------------------------------------
--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -28,7 +28,7 @@
     /** Between calls to an agent that fail at once: what it has when it is back counts as told at once, and it costs nobody anything. */
     private static final long AGENT_US = 150_000;
     /** Between calls of a watch that goes on by itself: where discovery is down, a fleet must not rush it. */
-    private static final long AGAIN_US = 1_000_000, AGAIN_MOST_US = 8_000_000;
+    private static final long AGAIN_US = 1_000_000, AGAIN_MOST_US = 2_000_000;
     /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
     private static final long PACE_MS = 100;
 
@@ -66,8 +66,8 @@
 
     /**
      * @param pushed      nobody asks, so the watch goes on by itself from its start
-     * @param unconfirmed the list that it goes on from is in doubt: the first call waits for no change, so that discovery's
-     *                    word, be it that nothing changed, is heard at once
+     * @param unconfirmed the list that it goes on from is in doubt, as after each failure: the first call waits for no change,
+     *                    so that discovery's word, be it that nothing changed, is heard at once
      */
     public RegistryWatch(
             Timers timers,
@@ -190,6 +190,8 @@
         // What may still come on it answers a call that is over.
         calls.hangUp();
         asked = false;
+        // The next call waits for no change: one that hangs while discovery comes back would be found silent too late.
+        unconfirmed |= !pushed;
         if (!pushed || !saidSo) {
             saidSo = true;
             Log.event("discovery.failed", "a call to discovery failed: " + why, "why", why);
