--- a/src/main/java/rushproxy/accord/Leader.java
+++ b/src/main/java/rushproxy/accord/Leader.java
@@ -57,7 +57,7 @@
         // A later process may not know which ballots an earlier one has used.
         ballot = (above / ROUND + 1) * ROUND + (own.lives().get(me).count() % (ROUND / MOST)) * MOST + me;
         promises = new Word.Promise[group.voters()];
-        accepts = new List[group.voters()];
+        accepts = (List<Life>[]) new List<?>[group.voters()];
     }
 
     private Leader(Leader o) {
@@ -239,7 +239,7 @@
 
     @SuppressWarnings("unchecked")
     private void promised(Voter.Out out) {
-        List<Life>[] lives = new List[promises.length];
+        List<Life>[] lives = (List<Life>[]) new List<?>[promises.length];
         for (int v = 0; v < lives.length; v++) {
             lives[v] = promises[v] == null ? null : promises[v].lives();
         }
--- a/src/main/java/rushproxy/http1/ClientServer.java
+++ b/src/main/java/rushproxy/http1/ClientServer.java
@@ -83,7 +83,7 @@
     public InetSocketAddress listen(InetSocketAddress address, boolean shared) throws InterruptedException {
         listener = (Door) Listening.tcp(loop, Door::new, 256, shared, address, this::accepted);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return (InetSocketAddress) listener.localAddress();
+        return listener.localAddress();
     }
 
     /** Not ready from now on. The first request that is taken all the same is told to {@code cut}. */
--- a/src/test/java/rushproxy/trace/SpanContextTest.java
+++ b/src/test/java/rushproxy/trace/SpanContextTest.java
@@ -121,6 +121,7 @@
                                 Map.of("traceparent", header),
                                 new TextMapGetter<Map<String, String>>() {
                                     @Override
+                                    @SuppressWarnings("deprecation") // The interface has no other yet that is abstract.
                                     public Iterable<String> keys(Map<String, String> of) {
                                         return of.keySet();
                                     }
