A scale run to 2,100 hollow sidecars, and docs/CAPACITY.md from its slopes

Need: what control costs at the size that is coming was known from virtual time and by reading alone. Change: rushproxy.scale (hollow sidecars with the real control code on loopback sockets, voters in processes of their own, faults where a datagram arrives, lines with residuals, the page's table made of recorded slopes), chains of real sidecars in measure, bench/scale.sh, pages. Off in run: no class of it is reached by what serves (ArchitectureTest, widened to it). A first full run and the first test run hung and were ended: a voter stopped by SIGSTOP never answers the run's own question. Voters are killed now, answers are waited for 60 s at most, and the test is bounded.

--- a/src/main/java/rushproxy/accord/Accord.java
+++ b/src/main/java/rushproxy/accord/Accord.java
@@ -117,6 +117,11 @@
         return dropped;
     }
 
+    /** The number under which this content is agreed on: the same everywhere, another one for other bytes. */
+    public static long version(byte[] content) {
+        return Contents.version(content);
+    }
+
     /** What this version says; null where it is not here. */
     public byte[] content(long version) {
         return contents.get(version);
--- /dev/null
+++ b/src/main/java/rushproxy/measure/SidecarFootprint.java
@@ -0,0 +1,39 @@
+package rushproxy.measure;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import rushproxy.scale.ProcessMemory;
+import rushproxy.sidecar.CpuTime;
+import rushproxy.standin.Shape;
+import rushproxy.standin.SidecarProcess;
+import rushproxy.standin.World;
+
+/**
+ * What a real sidecar, started as {@code run} starts it, takes without requests.
+ *
+ * @param residentKb memory that is in the machine, kilobytes
+ * @param cores      parts of a core
+ */
+public record SidecarFootprint(long residentKb, double cores) {
+    /** With so many upstreams on its list, over so many milliseconds. */
+    public static SidecarFootprint measure(int upstreams, long windowMs) throws Exception {
+        try (World world = new World(Shape.SMALL)) {
+            world.nodes(upstreams);
+            Map<String, Object> list =
+                    World.list(40, world.nodes().stream().map(World.Listed::of).toList());
+            SidecarProcess sidecar = world.sidecar(1, list, null);
+            world.ready(sidecar.address()).get(60, java.util.concurrent.TimeUnit.SECONDS);
+            Thread.sleep(windowMs / 2);
+            String pid = String.valueOf(sidecar.process().pid());
+            long before = cpuMs(pid);
+            Thread.sleep(windowMs);
+            long used = cpuMs(pid) - before;
+            return new SidecarFootprint(ProcessMemory.residentKb(pid), (double) used / windowMs);
+        }
+    }
+
+    private static long cpuMs(String pid) throws Exception {
+        return CpuTime.ms(Files.readString(Path.of("/proc", pid, "stat")));
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/scale/CapacityTable.java
@@ -0,0 +1,292 @@
+package rushproxy.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** What each role bears at the target, from recorded slopes and plain arithmetic, beside its budget. Pure. */
+public final class CapacityTable {
+    /** A row is over its budget from this ratio on. */
+    private static final double OVER = 1;
+    /** From here on a ratio is told without its hundredths, and a number as a power of ten. */
+    private static final double LARGE = 1_000, HUGE = 1e9;
+
+    /** First line and rule of the table. */
+    static final String HEAD = "| role | what | at 2,100 | budget | ratio | from | carried by |\n"
+            + "| --- | --- | --- | --- | --- | --- | --- |\n";
+
+    /**
+     * @param value     at the target
+     * @param budget    in the same unit
+     * @param from      the figures it is made of, with how
+     * @param mechanism the package that carries it, or what is missing
+     */
+    record Row(String role, String what, double value, double budget, String unit, String from, String mechanism) {
+        double ratio() {
+            return value / budget;
+        }
+
+        String markdown() {
+            return String.format(
+                    Locale.ROOT,
+                    "| %s | %s | %s | %s | %s | %s | %s |\n",
+                    role,
+                    what,
+                    (number(value) + " " + unit).trim(),
+                    number(budget),
+                    ratio() < LARGE ? String.format(Locale.ROOT, "%.2f", ratio()) : number(ratio()),
+                    from,
+                    mechanism);
+        }
+
+        private static String number(double n) {
+            if (n >= HUGE) {
+                return String.format(Locale.ROOT, "%.1e", n);
+            }
+            return n >= 100 ? String.format(Locale.ROOT, "%,.0f", n) : String.format(Locale.ROOT, "%.3g", n);
+        }
+    }
+
+    private final Map<Figure, RecordedSlope> slopes;
+
+    private CapacityTable(Map<Figure, RecordedSlope> slopes) {
+        this.slopes = slopes;
+    }
+
+    /** The whole table in Markdown; rows whose figures were not measured are left out. */
+    public static String markdown(Map<Figure, RecordedSlope> slopes) {
+        StringBuilder table = new StringBuilder(HEAD);
+        new CapacityTable(slopes).rows().forEach(row -> table.append(row.markdown()));
+        return table.toString();
+    }
+
+    /** A sentence for each row that is over its budget. */
+    public static List<String> overBudget(Map<Figure, RecordedSlope> slopes) {
+        return new CapacityTable(slopes)
+                .rows().stream()
+                        .filter(row -> row.ratio() > OVER)
+                        .map(row -> String.format(
+                                Locale.ROOT, "%s, %s: %.3g times its budget", row.role, row.what, row.ratio()))
+                        .toList();
+    }
+
+    private double at(Figure figure) {
+        return slopes.get(figure).fit().at(Target.SIDECARS);
+    }
+
+    private boolean has(Figure... figures) {
+        for (Figure figure : figures) {
+            if (!slopes.containsKey(figure)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private List<Row> rows() {
+        List<Row> rows = new ArrayList<>();
+        voter(rows);
+        member(rows);
+        changes(rows);
+        load(rows);
+        sidecar(rows);
+        chain(rows);
+        arithmetic(rows);
+        return rows;
+    }
+
+    private void voter(List<Row> rows) {
+        String flat = "`accord`, flat: missing a control tier";
+        if (has(Figure.VOTER_BYTES, Figure.VOTER_DATAGRAMS)) {
+            double bytes = at(Figure.VOTER_BYTES) + Target.HEADER_BYTES * at(Figure.VOTER_DATAGRAMS);
+            rows.add(new Row(
+                    "voter, itself a sidecar",
+                    "bytes a second at rest, with headers",
+                    bytes,
+                    Target.CONTROL_BYTES,
+                    "B/s",
+                    "voter-bytes + 28 voter-datagrams",
+                    flat));
+        }
+        if (has(Figure.VOTER_CORES)) {
+            rows.add(new Row(
+                    "voter, itself a sidecar",
+                    "processor at rest",
+                    at(Figure.VOTER_CORES),
+                    Target.CONTROL_CORES,
+                    "cores",
+                    "voter-cores",
+                    flat));
+        }
+    }
+
+    private void member(List<Row> rows) {
+        if (has(Figure.MEMBER_BYTES, Figure.MEMBER_DATAGRAMS)) {
+            double bytes = at(Figure.MEMBER_BYTES) + Target.HEADER_BYTES * at(Figure.MEMBER_DATAGRAMS);
+            rows.add(new Row(
+                    "sidecar, leases",
+                    "bytes a second at rest, with headers",
+                    bytes,
+                    Target.CONTROL_BYTES,
+                    "B/s",
+                    "member-bytes + 28 member-datagrams",
+                    "`accord`"));
+        }
+        if (has(Figure.MEMBER_CORES)) {
+            rows.add(new Row(
+                    "sidecar, leases",
+                    "processor at rest",
+                    at(Figure.MEMBER_CORES),
+                    Target.CONTROL_CORES,
+                    "cores",
+                    "member-cores",
+                    "`accord`"));
+        }
+        if (has(Figure.MEMBER_HEAP)) {
+            rows.add(new Row(
+                    "sidecar, leases",
+                    "heap, its part of a host of 525",
+                    at(Figure.MEMBER_HEAP),
+                    Target.CONTROL_KB,
+                    "KB",
+                    "member-heap",
+                    "`accord`"));
+        }
+    }
+
+    private void changes(List<Row> rows) {
+        if (has(Figure.START)) {
+            rows.add(new Row(
+                    "all sidecars",
+                    "all start at once: the last is sure",
+                    at(Figure.START),
+                    Target.START_MS,
+                    "ms",
+                    "start",
+                    "`accord`"));
+        }
+        if (has(Figure.CHANGE)) {
+            rows.add(new Row(
+                    "all sidecars",
+                    "a change, nobody away",
+                    at(Figure.CHANGE),
+                    Target.CHANGE_MS,
+                    "ms",
+                    "change",
+                    "`accord`"));
+        }
+        if (has(Figure.CHANGE_ONE_AWAY)) {
+            double oneAway = at(Figure.CHANGE_ONE_AWAY);
+            rows.add(new Row(
+                    "all sidecars",
+                    "a change, one sidecar away",
+                    oneAway,
+                    Target.CHANGE_MS,
+                    "ms",
+                    "change-one-away",
+                    "`accord`"));
+            rows.add(new Row(
+                    "all sidecars",
+                    "a second change right behind it",
+                    2 * oneAway,
+                    Target.CHANGE_MS,
+                    "ms",
+                    "2 change-one-away",
+                    "missing: scopes by service"));
+        }
+    }
+
+    private void load(List<Row> rows) {
+        if (!has(Figure.LOAD_MESSAGES, Figure.LOAD_BYTES)) {
+            return;
+        }
+        double messages = slopes.get(Figure.LOAD_MESSAGES).fit().at(Target.LOAD_MESSAGE_SIDECARS);
+        double bytes = slopes.get(Figure.LOAD_BYTES).fit().at(Target.LOAD_MESSAGE_SIDECARS) + Target.HEADER_BYTES;
+        rows.add(new Row(
+                "sidecar, load messages",
+                "bytes a second in and out, if sent as at 300 sidecars",
+                2 * Target.requestsASecond() * messages * bytes,
+                Target.CONTROL_BYTES,
+                "B/s",
+                "2 x 47.6 load-messages x (load-bytes + 28)",
+                "`fleet.Holdings`: missing a budget in bytes"));
+    }
+
+    private void sidecar(List<Row> rows) {
+        if (has(Figure.SIDECAR_RESIDENT)) {
+            rows.add(new Row(
+                    "sidecar, list",
+                    "memory for 2,100 upstreams",
+                    slopes.get(Figure.SIDECAR_RESIDENT).fit().slope() * Target.SIDECARS,
+                    Target.CONTROL_KB,
+                    "KB",
+                    "2,100 x slope of sidecar-resident",
+                    "`membership`"));
+        }
+        if (has(Figure.SIDECAR_CORES)) {
+            rows.add(new Row(
+                    "sidecar, list",
+                    "processor without requests",
+                    at(Figure.SIDECAR_CORES),
+                    Target.CONTROL_CORES,
+                    "cores",
+                    "sidecar-cores",
+                    "`membership`, `sidecar`"));
+        }
+    }
+
+    private void chain(List<Row> rows) {
+        if (has(Figure.CHAIN_ADDED_P99)) {
+            rows.add(new Row(
+                    "sidecar, data path",
+                    "added to a call, 99 in 100, chains of 8 and less",
+                    slopes.get(Figure.CHAIN_ADDED_P99).fit().slope(),
+                    Target.ADDED_US,
+                    "us",
+                    "slope of chain-added-p99",
+                    "`http1`, `core`"));
+        }
+        if (has(Figure.CHAIN_ATTEMPTS_LOG)) {
+            double attempts =
+                    Math.exp(slopes.get(Figure.CHAIN_ATTEMPTS_LOG).fit().at(Target.DEPTH));
+            rows.add(new Row(
+                    "chain, 20 deep",
+                    "attempts at a failing last hop for each request",
+                    attempts,
+                    Target.ATTEMPTS,
+                    "",
+                    "exp(chain-attempts-log at 20)",
+                    "missing: a budget of attempts that goes with the call"));
+        }
+    }
+
+    private static void arithmetic(List<Row> rows) {
+        double pairs = (double) Target.SIDECARS * Target.SIDECARS;
+        rows.add(new Row(
+                "sidecar, subsets",
+                "pairs of sidecars and upstreams",
+                pairs,
+                Target.SUBSET_PAIRS,
+                "",
+                "2,100 x 2,100",
+                "`fleet.Circles`: missing subsets by service"));
+        double listBytes = (double) Target.SIDECARS * Target.LIST_ENTRY_BYTES;
+        rows.add(new Row(
+                "sidecar, list",
+                "whole list at a start, spread over 10 s",
+                listBytes / (Target.START_MS / 1e3),
+                Target.CONTROL_BYTES,
+                "B/s",
+                "2,100 x 150 B / 10 s",
+                "`membership.registry`: missing lists by service"));
+        rows.add(new Row(
+                "discovery",
+                "whole lists when all start in 10 s, of a link of 1 Gbit/s",
+                listBytes * Target.SIDECARS / (Target.START_MS / 1e3),
+                125_000_000,
+                "B/s",
+                "2,100 x 2,100 x 150 B / 10 s",
+                "outside; missing lists by service"));
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/scale/HollowHost.java
@@ -0,0 +1,166 @@
+package rushproxy.scale;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import rushproxy.accord.Accord;
+import rushproxy.core.Clock;
+import rushproxy.sidecar.CpuTime;
+
+/**
+ * A process that hosts hollow sidecars of consecutive numbers. It does what its standard input says, a command a line, answers each with one
+ * line, and ends when that input ends: so it leaves nothing behind where whoever started it has died.
+ *
+ * <p>Arguments: name, members, voters, lease in milliseconds, seed, first number, number behind the last. The first line printed has the
+ * ports of its members. Commands: {@code peers ENTRY...} (a port, or the address of a real sidecar), {@code start}, {@code usage},
+ * {@code sure}, {@code propose NUMBER TEXT}, {@code settled TEXT}, {@code silence NUMBER 0|1}, {@code restart NUMBER},
+ * {@code cut FROM UNTIL}, {@code lose PART},
+ * {@code load REQUESTS_A_SECOND}, {@code requests},
+ * {@code heap}, {@code from NUMBER}.
+ */
+public final class HollowHost {
+    private static final int ARGUMENTS = 7;
+
+    private final Fleet fleet;
+    private final EventLoop loop;
+    private final Directory directory;
+    private final Traffic traffic = new Traffic();
+    private final SettledLog settled = new SettledLog();
+    private final Clock clock = new Clock();
+    private final List<HollowSidecar> sidecars = new ArrayList<>();
+    private final int first;
+
+    private HollowHost(Fleet fleet, EventLoop loop, int first, int until) {
+        this.fleet = fleet;
+        this.loop = loop;
+        this.first = first;
+        directory = new Directory(fleet.members(), fleet.seed() + first);
+        for (int number = first; number < until; number++) {
+            sidecars.add(new HollowSidecar(number, fleet, loop, clock, directory, traffic, settled));
+        }
+    }
+
+    /** Hosts sidecars until standard input ends. */
+    public static void main(String[] args) throws Exception {
+        if (args.length != ARGUMENTS) {
+            System.err.println("expected " + ARGUMENTS + " arguments, found " + args.length);
+            System.exit(2);
+        }
+        Fleet fleet = new Fleet(
+                args[0],
+                Integer.parseInt(args[1]),
+                Integer.parseInt(args[2]),
+                Long.parseLong(args[3]) * 1_000,
+                Long.parseLong(args[4]));
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        new HollowHost(fleet, group.next(), Integer.parseInt(args[5]), Integer.parseInt(args[6])).serve();
+        System.exit(0);
+    }
+
+    private void serve() throws Exception {
+        StringBuilder ports = new StringBuilder();
+        for (HollowSidecar sidecar : sidecars) {
+            ports.append(sidecar.open()).append(' ');
+        }
+        System.out.println(ports.toString().trim());
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))) {
+            for (String line; (line = in.readLine()) != null; ) {
+                String command = line;
+                Callable<String> work = () -> answer(command.split(" "));
+                System.out.println(loop.submit(work).get());
+            }
+        }
+    }
+
+    private String answer(String[] words) throws IOException {
+        switch (words[0]) {
+            case "peers" -> learn(words);
+            case "start" -> sidecars.forEach(HollowSidecar::start);
+            case "usage" -> {
+                return usage().line();
+            }
+            case "sure" -> {
+                return String.valueOf(
+                        sidecars.stream().filter(HollowSidecar::sure).count());
+            }
+            case "propose" -> {
+                String refusal = member(words[1]).propose(content(words[2]));
+                return refusal == null ? String.valueOf(clock.now()) : "refused " + refusal;
+            }
+            case "settled" -> {
+                SettledLog.Progress progress = settled.of(Accord.version(content(words[1])));
+                return progress.count() + " " + progress.lastUs();
+            }
+            case "silence" -> member(words[1]).silence(words[2].equals("1"));
+            case "restart" -> member(words[1]).start();
+            case "cut" -> directory.cut(Integer.parseInt(words[1]), Integer.parseInt(words[2]));
+            case "load" -> sidecars.forEach(sidecar -> sidecar.load(Double.parseDouble(words[1])));
+            case "requests" -> {
+                return String.valueOf(
+                        sidecars.stream().mapToLong(HollowSidecar::requests).sum());
+            }
+            case "from" -> {
+                return String.valueOf(traffic.from(Integer.parseInt(words[1])));
+            }
+            case "heap" -> {
+                return String.valueOf(heapKb());
+            }
+            case "lose" -> directory.lose(Double.parseDouble(words[1]));
+            default -> throw new IllegalArgumentException("no command '" + words[0] + "'");
+        }
+        return "ok";
+    }
+
+    private HollowSidecar member(String number) {
+        return sidecars.get(Integer.parseInt(number) - first);
+    }
+
+    private static byte[] content(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void learn(String[] words) throws UnknownHostException {
+        for (int i = 1; i < words.length; i++) {
+            if (words[i].indexOf('.') >= 0) {
+                directory.putReal(i - 1, InetAddress.getByName(words[i]));
+            } else {
+                directory.put(i - 1, new InetSocketAddress("127.0.0.1", Integer.parseInt(words[i])));
+            }
+        }
+    }
+
+    /** Memory in use behind a collection, kilobytes. */
+    private static long heapKb() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return (runtime.totalMemory() - runtime.freeMemory()) / 1024;
+    }
+
+    private Usage usage() throws IOException {
+        return new Usage(
+                clock.now(),
+                CpuTime.ms(),
+                ProcessMemory.residentKb("self"),
+                descriptors(),
+                traffic.datagramsIn(),
+                traffic.datagramsOut(),
+                traffic.bytesIn(),
+                traffic.bytesOut());
+    }
+
+    private static int descriptors() {
+        String[] open = new File("/proc/self/fd").list();
+        return open == null ? -1 : open.length;
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/scale/Target.java
@@ -0,0 +1,42 @@
+package rushproxy.scale;
+
+/** The size that is coming and its budgets, as docs/CAPACITY.md states them. */
+public final class Target {
+    /** Upstreams, each with a sidecar of its own. */
+    public static final int SIDECARS = 2_100;
+    /** Calls a second in the whole fleet. */
+    public static final int CALLS_A_SECOND = 100_000;
+    /** Changes of configuration a day. */
+    public static final int CHANGES_A_DAY = 2_100;
+    /** Until a change is in force everywhere, milliseconds. */
+    public static final double CHANGE_MS = 9_000;
+    /** Until all that start at once are ready, milliseconds. */
+    public static final double START_MS = 10_000;
+    /** Control of a sidecar: part of a core. */
+    public static final double CONTROL_CORES = 0.011;
+    /** Control of a sidecar: kilobytes of memory. */
+    public static final double CONTROL_KB = 32 * 1_024;
+    /** Control of a sidecar: bytes a second in and out, with headers. */
+    public static final double CONTROL_BYTES = 16 * 1_024;
+    /** That a sidecar adds to a call, 99 in 100, microseconds. */
+    public static final double ADDED_US = 1_600;
+    /** Services that a call goes through, one calling the next. */
+    public static final int DEPTH = 20;
+    /** Attempts at a failing last service for each request at the first. */
+    public static final double ATTEMPTS = 1.2;
+    /** IPv4 and UDP headers of a datagram, bytes (RFC 791, RFC 768). */
+    public static final int HEADER_BYTES = 28;
+    /** Sidecars times upstreams up to which {@code fleet.Circles} assigns subsets. */
+    public static final int SUBSET_PAIRS = 100_000;
+    /** Bytes of one upstream in a whole list, as discovery writes it. */
+    public static final int LIST_ENTRY_BYTES = 150;
+    /** Of a sidecar of the largest fleet in which load messages are sent. */
+    public static final int LOAD_MESSAGE_SIDECARS = 300;
+
+    private Target() {}
+
+    /** Requests a second of one sidecar. */
+    public static double requestsASecond() {
+        return (double) CALLS_A_SECOND / SIDECARS;
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/scale/Usage.java
@@ -0,0 +1,77 @@
+package rushproxy.scale;
+
+/**
+ * What one process has used since its start.
+ *
+ * @param atUs         when it was asked, Unix time in microseconds
+ * @param cpuMs        processor time, user and system
+ * @param residentKb   memory that is in the machine, kilobytes
+ * @param descriptors  open descriptors
+ * @param datagramsIn  datagrams received; with {@code datagramsOut}, {@code bytesIn} and {@code bytesOut} without headers
+ */
+public record Usage(
+        long atUs,
+        long cpuMs,
+        long residentKb,
+        int descriptors,
+        long datagramsIn,
+        long datagramsOut,
+        long bytesIn,
+        long bytesOut) {
+    private static final int FIELDS = 8;
+
+    /** As one line of fields apart by spaces. */
+    String line() {
+        return atUs + " " + cpuMs + " " + residentKb + " " + descriptors + " " + datagramsIn + " " + datagramsOut + " "
+                + bytesIn + " " + bytesOut;
+    }
+
+    /** @throws IllegalArgumentException where the line is not what {@link #line} writes */
+    static Usage parse(String line) {
+        String[] fields = line.trim().split(" ");
+        if (fields.length != FIELDS) {
+            throw new IllegalArgumentException("usage of " + fields.length + " fields, " + FIELDS + " wanted: " + line);
+        }
+        long[] values = new long[FIELDS];
+        for (int i = 0; i < FIELDS; i++) {
+            values[i] = Long.parseLong(fields[i]);
+        }
+        return new Usage(values[0], values[1], values[2], (int) values[3], values[4], values[5], values[6], values[7]);
+    }
+
+    /** What was used between an earlier moment and this one; memory and descriptors are those of this one. */
+    public Usage since(Usage earlier) {
+        return new Usage(
+                atUs - earlier.atUs,
+                cpuMs - earlier.cpuMs,
+                residentKb,
+                descriptors,
+                datagramsIn - earlier.datagramsIn,
+                datagramsOut - earlier.datagramsOut,
+                bytesIn - earlier.bytesIn,
+                bytesOut - earlier.bytesOut);
+    }
+
+    /** The use of two processes together, over the longer of their times. */
+    Usage plus(Usage other) {
+        return new Usage(
+                Math.max(atUs, other.atUs),
+                cpuMs + other.cpuMs,
+                residentKb + other.residentKb,
+                descriptors + other.descriptors,
+                datagramsIn + other.datagramsIn,
+                datagramsOut + other.datagramsOut,
+                bytesIn + other.bytesIn,
+                bytesOut + other.bytesOut);
+    }
+
+    /** Parts of one core. */
+    public double cores() {
+        return cpuMs * 1_000.0 / atUs;
+    }
+
+    /** So much of a count in each second. */
+    public double perSecond(long count) {
+        return count * 1e6 / atUs;
+    }
+}
--- a/src/main/java/rushproxy/standin/World.java
+++ b/src/main/java/rushproxy/standin/World.java
@@ -242,9 +242,15 @@
     /** The same with an operator's file, null for none, and an address for operators. */
     public SidecarProcess peered(int of, Map<String, Object> known, Map<String, Object> peers, String operator)
             throws IOException, InterruptedException {
+        return peered(sidecars.size() % of, of, known, peers, operator);
+    }
+
+    /** The same under another number than its place among those started here; {@code me} is below {@code of}. */
+    public SidecarProcess peered(int me, int of, Map<String, Object> known, Map<String, Object> peers, String operator)
+            throws IOException, InterruptedException {
         int number = sidecars.size();
         String name = "s" + number;
-        Map<String, Object> settings = settings(number % of, of, !peers.isEmpty());
+        Map<String, Object> settings = settings(me, of, !peers.isEmpty());
         settings.put("tariffs", Map.of("probe", 0.08, "peer", 0.01));
         Map<String, Object> config = configuration(name, Long.toHexString(0x5eedL + number), known, settings);
         config.putAll(peers);
--- a/src/test/java/rushproxy/ArchitectureTest.java
+++ b/src/test/java/rushproxy/ArchitectureTest.java
@@ -100,7 +100,9 @@
                 Set.of(),
                 reached.stream()
                         .map(JavaClass::getPackageName)
-                        .filter(p -> p.startsWith("rushproxy.standin") || p.startsWith("rushproxy.lab"))
+                        .filter(p -> p.startsWith("rushproxy.standin")
+                                || p.startsWith("rushproxy.lab")
+                                || p.startsWith("rushproxy.scale"))
                         .collect(Collectors.toSet()));
         noClasses()
                 .that(resideOutside(
--- /dev/null
+++ b/src/test/java/rushproxy/scale/ScaleRunTest.java
@@ -0,0 +1,97 @@
+package rushproxy.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import rushproxy.standin.Shape;
+import rushproxy.standin.SidecarProcess;
+import rushproxy.standin.World;
+
+/** Hollow sidecars in several processes on loopback sockets, with faults between them. */
+class ScaleRunTest {
+    private static final int VOTERS = 3;
+    private static final long LEASE_US = 1_000_000;
+    private static final long PATIENCE_US = 60_000_000;
+    /** A hollow sidecar's messages against a real one's, as a part. */
+    private static final double TOLERANCE = 0.25;
+
+    @Test
+    void aChangeReachesAllThatCanBeReachedThroughFaults() throws Exception {
+        int members = 12;
+        try (ScaleRun run = new ScaleRun(members, VOTERS, LEASE_US, 3)) {
+            run.start();
+            assertReached(members, run.change(5, n -> true, PATIENCE_US), "nobody away");
+
+            run.silence(11, true);
+            assertReached(members - 1, run.change(5, n -> n != 11, PATIENCE_US), "one away");
+            run.silence(11, false);
+
+            run.cut(8, members);
+            assertReached(8, run.change(5, n -> n < 8, PATIENCE_US), "a third cut off");
+            run.cut(0, 0);
+
+            run.lose(0.1);
+            run.restart(9);
+            assertReached(members, run.change(6, n -> true, PATIENCE_US), "one datagram in ten lost, one restarted");
+            run.lose(0);
+
+            run.killVoter(2);
+            assertReached(members - 1, run.change(5, n -> n != 2, PATIENCE_US), "a voter killed");
+        }
+    }
+
+    private static void assertReached(int wanted, ScaleRun.Change change, String what) {
+        assertEquals(wanted, change.wanted(), what);
+        assertTrue(change.everywhere(), what + ": " + change);
+    }
+
+    /** What stands for a real sidecar in the scale run says as much as a real one at rest. */
+    @Test
+    void aHollowSidecarSaysAsMuchAsARealOne() throws Exception {
+        int members = 8;
+        int real = members - 1;
+        int hollow = members - 2;
+        try (World world = new World(Shape.SMALL);
+                ScaleRun run = new ScaleRun(members, VOTERS, LEASE_US, 3, "127.77.3.8")) {
+            world.nodes(1);
+            List<String> peers = new ArrayList<>(run.addresses());
+            peers.add("127.77.3.8:1");
+            Map<String, Object> config = new LinkedHashMap<>();
+            config.put("peer_listen", "127.77.3.8:0");
+            config.put("peers", peers);
+            config.put("peers_all", peers.get(0));
+            Map<String, Object> list =
+                    World.list(40, world.nodes().stream().map(World.Listed::of).toList());
+            String operator = "[zones]\n[accord]\nfleet = \"scale\"\nvoters = " + VOTERS + "\nlease = \"1s\"\nfile = \""
+                    + world.folder().resolve("policy.toml") + "\"\n";
+            run.start();
+            SidecarProcess sidecar = world.peered(real, members, list, config, operator);
+            world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
+
+            // Both say their words for the same time; the count goes on until there are enough of them to compare.
+            long realBefore = run.datagramsFrom(real);
+            long hollowBefore = run.datagramsFrom(hollow);
+            long said = 0;
+            for (int half = 0; said < 200; half++) {
+                assertTrue(half < 120, "the real sidecar has said " + said + " messages in a minute: " + sidecar.log());
+                world.play(500);
+                said = run.datagramsFrom(real) - realBefore;
+            }
+            double ratio = (double) (run.datagramsFrom(hollow) - hollowBefore) / said;
+            assertTrue(ratio > 1 - TOLERANCE && ratio < 1 + TOLERANCE, "hollow over real: " + ratio);
+        }
+    }
+
+    @Test
+    void moreMembersThanTheTargetAreRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new ScaleRun(2_101, 5, LEASE_US, 1));
+        assertThrows(IllegalArgumentException.class, () -> new ScaleRun(5, 5, LEASE_US, 1));
+    }
+}
