Standard names in core: DisconnectCheck, Backoff, LoopLatency

Need: the field's own words in place of metaphors. TurnsTest is LoopLatencyTest now, with the same tests and assertions. No key, log event or behaviour changes.

--- a/src/main/java/rushproxy/core/Pauses.java
+++ b/src/main/java/rushproxy/core/Backoff.java
@@ -3,14 +3,14 @@
 import java.util.SplittableRandom;
 
 /** Growing pauses between calls that fail, jittered so that many who failed together do not come back together. */
-public final class Pauses {
+public final class Backoff {
     private final long firstUs;
     private final long mostUs;
     private final SplittableRandom random;
     private long nextUs;
 
     /** Pauses from half of {@code firstUs} up to one and a half times {@code mostUs}, both in microseconds. */
-    public Pauses(long firstUs, long mostUs, long seed) {
+    public Backoff(long firstUs, long mostUs, long seed) {
         this.firstUs = firstUs;
         this.mostUs = mostUs;
         random = new SplittableRandom(seed);
--- a/src/main/java/rushproxy/core/LastLook.java
+++ b/src/main/java/rushproxy/core/DisconnectCheck.java
@@ -11,7 +11,7 @@
  * a connection that nobody had accepted, may have a reset, or the end of the connection, behind it. So what a front takes at the end of a
  * reading has its client there still. All on the event loop.
  */
-public final class LastLook extends ChannelInboundHandlerAdapter {
+public final class DisconnectCheck extends ChannelInboundHandlerAdapter {
     /** Reads in a row; each is of up to sixteen buffers. */
     private static final int MOST = 16;
 
@@ -22,7 +22,7 @@
     private boolean reading;
     private boolean looking;
 
-    public LastLook(BooleanSupplier due) {
+    public DisconnectCheck(BooleanSupplier due) {
         this.due = due;
     }
 
--- a/src/main/java/rushproxy/core/EventLoops.java
+++ b/src/main/java/rushproxy/core/EventLoops.java
@@ -35,17 +35,17 @@
         };
     }
 
-    /** Tells of this loop's turns from now on; null tells nobody. Takes hold on the loop. */
-    public static void watch(EventLoop loop, Turns turns) {
-        loop.execute(() -> ((Sleeper) loop).turns = turns);
+    /** Tells of this loop's latency from now on; null tells nobody. Takes hold on the loop. */
+    public static void watch(EventLoop loop, LoopLatency latency) {
+        loop.execute(() -> ((Sleeper) loop).latency = latency);
     }
 
     /** Stands before all else in a pipeline: something is read. */
-    public static ChannelInboundHandler ears(Turns turns) {
+    public static ChannelInboundHandler ears(LoopLatency latency) {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
-                turns.saw(System.nanoTime());
+                latency.saw(System.nanoTime());
                 ctx.fireChannelRead(message);
             }
         };
@@ -57,7 +57,7 @@
     }
 
     private static final class Sleeper extends SingleThreadIoEventLoop {
-        private Turns turns;
+        private LoopLatency latency;
 
         Sleeper(MultiThreadIoEventLoopGroup parent, Executor executor, IoHandlerFactory handlers) {
             super(parent, executor, handlers);
@@ -65,13 +65,13 @@
 
         @Override
         protected int runIo() {
-            if (turns == null) {
+            if (latency == null) {
                 return super.runIo();
             }
-            turns.began(System.nanoTime());
+            latency.began(System.nanoTime());
             int handled = super.runIo();
-            if (turns != null) {
-                turns.handled(System.nanoTime());
+            if (latency != null) {
+                latency.handled(System.nanoTime());
             }
             return handled;
         }
--- a/src/main/java/rushproxy/core/Turns.java
+++ b/src/main/java/rushproxy/core/LoopLatency.java
@@ -7,7 +7,7 @@
  * the first thing that it handled in the turn before, if this turn did not sleep; else the first of this one. Pure; times in
  * nanoseconds.
  */
-public final class Turns {
+public final class LoopLatency {
     /** A turn whose first event comes so soon has not slept: the event was there before it. */
     private static final long AWAKE_NANOS = 1_000_000;
 
--- a/src/main/java/rushproxy/core/Requests.java
+++ b/src/main/java/rushproxy/core/Requests.java
@@ -32,7 +32,7 @@
     /** Null where requests are not traced. */
     private Tracer tracer;
 
-    private Turns turns;
+    private LoopLatency latency;
 
     /** Told of each attempt, once when it is made and once how it ended. */
     public interface Ends {
@@ -51,28 +51,28 @@
         this.figures = figures;
     }
 
-    /** Requests that are taken from now on are traced so, or not at all with null; {@code watch} is to tell of the loop's turns. */
-    public void traceWith(Tracer with, Consumer<Turns> watch) {
+    /** Requests that are taken from now on are traced so, or not at all with null; {@code watch} is to tell of the loop's latency. */
+    public void traceWith(Tracer with, Consumer<LoopLatency> watch) {
         tracer = with;
-        turns = with == null ? null : new Turns();
-        watch.accept(turns);
+        latency = with == null ? null : new LoopLatency();
+        watch.accept(latency);
     }
 
-    /** Told of the loop's turns while requests are traced; else null. */
-    public Turns turns() {
-        return turns;
+    /** Told of the loop's latency while requests are traced; else null. */
+    public LoopLatency latency() {
+        return latency;
     }
 
     /** Something that was read is being handled. */
     public void saw() {
-        if (turns != null) {
-            turns.saw(System.nanoTime());
+        if (latency != null) {
+            latency.saw(System.nanoTime());
         }
     }
 
     /** How long a request that is being read may have lain there at the most. */
     public long unreadUs() {
-        return turns == null ? 0 : turns.unreadNanos(System.nanoTime()) / 1_000;
+        return latency == null ? 0 : latency.unreadNanos(System.nanoTime()) / 1_000;
     }
 
     /** For the fronts, which know what their clients said; null where requests are not traced. */
--- a/src/main/java/rushproxy/grpc/GrpcServer.java
+++ b/src/main/java/rushproxy/grpc/GrpcServer.java
@@ -27,8 +27,8 @@
 import rushproxy.Balancer.RequestClass;
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
+import rushproxy.core.DisconnectCheck;
 import rushproxy.core.EventLoops;
-import rushproxy.core.LastLook;
 import rushproxy.core.Listening;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
@@ -119,12 +119,12 @@
                 .maxHeaderListSize(HEADER_LIST)
                 .initialWindowSize(WINDOW)
                 .maxConcurrentStreams(options.streams());
-        if (requests.turns() != null) {
-            channel.pipeline().addLast(EventLoops.ears(requests.turns()));
+        if (requests.latency() != null) {
+            channel.pipeline().addLast(EventLoops.ears(requests.latency()));
         }
         channel.pipeline()
                 .addLast(
-                        new LastLook(() -> true),
+                        new DisconnectCheck(() -> true),
                         Http2FrameCodecBuilder.forServer()
                                 .initialSettings(settings)
                                 .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_S)
@@ -163,7 +163,7 @@
 
     /** Whether the client whose call this is has left, be it unseen so far. */
     static boolean gone(Channel stream) {
-        LastLook look = stream.parent().pipeline().get(LastLook.class);
+        DisconnectCheck look = stream.parent().pipeline().get(DisconnectCheck.class);
         return !stream.isActive() || look == null || look.gone();
     }
 
--- a/src/main/java/rushproxy/http1/ClientConnection.java
+++ b/src/main/java/rushproxy/http1/ClientConnection.java
@@ -48,8 +48,8 @@
 import rushproxy.core.Attempt;
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
+import rushproxy.core.DisconnectCheck;
 import rushproxy.core.Exchange;
-import rushproxy.core.LastLook;
 import rushproxy.core.Log;
 import rushproxy.core.Requests;
 import rushproxy.figures.Figures.End;
@@ -103,7 +103,7 @@
     /** Something is to be done at the end of the reading. */
     private boolean due;
 
-    private final LastLook look = new LastLook(() -> due);
+    private final DisconnectCheck look = new DisconnectCheck(() -> due);
     /** A body whose last piece is passed on at the end of the reading; null for none. */
     private Upload ending;
 
@@ -164,7 +164,7 @@
     }
 
     /** Stands before all else. */
-    LastLook look() {
+    DisconnectCheck look() {
         return look;
     }
 
--- a/src/main/java/rushproxy/membership/registry/RegistryWatch.java
+++ b/src/main/java/rushproxy/membership/registry/RegistryWatch.java
@@ -1,9 +1,9 @@
 package rushproxy.membership.registry;
 
 import java.util.SplittableRandom;
+import rushproxy.core.Backoff;
 import rushproxy.core.Clock;
 import rushproxy.core.Log;
-import rushproxy.core.Pauses;
 import rushproxy.core.Timers;
 import rushproxy.json.Json;
 import rushproxy.membership.Listing;
@@ -38,7 +38,7 @@
     private final Timers timers;
     private final Clock clock;
     private final Listener listener;
-    private final Pauses pauses;
+    private final Backoff backoff;
     private final Rhythm rhythm;
     private final SplittableRandom random;
     private boolean unconfirmed;
@@ -84,7 +84,7 @@
         this.timers = timers;
         this.clock = clock;
         this.listener = listener;
-        pauses = pushed ? new Pauses(AGENT_US, AGENT_US, seed) : new Pauses(AGAIN_US, AGAIN_MOST_US, seed);
+        backoff = pushed ? new Backoff(AGENT_US, AGENT_US, seed) : new Backoff(AGAIN_US, AGAIN_MOST_US, seed);
         random = new SplittableRandom(seed);
         this.calls = calls;
         this.generation = generation;
@@ -205,7 +205,7 @@
     }
 
     private void again() {
-        timers.in(pauses.afterFailure(), this::subscribe);
+        timers.in(backoff.afterFailure(), this::subscribe);
     }
 
     private void end() {
@@ -240,7 +240,7 @@
         if (!again) {
             calls.hangUp();
         }
-        pauses.succeeded();
+        backoff.succeeded();
         boolean answersAsk = asked;
         asked = false;
         listener.listed(list, answersAsk);
--- a/src/main/java/rushproxy/trace/export/Delivery.java
+++ b/src/main/java/rushproxy/trace/export/Delivery.java
@@ -1,6 +1,6 @@
 package rushproxy.trace.export;
 
-import rushproxy.core.Pauses;
+import rushproxy.core.Backoff;
 
 /**
  * When a batch may be sent, and when it is given up: one at a time, again after growing, jittered pauses, or after the pause
@@ -26,14 +26,14 @@
     /** No receiver makes this side wait for longer. */
     static final long MOST_PAUSE_US = 60_000_000;
 
-    private final Pauses pauses;
+    private final Backoff backoff;
     private final long giveUpUs;
     private long batchUs = -1;
     private long dueUs;
     private boolean failing;
 
     Delivery(long firstPauseUs, long giveUpUs, long seed) {
-        pauses = new Pauses(firstPauseUs, Math.max(firstPauseUs, giveUpUs / 4), seed);
+        backoff = new Backoff(firstPauseUs, Math.max(firstPauseUs, giveUpUs / 4), seed);
         this.giveUpUs = giveUpUs;
     }
 
@@ -51,7 +51,7 @@
     Next ended(long nowUs, End how, long askedUs) {
         if (how == End.TAKEN) {
             failing = false;
-            pauses.succeeded();
+            backoff.succeeded();
             dueUs = nowUs;
             return Next.DONE;
         }
@@ -59,7 +59,7 @@
         if (how == End.NEVER) {
             return Next.GIVE_UP;
         }
-        dueUs = nowUs + Math.max(pauses.afterFailure(), Math.min(MOST_PAUSE_US, askedUs));
+        dueUs = nowUs + Math.max(backoff.afterFailure(), Math.min(MOST_PAUSE_US, askedUs));
         return dueUs - batchUs > giveUpUs ? Next.GIVE_UP : Next.AGAIN;
     }
 
--- a/src/test/java/rushproxy/core/TurnsTest.java
+++ b/src/test/java/rushproxy/core/LoopLatencyTest.java
@@ -8,12 +8,12 @@
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 
-class TurnsTest {
+class LoopLatencyTest {
     private static final long MS = 1_000_000;
 
     @Test
     void whatComesToALoopThatSleptWasReadAtOnce() {
-        Turns t = new Turns();
+        LoopLatency t = new LoopLatency();
         assertEquals(0, t.unreadNanos(5 * MS));
         t.began(0);
         t.saw(100 * MS);
@@ -26,7 +26,7 @@
     /** Its events took long, or its tasks: what the next turn finds at once may have lain there all the while. */
     @Test
     void whatComesToABusyLoopMayHaveWaited() {
-        Turns t = new Turns();
+        LoopLatency t = new LoopLatency();
         t.began(0);
         t.saw(10 * MS);
         t.handled(60 * MS);
@@ -48,9 +48,9 @@
     /** On a real loop: a task that takes long makes what is read next look late, at least by as much. */
     @Test
     void aRealLoopIsSeenToBeLate() throws Exception {
-        Turns turns = new Turns();
+        LoopLatency latency = new LoopLatency();
         MultiThreadIoEventLoopGroup group = EventLoops.one();
-        EventLoops.watch(group.next(), turns);
+        EventLoops.watch(group.next(), latency);
         long unread = 0;
         // Both tasks may come into one turn or into two: in either case the loop has looked at nothing in between.
         for (int i = 0; i < 100 && unread < 30 * MS; i++) {
@@ -60,7 +60,7 @@
                 }
             });
             unread = group.next()
-                    .submit(() -> turns.unreadNanos(System.nanoTime()))
+                    .submit(() -> latency.unreadNanos(System.nanoTime()))
                     .sync()
                     .getNow();
         }
--- a/src/test/java/rushproxy/membership/MembershipTest.java
+++ b/src/test/java/rushproxy/membership/MembershipTest.java
@@ -14,7 +14,7 @@
 import rushproxy.Balancer.Doubt;
 import rushproxy.Balancer.Upstream;
 import rushproxy.Balancer.UpstreamState;
-import rushproxy.core.Pauses;
+import rushproxy.core.Backoff;
 
 /** How lists of any age become the one list; time is the test's. */
 class MembershipTest {
@@ -471,17 +471,17 @@
 
     @Test
     void pausesGrowAreJitteredAndStartAgain() {
-        Pauses pauses = new Pauses(SECOND, 8 * SECOND, 3);
+        Backoff backoff = new Backoff(SECOND, 8 * SECOND, 3);
         long most = SECOND;
         for (int i = 0; i < 20; i++) {
-            long pause = pauses.afterFailure();
+            long pause = backoff.afterFailure();
             assertTrue(pause >= most / 2 && pause <= most * 3 / 2, i + ": " + pause);
             most = Math.min(8 * SECOND, most * 2);
         }
-        pauses.succeeded();
-        assertTrue(pauses.afterFailure() <= SECOND * 3 / 2);
+        backoff.succeeded();
+        assertTrue(backoff.afterFailure() <= SECOND * 3 / 2);
         assertTrue(IntStream.range(0, 9)
-                        .mapToLong(s -> new Pauses(SECOND, SECOND, s).afterFailure())
+                        .mapToLong(s -> new Backoff(SECOND, SECOND, s).afterFailure())
                         .distinct()
                         .count()
                 > 5);
