--- a/src/test/java/rushproxy/scale/ScaleRunTest.java
+++ b/src/test/java/rushproxy/scale/ScaleRunTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -89,6 +90,35 @@
         }
     }
 
+    /** So it ends with whoever started it, however that one ends: the kernel closes the pipe. */
+    @Test
+    void aHostEndsWithItsInput() throws Exception {
+        Process host = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        HollowHost.class.getName(),
+                        "scale",
+                        "4",
+                        "1",
+                        "1000",
+                        "1",
+                        "0",
+                        "4")
+                .start();
+        try {
+            assertEquals(4, host.inputReader().readLine().split(" ").length, "a port for each member");
+            host.outputWriter().write("start\n");
+            host.outputWriter().flush();
+            assertEquals("ok", host.inputReader().readLine());
+            host.outputWriter().close();
+            assertTrue(host.waitFor(60, TimeUnit.SECONDS), "it goes on without whoever started it");
+            assertEquals(0, host.exitValue());
+        } finally {
+            host.destroyForcibly();
+        }
+    }
+
     @Test
     void moreMembersThanTheTargetAreRefused() {
         assertThrows(IllegalArgumentException.class, () -> new ScaleRun(2_101, 5, LEASE_US, 1));
