--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -8,6 +8,7 @@
  * the time.
  */
 public interface Balancer {
+    /** Whether a request may be repeated: always, to those that drop repeats by its key, or only where it surely never ran. */
     enum Semantics {
         SAFE,
         KEYED,
@@ -21,12 +22,14 @@
         CELL
     }
 
+    /** What discovery says of an upstream. */
     enum UpstreamState {
         GONE,
         READY,
         DRAINING
     }
 
+    /** A list from discovery: what changed, or all there is; that a call failed; or one known from elsewhere. */
     enum ListKind {
         DELTA,
         FULL,
@@ -34,6 +37,7 @@
         CACHED
     }
 
+    /** Where upstreams tell their load: nowhere, in each answer, or in the answer to a probe. */
     enum Reports {
         NONE,
         INLINE,
@@ -64,6 +68,15 @@
         }
     }
 
+    /**
+     * A class of requests as the settings have it. Times in microseconds.
+     *
+     * @param windowUs   for which upstreams of the group drop repeats of a key
+     * @param aimUs      an answer is worth all within this and {@code aimStretch} times its work
+     * @param deadlineUs that clients wait at most
+     * @param lateWorth  part of the worth of an answer behind its aim
+     * @param stream     its answers may go on as streams
+     */
     record RequestClass(
             String name,
             Semantics semantics,
@@ -76,8 +89,17 @@
             double lateWorth,
             boolean stream) {}
 
+    /** A tenant, its share of what the fleet can do, and its quota of requests a second. */
     record Tenant(String name, double share, double quotaPerSecond) {}
 
+    /**
+     * What the platform allows a sidecar.
+     *
+     * @param maxAttempts     for one request
+     * @param maxRetryAfterUs longest time to come back that a refusal may name, microseconds
+     * @param connIdleUs      after which upstreams drop an idle connection, microseconds
+     * @param cpuUsPerRequest of processor time in the mean, microseconds; 0 for no limit
+     */
     record Limits(
             int maxAttempts,
             boolean secondCopies,
@@ -89,7 +111,7 @@
             long connIdleUs,
             double cpuUsPerRequest) {}
 
-    /** {@code closeOnDrainUs} is 0 where idle connections to a draining upstream may stay open. */
+    /** Figures of the rules, times in microseconds. {@code closeOnDrainUs} is 0 where idle connections to a draining upstream may stay open. */
     record Rules(
             long drainGraceUs,
             double coldShare,
@@ -103,6 +125,7 @@
     /** Points of the result for each unit of use; 0 where it is free. */
     record Prices(double crossZone, double peer, double probe, double connection, double handshake) {}
 
+    /** All that a sidecar is told at its start; {@code me} is its number among {@code balancers}. */
     record Settings(
             int me,
             int balancers,
@@ -266,6 +289,7 @@
     /** A load report; a value that the site does not report is negative. */
     record LoadReport(double inFlight, double queued, double utilisation) {}
 
+    /** What the module may have done. Each is carried out behind the call in which it is decided. */
     interface Actions {
         void send(String request, String upstream, long untilUs);
 
--- a/src/main/java/rushproxy/admin/Call.java
+++ b/src/main/java/rushproxy/admin/Call.java
@@ -6,18 +6,22 @@
 
 /** What operators may ask of a running sidecar; what is none of these has a status that says why. */
 public sealed interface Call {
+    /** Whether it takes requests. */
     record Ready() implements Call {}
 
+    /** What it has done since its start. */
     record Counters() implements Call {}
 
     /** Nothing more to the upstream, until it is called back. */
     record Offline(String upstream) implements Call {}
 
+    /** The upstream is called back. */
     record Online(String upstream) implements Call {}
 
     /** Clients are sent away, until the process is called back. */
     record OutOfService() implements Call {}
 
+    /** The process is called back. */
     record InService() implements Call {}
 
     /** By which policy this sidecar goes. */
