--- a/src/main/java/rushproxy/scale/HollowSidecar.java
+++ b/src/main/java/rushproxy/scale/HollowSidecar.java
@@ -60,10 +60,6 @@
         this.settled = settled;
     }
 
-    int number() {
-        return number;
-    }
-
     /** Opens its socket; it says nothing before {@link #start}. Not to be called on the loop. */
     int open() throws InterruptedException {
         channel = new Bootstrap()
--- a/src/main/java/rushproxy/scale/ScaleRun.java
+++ b/src/main/java/rushproxy/scale/ScaleRun.java
@@ -193,11 +193,6 @@
         return others.stream().mapToInt(HostProcess::members).sum();
     }
 
-    /** Members with a vote. */
-    public int voterCount() {
-        return voters.size();
-    }
-
     /**
      * Proposes new content at a member and waits until all that can be reached go by it.
      *
--- a/src/main/java/rushproxy/scale/Target.java
+++ b/src/main/java/rushproxy/scale/Target.java
@@ -6,8 +6,6 @@
     public static final int SIDECARS = 2_100;
     /** Calls a second in the whole fleet. */
     public static final int CALLS_A_SECOND = 100_000;
-    /** Changes of configuration a day. */
-    public static final int CHANGES_A_DAY = 2_100;
     /** Until a change is in force everywhere, milliseconds. */
     public static final double CHANGE_MS = 9_000;
     /** Until all that start at once are ready, milliseconds. */
