Clients of the stand-in world listen as long as the referee's slack lasts

Clients.sent closed the connection 100 ms after the deadline in every world, while the referee of a patient world allows 500 ms: an answer 100 to 500 ms late broke no rule but could not be heard, and counted as never given. Change: clients listen 100 ms times the world's patience, and the verdict waits for that. No bound of the referee changes: an answer behind its slack is a foul as before, now with its delay.

--- a/src/main/java/rushproxy/standin/Clients.java
+++ b/src/main/java/rushproxy/standin/Clients.java
@@ -46,6 +46,12 @@
     private static final int MOST_LATENCIES = 1 << 20;
     private static final long AGAIN_MS = 50;
 
+    /**
+     * Time in ms that a client of a world without patience still listens after its deadline; more than the referee's slack, so that a late
+     * answer is judged by how late it is.
+     */
+    private static final long LISTEN_LATE_MS = 100;
+
     /** How the requests of one span of time ended. Those unreachable found no sidecar that took their connection. */
     public record Tally(int sent, int inTime, int late, int refused, int failed, int unreachable) {
         public Tally plus(Tally o) {
@@ -252,7 +258,8 @@
     void sent(Asked a, long now) {
         referee.sent(now, a.id, a.intent, a.kind.semantics, a.untilUs);
         a.sentUs = now;
-        a.timeout = loop.schedule(() -> timedOut(a), a.untilUs - now + 100_000, TimeUnit.MICROSECONDS);
+        long listenLateUs = LISTEN_LATE_MS * patience * 1000;
+        a.timeout = loop.schedule(() -> timedOut(a), a.untilUs - now + listenLateUs, TimeUnit.MICROSECONDS);
         if (leaving > 0 && numbers % leaving == 0) {
             loop.schedule(() -> leave(a), leaveMs, TimeUnit.MILLISECONDS);
         }
@@ -310,6 +317,11 @@
         }
     }
 
+    /** Longest time in ms from a request to the moment in which its client stops listening for the answer. */
+    static long longestWaitMs(int patience) {
+        return (GIVE_UP_MS + LISTEN_LATE_MS) * patience;
+    }
+
     void end(Asked a, int as) {
         if (!a.over) {
             a.over = true;
--- a/src/main/java/rushproxy/standin/World.java
+++ b/src/main/java/rushproxy/standin/World.java
@@ -495,7 +495,8 @@
 
     /** Waits until all that clients who were stopped have sent has ended, no longer than they would. */
     public void settle() {
-        for (long ms = 0; ms < Clients.GIVE_UP_MS * patience && clients.stream().anyMatch(c -> c.out() > 0); ms += 20) {
+        long mostMs = Clients.longestWaitMs(patience);
+        for (long ms = 0; ms < mostMs && clients.stream().anyMatch(c -> c.out() > 0); ms += 20) {
             play(20);
         }
     }
