--- a/src/main/java/rushproxy/admin/AdminServer.java
+++ b/src/main/java/rushproxy/admin/AdminServer.java
@@ -113,7 +113,7 @@
         private void policy(ChannelHandlerContext ctx, Call call) {
             Map<String, Object> status = control.policy();
             if (status == null) {
-                answer(ctx, 404, "no change of policy is decided in common here: see [accord] in the operator's file");
+                answer(ctx, 404, "no change of policy is decided in common here: see [consensus] in the operator's file");
             } else if (call instanceof Call.Propose) {
                 control.propose(why -> answer(ctx, why == null ? 200 : 409, why == null ? "proposed" : why));
             } else if (call instanceof Call.Abort) {
--- a/src/main/java/rushproxy/cli/Policies.java
+++ b/src/main/java/rushproxy/cli/Policies.java
@@ -13,8 +13,8 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
-import rushproxy.accord.audit.History;
-import rushproxy.accord.audit.LogFiles;
+import rushproxy.consensus.audit.History;
+import rushproxy.consensus.audit.LogFiles;
 import rushproxy.toml.Broken;
 
 /** Changes of policy in common, by any sidecar's address for operators. Exit code 0: yes; 1: no, with the sidecar's reason; 2: wrong input. */
--- a/src/main/java/rushproxy/accord/Accord.java
+++ b/src/main/java/rushproxy/consensus/ConsensusNode.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.ArrayDeque;
 import java.util.BitSet;
@@ -6,13 +6,13 @@
 import java.util.function.Function;
 
 /**
- * A sidecar's part in deciding in common by which version of a policy all of them go: the {@link Seat} with its times. Requests never wait for it:
- * whoever decides asks {@link #inForce} and goes on. Pure; all words go out by {@link Out}, time is a parameter. Not for several threads.
+ * A sidecar's part in deciding in common by which version of a policy all of them go: the {@link Member} with its times. Requests never wait for it:
+ * whoever decides asks {@link #inForce} and goes on. Pure; all messages go out by {@link Out}, time is a parameter. Not for several threads.
  */
-public final class Accord {
+public final class ConsensusNode {
     /** Says bytes of at most 256 to a sidecar by its number. */
     public interface Out {
-        void say(int to, byte[] word);
+        void send(int to, byte[] datagram);
     }
 
     /**
@@ -32,7 +32,7 @@
 
     /** Of a lease is asked anew; what is lost may be asked for again before it ends. */
     private static final int ASKS = 3;
-    /** Unanswered words of a change are said again after so long. */
+    /** Unanswered messages of a change are said again after so long. */
     private static final long AGAIN_US = 60_000;
     /** No leader was heard for so long, and once more for each number: who finds something open then finishes it. */
     private static final long PATIENCE_US = 700_000;
@@ -43,9 +43,9 @@
 
     private final Group group;
     private final int me;
-    private final Words words;
-    private final Seat seat;
-    private final Contents contents;
+    private final MessageCodec codec;
+    private final Member member;
+    private final ContentStore contents;
     private final SplittableRandom random;
     private final long askEveryUs;
     private long askAt;
@@ -60,7 +60,7 @@
     private long wishUntil;
     private long wishAgainAt;
     /** What it has said to itself and not heard yet. */
-    private final ArrayDeque<Word> own = new ArrayDeque<>();
+    private final ArrayDeque<Message> own = new ArrayDeque<>();
 
     /**
      * @param fleet a number that tells this fleet from others
@@ -68,7 +68,7 @@
      * @param leaseUs how long a sidecar that hears nothing goes by what it heard
      * @param check  says why what a version says can't be taken here; null where it can
      */
-    public Accord(
+    public ConsensusNode(
             int fleet,
             int voters,
             int members,
@@ -77,12 +77,12 @@
             long leaseUs,
             long now,
             Function<byte[], String> check) {
-        contents = new Contents(check);
+        contents = new ContentStore(check);
         group = new Group(voters, members, leaseUs, (long) (leaseUs * (1 + 2 * DRIFT)));
         this.me = me;
-        words = new Words(fleet, voters);
+        codec = new MessageCodec(fleet, voters);
         random = new SplittableRandom(seed);
-        seat = new Seat(group, Rules.ALL, me, random.nextInt(1, Integer.MAX_VALUE), contents::has);
+        member = new Member(group, SafetyRules.ALL, me, random.nextInt(1, Integer.MAX_VALUE), contents::has);
         askEveryUs = leaseUs / ASKS;
         askAt = now;
         stepAt = now;
@@ -90,36 +90,36 @@
     }
 
     public InForce inForce(long now) {
-        Stage s = seat.holder().stage(now);
-        Stage last = s != null ? s : seat.holder().last();
+        Stage s = member.leaseHolder().stage(now);
+        Stage last = s != null ? s : member.leaseHolder().last();
         return last == null
                 ? new InForce(0, -1, Stage.NONE, Stage.NONE, false)
-                : new InForce(seat.holder().era(), last.index(), last.from(), last.to(), s != null);
+                : new InForce(member.leaseHolder().era(), last.index(), last.from(), last.to(), s != null);
     }
 
     /** Until when it is sure of what is in force if it hears nothing more, or was last; only once it has {@link #learnt}. */
     public long sureUntil() {
-        return seat.holder().until();
+        return member.leaseHolder().until();
     }
 
     /** Whether it has ever heard what is in force: before it has, it is not ready. */
     public boolean learnt() {
-        return seat.holder().last() != null;
+        return member.leaseHolder().last() != null;
     }
 
     /** Whether it has a vote and remembers enough to use it. */
     public boolean votes() {
-        return seat.voter() != null && seat.voter().active();
+        return member.voter() != null && member.voter().active();
     }
 
-    /** Words that were none of this fleet's. */
+    /** Messages that were none of this fleet's. */
     public long dropped() {
         return dropped;
     }
 
     /** The number under which this content is agreed on: the same everywhere, another one for other bytes. */
     public static long version(byte[] content) {
-        return Contents.version(content);
+        return ContentStore.version(content);
     }
 
     /** What this version says; null where it is not here. */
@@ -131,7 +131,7 @@
     public String propose(long now, byte[] content, Out out) {
         Long version = contents.put(content);
         if (version == null) {
-            return contents.why(Contents.version(content));
+            return contents.why(ContentStore.version(content));
         }
         refusal = null;
         wish = version;
@@ -148,8 +148,8 @@
 
     private void open(long now, long version, boolean abort, Out out) {
         Voter.Out saying = saying(out);
-        if (seat.leader() == null && !seat.lead(now, version, abort, saying)) {
-            saying.say(random.nextInt(group.voters()), new Word.Propose(version, abort));
+        if (member.leader() == null && !member.lead(now, version, abort, saying)) {
+            saying.send(random.nextInt(group.voters()), new Message.Propose(version, abort));
         }
         hearOwn(now, saying);
         stepAt = Math.min(stepAt, now + AGAIN_US);
@@ -167,7 +167,7 @@
 
     /** Whom a change that is led from here waits for, by number; empty where none is. */
     public BitSet missing() {
-        return seat.leader() == null ? new BitSet() : seat.leader().missing();
+        return member.leader() == null ? new BitSet() : member.leader().missing();
     }
 
     /** When {@link #tick} is due next. */
@@ -179,15 +179,15 @@
         Voter.Out saying = saying(out);
         if (now >= askAt) {
             // Until it knows, it asks more often; all of a fleet that starts together do not ask in step.
-            long every = learnt() && (seat.voter() == null || seat.voter().active())
+            long every = learnt() && (member.voter() == null || member.voter().active())
                     ? askEveryUs
                     : Math.min(askEveryUs, 4 * AGAIN_US);
             askAt = now + every / 2 + random.nextLong(every / 2 + 1);
-            seat.renew(now, saying);
+            member.renew(now, saying);
         }
         if (now >= stepAt) {
             stepAt = now + AGAIN_US;
-            seat.step(now, saying);
+            member.step(now, saying);
             finish(now, saying);
             if (contents.fetches()) {
                 contents.ask(random.nextInt(group.voters()), random.nextInt(4) == 0, saying);
@@ -197,7 +197,7 @@
         hearOwn(now, saying);
     }
 
-    /** Said again until it is in force, or nobody has brought it about for so long: a word may be lost, and a leader die. */
+    /** Said again until it is in force, or nobody has brought it about for so long: a message may be lost, and a leader die. */
     private void wish(long now, Out out) {
         InForce f = inForce(now);
         if (wish != Stage.NONE && (f.to() == wish || now >= wishUntil)) {
@@ -211,7 +211,7 @@
 
     /** A change that somebody began and nobody goes on with, as its leader has died. */
     private void finish(long now, Voter.Out saying) {
-        Voter v = seat.voter();
+        Voter v = member.voter();
         if (v == null || !v.active()) {
             return;
         }
@@ -221,65 +221,65 @@
             movedAt = now;
         }
         boolean open = s.joint() || !v.known();
-        if (open && seat.leader() == null && now - movedAt >= PATIENCE_US * (1 + me)) {
+        if (open && member.leader() == null && now - movedAt >= PATIENCE_US * (1 + me)) {
             movedAt = now;
-            seat.lead(now, Stage.NONE, false, saying);
+            member.lead(now, Stage.NONE, false, saying);
         }
     }
 
     /** Bytes that a sidecar, by its number, has said. */
-    public void hear(long now, int from, byte[] message, Out out) {
-        Word word = from < 0 || from >= group.members() ? null : words.read(message);
-        if (word == null) {
+    public void hear(long now, int from, byte[] datagram, Out out) {
+        Message message = from < 0 || from >= group.members() ? null : codec.read(datagram);
+        if (message == null) {
             dropped++;
             return;
         }
-        if (word instanceof Word.Prepare || word instanceof Word.Accept || word instanceof Word.Chosen) {
+        if (message instanceof Message.Prepare || message instanceof Message.Accept || message instanceof Message.Chosen) {
             movedAt = now;
         }
         Voter.Out saying = saying(out);
-        take(now, from, word, saying);
+        take(now, from, message, saying);
         hearOwn(now, saying);
     }
 
-    private void take(long now, int from, Word word, Voter.Out saying) {
-        if (word instanceof Word.Want || word instanceof Word.Piece) {
-            contents.hear(from, word, saying);
+    private void take(long now, int from, Message message, Voter.Out saying) {
+        if (message instanceof Message.ChunkRequest || message instanceof Message.Chunk) {
+            contents.hear(from, message, saying);
             return;
         }
-        if (word instanceof Word.Propose p && from != me) {
+        if (message instanceof Message.Propose p && from != me) {
             contents.spokenOf(p.version(), from);
-        } else if (word instanceof Word.Staged s && from != me) {
+        } else if (message instanceof Message.Validate s && from != me) {
             contents.spokenOf(s.version(), from);
         }
-        if (word instanceof Word.Unfit u && u.version() == wish && seat.leader() == null) {
+        if (message instanceof Message.Invalid u && u.version() == wish && member.leader() == null) {
             refusal = u.why();
             wish = Stage.NONE;
         }
-        seat.hear(now, from, word, saying);
-        if (word instanceof Word.Staged s && contents.why(s.version()) != null) {
-            saying.say(from, new Word.Unfit(s.version(), contents.why(s.version())));
+        member.hear(now, from, message, saying);
+        if (message instanceof Message.Validate s && contents.why(s.version()) != null) {
+            saying.send(from, new Message.Invalid(s.version(), contents.why(s.version())));
         }
     }
 
-    public static boolean isWord(byte[] message) {
-        return Words.isWord(message);
+    public static boolean isMessage(byte[] datagram) {
+        return MessageCodec.isMessage(datagram);
     }
 
     private Voter.Out saying(Out out) {
-        return (to, word) -> {
+        return (to, message) -> {
             if (to == me) {
-                own.add(word);
+                own.add(message);
             } else {
-                out.say(to, words.bytes(word));
+                out.send(to, codec.bytes(message));
             }
         };
     }
 
     /** Its own vote counts like any other, without a datagram. */
     private void hearOwn(long now, Voter.Out saying) {
-        for (Word word; (word = own.poll()) != null; ) {
-            take(now, me, word, saying);
+        for (Message message; (message = own.poll()) != null; ) {
+            take(now, me, message, saying);
         }
     }
 }
--- a/src/main/java/rushproxy/accord/Rehearsed.java
+++ b/src/main/java/rushproxy/consensus/ConsensusSimulation.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -10,10 +10,10 @@
 import java.util.function.IntPredicate;
 
 /**
- * Many {@link Accord}s on virtual time, with words between them lost, late, doubled and cut, and processes that end and begin with no memory:
+ * Many {@link ConsensusNode}s on virtual time, with messages between them lost, late, doubled and cut, and processes that end and begin with no memory:
  * how long changes take, what they cost, and that no two sidecars ever go by versions that do not go together. The same seed plays the same.
  */
-public final class Rehearsed {
+public final class ConsensusSimulation {
     /** Something for a time, in the order of times. */
     private record Due(long at, long order, Runnable what) implements Comparable<Due> {
         @Override
@@ -26,7 +26,7 @@
     private final long leaseUs;
     private final SplittableRandom random;
     private final PriorityQueue<Due> due = new PriorityQueue<>();
-    private final Accord[] accords;
+    private final ConsensusNode[] nodes;
     /** Counts each sidecar's processes; what is for an earlier one comes to nothing. */
     private final int[] lives;
 
@@ -38,23 +38,23 @@
     private double doubles;
     private long delayUs = 5_000;
     private IntPredicate cutOff = i -> false;
-    private long words;
+    private long messages;
     private long bytes;
     private long jointFrom = -1;
     private long longestJointUs;
     private final IntFunction<Function<byte[], String>> checks;
 
-    public Rehearsed(int voters, int members, long leaseUs, long seed) {
+    public ConsensusSimulation(int voters, int members, long leaseUs, long seed) {
         this(voters, members, leaseUs, seed, i -> content -> null);
     }
 
     /** @param checks of each sidecar, by number: why it can't take a content, null where it can */
-    public Rehearsed(int voters, int members, long leaseUs, long seed, IntFunction<Function<byte[], String>> checks) {
+    public ConsensusSimulation(int voters, int members, long leaseUs, long seed, IntFunction<Function<byte[], String>> checks) {
         this.checks = checks;
         this.voters = voters;
         this.leaseUs = leaseUs;
         random = new SplittableRandom(seed);
-        accords = new Accord[members];
+        nodes = new ConsensusNode[members];
         lives = new int[members];
         pausedUntil = new long[members];
         for (int i = 0; i < members; i++) {
@@ -64,14 +64,14 @@
     }
 
     /**
-     * A day of changes among drawn faults: sidecars killed and begun again, paused, cut off from the others, voters among them, words lost and doubled. Then all
+     * A day of changes among drawn faults: sidecars killed and begun again, paused, cut off from the others, voters among them, messages lost and doubled. Then all
      * is well for half a minute.
      *
      * @return what was broken, or that they do not go by the same in the end though a majority of the voters remembers; empty where all is as it must be
      */
     public static List<String> day(int voters, int members, long leaseUs, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        Rehearsed r = new Rehearsed(voters, members, leaseUs, seed);
+        ConsensusSimulation r = new ConsensusSimulation(voters, members, leaseUs, seed);
         r.network(0.05, 0.05, 5_000);
         r.play(5_000_000);
         int dead = -1;
@@ -103,7 +103,7 @@
         r.cut(i -> false);
         r.play(30_000_000);
         List<String> broken = new ArrayList<>(r.broken());
-        long last = r.accords[0].inForce(r.now).to();
+        long last = r.nodes[0].inForce(r.now).to();
         // Killed one after the other while they could not hear each other, more voters than a minority may have
         // forgotten: then nothing is decided any more.
         if (2 * r.remember() > voters && !r.allGoBy(i -> true, last)) {
@@ -113,7 +113,7 @@
         return broken;
     }
 
-    /** Parts of the words that are lost, or come twice; {@code delay}: on the average. */
+    /** Parts of the messages that are lost, or come twice; {@code delay}: on the average. */
     public void network(double lost, double twice, long delay) {
         loss = lost;
         doubles = twice;
@@ -133,13 +133,13 @@
     public void start(int i) {
         lives[i]++;
         pausedUntil[i] = 0;
-        accords[i] = new Accord(1, voters, accords.length, i, random.nextLong(), leaseUs, now, checks.apply(i));
+        nodes[i] = new ConsensusNode(1, voters, nodes.length, i, random.nextLong(), leaseUs, now, checks.apply(i));
         tickLater(i, lives[i]);
     }
 
     public void kill(int i) {
         lives[i]++;
-        accords[i] = null;
+        nodes[i] = null;
     }
 
     /** It does nothing for so long, at whatever it was; what comes for it waits. */
@@ -149,15 +149,15 @@
 
     private void tickLater(int i, int life) {
         in(
-                Math.max(1_000, accords[i].dueAt() - now),
+                Math.max(1_000, nodes[i].dueAt() - now),
                 () -> act(i, life, () -> {
-                    accords[i].tick(now, out(i));
+                    nodes[i].tick(now, out(i));
                     tickLater(i, life);
                 }));
     }
 
     private void act(int i, int life, Runnable what) {
-        if (lives[i] != life || accords[i] == null) {
+        if (lives[i] != life || nodes[i] == null) {
             return;
         }
         if (now < pausedUntil[i]) {
@@ -168,28 +168,28 @@
         look();
     }
 
-    private Accord.Out out(int from) {
-        return (to, word) -> {
-            words++;
-            bytes += word.length;
+    private ConsensusNode.Out out(int from) {
+        return (to, message) -> {
+            messages++;
+            bytes += message.length;
             if (cutOff.test(from) != cutOff.test(to) || random.nextDouble() < loss) {
                 return;
             }
             for (int copies = random.nextDouble() < doubles ? 2 : 1; copies > 0; copies--) {
                 in(
                         (long) (delayUs * (0.3 + 1.4 * random.nextDouble())),
-                        () -> act(to, lives[to], () -> accords[to].hear(now, from, word, out(to))));
+                        () -> act(to, lives[to], () -> nodes[to].hear(now, from, message, out(to))));
             }
         };
     }
 
     /** No two that are sure go by what does not go together; and when versions are joint anywhere. */
     private void look() {
-        Accord.InForce one = null;
-        Accord.InForce joint = null;
+        ConsensusNode.InForce one = null;
+        ConsensusNode.InForce joint = null;
         long other = -1;
-        for (int i = 0; i < accords.length; i++) {
-            Accord.InForce f = accords[i] == null || now < pausedUntil[i] ? null : accords[i].inForce(now);
+        for (int i = 0; i < nodes.length; i++) {
+            ConsensusNode.InForce f = nodes[i] == null || now < pausedUntil[i] ? null : nodes[i].inForce(now);
             if (f == null || !f.sure() || f.to() == Stage.NONE) {
                 continue;
             }
@@ -235,25 +235,25 @@
         until(() -> false, us);
     }
 
-    /** Its number; what it says goes with it. Why not, where it can't be taken there, is to be asked of {@link #accord}. */
+    /** Its number; what it says goes with it. Why not, where it can't be taken there, is to be asked of {@link #node}. */
     public long propose(int by, byte[] content) {
-        accords[by].propose(now, content, out(by));
-        return Contents.version(content);
+        nodes[by].propose(now, content, out(by));
+        return ContentStore.version(content);
     }
 
-    public Accord accord(int i) {
-        return accords[i];
+    public ConsensusNode node(int i) {
+        return nodes[i];
     }
 
     /** Whether this sidecar is sure that this version alone is in force. */
     public boolean goesBy(int i, long version) {
-        Accord.InForce f = accords[i] == null ? null : accords[i].inForce(now);
+        ConsensusNode.InForce f = nodes[i] == null ? null : nodes[i].inForce(now);
         return f != null && f.sure() && !f.joint() && f.to() == version;
     }
 
     /** Whether all of those do. */
     public boolean allGoBy(IntPredicate who, long version) {
-        for (int i = 0; i < accords.length; i++) {
+        for (int i = 0; i < nodes.length; i++) {
             if (who.test(i) && !goesBy(i, version)) {
                 return false;
             }
@@ -265,17 +265,17 @@
     public int remember() {
         int n = 0;
         for (int v = 0; v < voters; v++) {
-            n += accords[v] != null && accords[v].votes() ? 1 : 0;
+            n += nodes[v] != null && nodes[v].votes() ? 1 : 0;
         }
         return n;
     }
 
     public boolean sure(int i) {
-        return accords[i] != null && accords[i].inForce(now).sure();
+        return nodes[i] != null && nodes[i].inForce(now).sure();
     }
 
-    public long words() {
-        return words;
+    public long messages() {
+        return messages;
     }
 
     public long bytes() {
--- a/src/main/java/rushproxy/accord/Contents.java
+++ b/src/main/java/rushproxy/consensus/ContentStore.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.nio.ByteBuffer;
 import java.security.MessageDigest;
@@ -15,9 +15,9 @@
  * content and no other, and pieces from anybody make the right one or none. Bounded: {@link #MOST_BYTES} each, {@link #MOST_KEPT} of them,
  * {@link #MOST_FETCHED} being fetched. Pure.
  */
-final class Contents {
+final class ContentStore {
     static final int MOST_BYTES = 16 * 1024, MOST_KEPT = 8, MOST_FETCHED = 4;
-    /** Of a word; pieces that one question brings. */
+    /** Of a message; pieces that one question brings. */
     static final int PIECE = 200, AT_ONCE = 4;
 
     private static final class Fetched {
@@ -36,7 +36,7 @@
     private final Map<Long, String> unfit = new LinkedHashMap<>();
 
     /** @param check says why a content can't be taken here; null where it can */
-    Contents(Function<byte[], String> check) {
+    ContentStore(Function<byte[], String> check) {
         this.check = check;
     }
 
@@ -116,24 +116,24 @@
     /** Asks for what is still wanted: who has spoken of it, or at times {@code other}, who may have it by now. */
     void ask(int other, boolean instead, Voter.Out out) {
         fetched.forEach((version, f) ->
-                out.say(f.source < 0 || instead ? other : f.source, new Word.Want(version, f.there.nextClearBit(0))));
+                out.send(f.source < 0 || instead ? other : f.source, new Message.ChunkRequest(version, f.there.nextClearBit(0))));
     }
 
-    void hear(int from, Word word, Voter.Out out) {
-        if (word instanceof Word.Want w) {
+    void hear(int from, Message message, Voter.Out out) {
+        if (message instanceof Message.ChunkRequest w) {
             byte[] content = kept.get(w.version());
             for (int p = w.piece();
                     content != null && p >= 0 && p < w.piece() + AT_ONCE && p < pieces(content.length);
                     p++) {
-                out.say(
+                out.send(
                         from,
-                        new Word.Piece(
+                        new Message.Chunk(
                                 w.version(),
                                 p,
                                 content.length,
                                 Arrays.copyOfRange(content, p * PIECE, Math.min(content.length, (p + 1) * PIECE))));
             }
-        } else if (word instanceof Word.Piece p) {
+        } else if (message instanceof Message.Chunk p) {
             piece(p);
         }
     }
@@ -142,7 +142,7 @@
         return Math.max(1, (bytes + PIECE - 1) / PIECE);
     }
 
-    private void piece(Word.Piece p) {
+    private void piece(Message.Chunk p) {
         Fetched f = fetched.get(p.version());
         boolean sane = p.of() >= 0
                 && p.of() <= MOST_BYTES
--- a/src/main/java/rushproxy/accord/Explorer.java
+++ b/src/main/java/rushproxy/consensus/Explorer.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -12,14 +12,14 @@
 import java.util.SplittableRandom;
 
 /**
- * Drives the real {@link Seat}s through orders of events that a network and machines may bring about: words lost, doubled and overtaking each
+ * Drives the real {@link Member}s through orders of events that a network and machines may bring about: messages lost, doubled and overtaking each
  * other, processes that end at any point and begin with no memory, pauses (nobody has to do anything while time goes on), rival leaders. After
  * each event the invariants of {@code docs/design/policy-change.md} are checked. Either all orders up to a bound, states told apart by
  * what they hold, or long random ones; what breaks is shortened. The same seed gives the same result.
  */
 public final class Explorer {
-    /** Words under way at most, for each sidecar; beyond it the oldest is lost. */
-    private static final int MOST_WORDS = 13;
+    /** Messages under way at most, for each sidecar; beyond it the oldest is lost. */
+    private static final int MOST_MESSAGES = 13;
 
     /** What may happen. */
     enum Kind {
@@ -34,8 +34,8 @@
         TICK
     }
 
-    /** To a sidecar by its number, or to a word under way; {@code version}: that a leader wants. What can't happen any more does nothing. */
-    record Event(Kind kind, int who, Sent word, int version) {
+    /** To a sidecar by its number, or to a message under way; {@code version}: that a leader wants. What can't happen any more does nothing. */
+    record Event(Kind kind, int who, Sent message, int version) {
         static Event of(Kind kind, int who) {
             return new Event(kind, who, null, 0);
         }
@@ -43,12 +43,12 @@
         @Override
         public String toString() {
             return kind.name().toLowerCase(Locale.ROOT)
-                    + (word != null ? " " + word : " " + who)
+                    + (message != null ? " " + message : " " + who)
                     + (version > 0 ? " to " + version : "");
         }
     }
 
-    record Sent(int from, int to, Word word) {}
+    record Sent(int from, int to, Message message) {}
 
     /** Broken, and the events that lead there from the begin. */
     public record Found(String broken, List<String> events) {}
@@ -62,31 +62,31 @@
      */
     public record Looked(long states, int depth, boolean all, Found found) {}
 
-    /** All seats, the words under way, the time, and what an onlooker remembers. */
+    /** All nodes, the messages under way, the time, and what an onlooker remembers. */
     private static final class Scene {
         final Group group;
-        final Rules rules;
-        final Seat[] seats;
-        final List<Sent> words = new ArrayList<>();
+        final SafetyRules rules;
+        final Member[] nodes;
+        final List<Sent> messages = new ArrayList<>();
         final Map<String, Stage> chosen = new HashMap<>();
         long now = 1_000;
         int lives;
         String broken;
 
-        Scene(Group group, Rules rules) {
+        Scene(Group group, SafetyRules rules) {
             this.group = group;
             this.rules = rules;
-            seats = new Seat[group.members()];
-            for (int i = 0; i < seats.length; i++) {
-                seats[i] = new Seat(group, rules, i, ++lives);
+            nodes = new Member[group.members()];
+            for (int i = 0; i < nodes.length; i++) {
+                nodes[i] = new Member(group, rules, i, ++lives);
             }
         }
 
         Scene(Scene o) {
             group = o.group;
             rules = o.rules;
-            seats = o.seats.clone();
-            words.addAll(o.words);
+            nodes = o.nodes.clone();
+            messages.addAll(o.messages);
             chosen.putAll(o.chosen);
             now = o.now;
             lives = o.lives;
@@ -94,15 +94,15 @@
         }
 
         /** Copied before it is changed, so that scenes may share what they have in common. */
-        private Seat own(int i) {
-            return seats[i] = seats[i].copy();
+        private Member own(int i) {
+            return nodes[i] = nodes[i].copy();
         }
 
         private Voter.Out out(int from) {
-            return (to, word) -> {
-                words.add(new Sent(from, to, word));
-                if (words.size() > MOST_WORDS * seats.length) {
-                    words.remove(0);
+            return (to, message) -> {
+                messages.add(new Sent(from, to, message));
+                if (messages.size() > MOST_MESSAGES * nodes.length) {
+                    messages.remove(0);
                 }
             };
         }
@@ -110,13 +110,13 @@
         void apply(Event e) {
             switch (e.kind) {
                 case DELIVER, DOUBLE, LOSE -> {
-                    int at = words.indexOf(e.word);
+                    int at = messages.indexOf(e.message);
                     if (at < 0) {
                         return;
                     }
-                    Sent s = e.kind == Kind.DOUBLE ? words.get(at) : words.remove(at);
+                    Sent s = e.kind == Kind.DOUBLE ? messages.get(at) : messages.remove(at);
                     if (e.kind != Kind.LOSE) {
-                        own(s.to).hear(now, s.from, s.word, out(s.to));
+                        own(s.to).hear(now, s.from, s.message, out(s.to));
                         look(s.to);
                     }
                 }
@@ -127,7 +127,7 @@
                 }
                 case LEAD -> own(e.who).lead(now, e.version, false, out(e.who));
                 case ABORT -> own(e.who).lead(now, Stage.NONE, true, out(e.who));
-                case CRASH -> seats[e.who] = new Seat(group, rules, e.who, ++lives);
+                case CRASH -> nodes[e.who] = new Member(group, rules, e.who, ++lives);
                 case TICK -> now++;
                 default -> throw new IllegalStateException();
             }
@@ -138,9 +138,9 @@
 
         /** What a leader has brought about is for good. */
         private void look(int i) {
-            Leader l = seats[i].leader();
+            Leader l = nodes[i].leader();
             if (l != null && l.chosen() != null) {
-                forGood(seats[i].voter().era(), l.chosen(), "leader " + i);
+                forGood(nodes[i].voter().era(), l.chosen(), "leader " + i);
             }
         }
 
@@ -152,19 +152,19 @@
         }
 
         private void check() {
-            for (int i = 0; i < seats.length; i++) {
-                Stage a = seats[i].holder().stage(now);
+            for (int i = 0; i < nodes.length; i++) {
+                Stage a = nodes[i].leaseHolder().stage(now);
                 if (a == null) {
                     continue;
                 }
-                forGood(seats[i].holder().era(), a, "sidecar " + i);
+                forGood(nodes[i].leaseHolder().era(), a, "sidecar " + i);
                 for (int j = 0; j < i; j++) {
-                    Stage b = seats[j].holder().stage(now);
+                    Stage b = nodes[j].leaseHolder().stage(now);
                     if (b != null
                             && !goTogether(
                                     a,
                                     b,
-                                    seats[i].holder().era() == seats[j].holder().era())) {
+                                    nodes[i].leaseHolder().era() == nodes[j].leaseHolder().era())) {
                         broken = "ONE_POLICY: sidecar " + i + " decides by " + a + ", sidecar " + j + " by " + b;
                     }
                 }
@@ -186,52 +186,52 @@
 
         private void hearOwn() {
             for (Sent own;
-                    (own = words.stream()
+                    (own = messages.stream()
                                     .filter(w -> w.from == w.to)
                                     .findFirst()
                                     .orElse(null))
                             != null; ) {
                 apply(new Event(Kind.DELIVER, 0, own, 0));
             }
-            Set<Sent> once = new LinkedHashSet<>(words);
-            words.clear();
-            words.addAll(once);
+            Set<Sent> once = new LinkedHashSet<>(messages);
+            messages.clear();
+            messages.addAll(once);
         }
 
-        /** All words arrive, in their order, until none is under way. */
+        /** All messages arrive, in their order, until none is under way. */
         void settle() {
-            for (int n = 0; n < 10_000 && !words.isEmpty(); n++) {
-                apply(new Event(Kind.DELIVER, 0, words.get(0), 0));
+            for (int n = 0; n < 10_000 && !messages.isEmpty(); n++) {
+                apply(new Event(Kind.DELIVER, 0, messages.get(0), 0));
             }
         }
 
         String print() {
             StringBuilder all = new StringBuilder();
-            for (Seat s : seats) {
+            for (Member s : nodes) {
                 s.print(all, now);
                 all.append('\n');
             }
-            words.stream().map(Sent::toString).sorted().forEach(w -> all.append(w)
+            messages.stream().map(Sent::toString).sorted().forEach(w -> all.append(w)
                     .append('\n'));
             return all.toString();
         }
     }
 
     private final Group group;
-    private final Rules rules;
+    private final SafetyRules rules;
 
     /** @param lease in steps of the checker's clock */
-    private Explorer(int voters, int members, int lease, Rules rules) {
+    private Explorer(int voters, int members, int lease, SafetyRules rules) {
         group = new Group(voters, members, lease, lease);
         this.rules = rules;
     }
 
     /** A sidecar as it is. */
     public static Explorer sound(int voters, int members) {
-        return new Explorer(voters, members, 4, Rules.ALL);
+        return new Explorer(voters, members, 4, SafetyRules.ALL);
     }
 
-    static Explorer broken(int voters, int members, Rules rules) {
+    static Explorer broken(int voters, int members, SafetyRules rules) {
         return new Explorer(voters, members, 4, rules);
     }
 
@@ -252,20 +252,20 @@
         return s;
     }
 
-    /** Whether a change gets through where nothing goes wrong; how many words it took. */
-    public int words(long version) {
+    /** Whether a change gets through where nothing goes wrong; how many messages it took. */
+    public int messages(long version) {
         Scene s = begin();
         int[] said = new int[1];
-        s.seats[0].lead(s.now, version, false, count(s, 0, said));
+        s.nodes[0].lead(s.now, version, false, count(s, 0, said));
         for (int round = 0; round < 50; round++) {
-            while (!s.words.isEmpty()) {
-                Sent w = s.words.remove(0);
-                s.seats[w.to].hear(s.now, w.from, w.word, count(s, w.to, said));
+            while (!s.messages.isEmpty()) {
+                Sent w = s.messages.remove(0);
+                s.nodes[w.to].hear(s.now, w.from, w.message, count(s, w.to, said));
             }
-            s.seats[0].step(s.now, count(s, 0, said));
+            s.nodes[0].step(s.now, count(s, 0, said));
         }
-        for (Seat seat : s.seats) {
-            Stage in = seat.holder().stage(s.now);
+        for (Member member : s.nodes) {
+            Stage in = member.leaseHolder().stage(s.now);
             if (in == null || in.joint() || in.to() != version) {
                 throw new IllegalStateException("a change without a fault did not get through: " + s.print());
             }
@@ -274,9 +274,9 @@
     }
 
     private static Voter.Out count(Scene s, int from, int[] said) {
-        return (to, word) -> {
+        return (to, message) -> {
             said[0] += from == to ? 0 : 1;
-            s.words.add(new Sent(from, to, word));
+            s.messages.add(new Sent(from, to, message));
         };
     }
 
@@ -290,7 +290,7 @@
             Scene s = new Scene(begin);
             List<Event> done = new ArrayList<>();
             for (int n = 0; n < events && s.broken == null; n++) {
-                Event e = draw(random, t, n, s.words);
+                Event e = draw(random, t, n, s.messages);
                 done.add(e);
                 s.apply(e);
                 played++;
@@ -327,13 +327,13 @@
         }
     }
 
-    private Event draw(SplittableRandom random, Troubles t, int event, List<Sent> words) {
+    private Event draw(SplittableRandom random, Troubles t, int event, List<Sent> messages) {
         int x = random.nextInt(1_000);
         int who = random.nextInt(group.members());
         int voter = random.nextInt(group.voters());
         int version = 1 + random.nextInt(3);
-        List<Sent> ready = words.stream().filter(w -> !t.paused(w.to, event)).toList();
-        Sent word =
+        List<Sent> ready = messages.stream().filter(w -> !t.paused(w.to, event)).toList();
+        Sent message =
                 ready.isEmpty() ? null : ready.get(random.nextInt(10) >= t.disorder ? 0 : random.nextInt(ready.size()));
         if ((x -= t.tick) < 0) {
             return Event.of(Kind.TICK, 0);
@@ -342,7 +342,7 @@
             if ((x -= t.crash) < 0) {
                 return Event.of(Kind.CRASH, who);
             }
-            if ((x -= word == null ? 500 : 60) < 0) {
+            if ((x -= message == null ? 500 : 60) < 0) {
                 return Event.of(Kind.RENEW, who);
             }
             if ((x -= 60) < 0) {
@@ -357,16 +357,16 @@
                 return Event.of(Kind.ABORT, voter);
             }
         }
-        if (word == null) {
+        if (message == null) {
             return Event.of(Kind.TICK, 0);
         }
-        return new Event((x -= t.lose) < 0 ? Kind.LOSE : x < 40 ? Kind.DOUBLE : Kind.DELIVER, 0, word, 0);
+        return new Event((x -= t.lose) < 0 ? Kind.LOSE : x < 40 ? Kind.DOUBLE : Kind.DELIVER, 0, message, 0);
     }
 
     /**
-     * All orders in the order of their length, until there are no more or so many states were seen: words are delivered in any order, or never; processes lead
-     * and end; where nothing is under way they ask anew and go on. What a process says to itself it hears at once, as {@link Accord} has it,
-     * and two words that say the same are one: both leave out orders that differ in nothing that counts.
+     * All orders in the order of their length, until there are no more or so many states were seen: messages are delivered in any order, or never; processes lead
+     * and end; where nothing is under way they ask anew and go on. What a process says to itself it hears at once, as {@link ConsensusNode} has it,
+     * and two messages that say the same are one: both leave out orders that differ in nothing that counts.
      */
     public Looked all(int most, int crashes, int leads, int ticks) {
         record Node(Scene scene, Node before, Event by, int depth, int crashes, int leads, int ticks) {}
@@ -379,7 +379,7 @@
             Node n = open.poll();
             depth = n.depth;
             List<Event> next = new ArrayList<>();
-            n.scene.words.forEach(w -> next.add(new Event(Kind.DELIVER, 0, w, 0)));
+            n.scene.messages.forEach(w -> next.add(new Event(Kind.DELIVER, 0, w, 0)));
             for (int i = 0; i < group.members(); i++) {
                 if (n.crashes > 0) {
                     next.add(Event.of(Kind.CRASH, i));
@@ -387,8 +387,8 @@
                 if (n.leads > 0 && i < group.voters()) {
                     next.add(new Event(Kind.LEAD, i, null, n.leads));
                 }
-                if (n.scene.words.isEmpty()) {
-                    next.add(Event.of(n.scene.seats[i].leader() != null ? Kind.STEP : Kind.RENEW, i));
+                if (n.scene.messages.isEmpty()) {
+                    next.add(Event.of(n.scene.nodes[i].leader() != null ? Kind.STEP : Kind.RENEW, i));
                 }
             }
             if (n.ticks > 0) {
--- a/src/main/java/rushproxy/accord/Group.java
+++ b/src/main/java/rushproxy/consensus/Group.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 /**
  * Who agrees, known to all.
--- a/src/main/java/rushproxy/accord/Life.java
+++ b/src/main/java/rushproxy/consensus/Incarnation.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 /**
  * One process of a voter, which forgets all when it ends: a later one has a higher count. What an earlier one promised binds nobody any more,
@@ -7,14 +7,14 @@
  *
  * @param nonce drawn by each process, so that two with the same count are told apart
  */
-record Life(int count, int nonce) {
-    static final Life UNKNOWN = new Life(0, 0);
+record Incarnation(int count, int nonce) {
+    static final Incarnation UNKNOWN = new Incarnation(0, 0);
 
-    boolean before(Life other) {
+    boolean before(Incarnation other) {
         return count < other.count || count == other.count && nonce < other.nonce;
     }
 
-    static Life later(Life a, Life b) {
+    static Incarnation later(Incarnation a, Incarnation b) {
         return a.before(b) ? b : a;
     }
 }
--- a/src/main/java/rushproxy/accord/Leader.java
+++ b/src/main/java/rushproxy/consensus/Leader.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -14,7 +14,7 @@
     private static final long MOST = 8, ROUND = MOST * 8_192;
 
     private final Group group;
-    private final Rules rules;
+    private final SafetyRules rules;
     private final long era;
     private final long ballot;
     /** A version that is wanted; {@link Stage#NONE} where only what is open is to be finished. */
@@ -22,9 +22,9 @@
     /** What is open is to be taken back in place of being finished. */
     private boolean abort;
 
-    private final Word.Promise[] promises;
+    private final Message.Promise[] promises;
     private Stage stage;
-    private final List<Life>[] accepts;
+    private final List<Incarnation>[] accepts;
     /** What its own vote knew to be chosen when it began, and since when: it may have been in force for long. */
     private final Stage longKnown;
 
@@ -45,7 +45,7 @@
     private boolean over;
 
     @SuppressWarnings("unchecked")
-    Leader(Group group, Rules rules, int me, Voter own, int proposer, long above, long wish, boolean abort) {
+    Leader(Group group, SafetyRules rules, int me, Voter own, int proposer, long above, long wish, boolean abort) {
         this.proposer = proposer;
         this.group = group;
         this.rules = rules;
@@ -56,8 +56,8 @@
         this.abort = abort;
         // A later process may not know which ballots an earlier one has used.
         ballot = (above / ROUND + 1) * ROUND + (own.lives().get(me).count() % (ROUND / MOST)) * MOST + me;
-        promises = new Word.Promise[group.voters()];
-        accepts = (List<Life>[]) new List<?>[group.voters()];
+        promises = new Message.Promise[group.voters()];
+        accepts = (List<Incarnation>[]) new List<?>[group.voters()];
     }
 
     private Leader(Leader o) {
@@ -123,13 +123,13 @@
         if (staged != Stage.NONE) {
             stage(out);
         } else if (stage == null) {
-            toVoters(out, new Word.Prepare(era, ballot));
+            toVoters(out, new Message.Prepare(era, ballot));
         } else if (!chosen) {
-            toVoters(out, new Word.Accept(era, ballot, stage));
+            toVoters(out, new Message.Accept(era, ballot, stage));
         } else {
             for (int m = 0; m < group.members(); m++) {
                 if (!taken.get(m)) {
-                    out.say(m, new Word.Chosen(era, ballot, stage));
+                    out.send(m, new Message.Chosen(era, ballot, stage));
                 }
             }
         }
@@ -163,7 +163,7 @@
     private void stage(Voter.Out out) {
         for (int m = 0; m < group.members(); m++) {
             if (!fit.get(m)) {
-                out.say(m, new Word.Staged(era, staged));
+                out.send(m, new Message.Validate(era, staged));
             }
         }
     }
@@ -187,27 +187,27 @@
         Arrays.fill(accepts, null);
         chosen = false;
         taken.clear();
-        toVoters(out, new Word.Accept(era, ballot, stage));
+        toVoters(out, new Message.Accept(era, ballot, stage));
     }
 
-    private void toVoters(Voter.Out out, Word word) {
+    private void toVoters(Voter.Out out, Message message) {
         for (int v = 0; v < group.voters(); v++) {
-            out.say(v, word);
+            out.send(v, message);
         }
     }
 
-    void hear(long now, int from, Word word, Voter.Out out) {
+    void hear(long now, int from, Message message, Voter.Out out) {
         if (over) {
             return;
         }
-        if (word instanceof Word.Promise p
+        if (message instanceof Message.Promise p
                 && p.era() == era
                 && p.ballot() == ballot
                 && stage == null
                 && from < group.voters()) {
             promises[from] = p;
             promised(out);
-        } else if (word instanceof Word.Accepted a
+        } else if (message instanceof Message.Accepted a
                 && a.era() == era
                 && a.ballot() == ballot
                 && stage != null
@@ -220,34 +220,34 @@
                 last = stage;
                 chosenAt = stage.equals(longKnown) ? longKnownAt : now;
                 for (int m = 0; m < group.members(); m++) {
-                    out.say(m, new Word.Chosen(era, ballot, stage));
+                    out.send(m, new Message.Chosen(era, ballot, stage));
                 }
             }
-        } else if (word instanceof Word.Fit f && f.era() == era && f.version() == staged && staged != Stage.NONE) {
+        } else if (message instanceof Message.Valid f && f.era() == era && f.version() == staged && staged != Stage.NONE) {
             fit.set(from);
-        } else if (word instanceof Word.Unfit u && u.version() == staged && staged != Stage.NONE) {
+        } else if (message instanceof Message.Invalid u && u.version() == staged && staged != Stage.NONE) {
             // Nothing of it has been brought about: it leaves no trace.
             refusal = "sidecar " + from + ": " + u.why();
             over = true;
-            out.say(proposer, new Word.Unfit(staged, refusal));
-        } else if (word instanceof Word.Refused r && r.era() == era && r.ballot() == ballot && r.promised() > ballot) {
+            out.send(proposer, new Message.Invalid(staged, refusal));
+        } else if (message instanceof Message.Refused r && r.era() == era && r.ballot() == ballot && r.promised() > ballot) {
             over = true;
-        } else if (word instanceof Word.Taken t && t.era() == era && chosen && t.index() >= stage.index()) {
+        } else if (message instanceof Message.Adopted t && t.era() == era && chosen && t.index() >= stage.index()) {
             taken.set(from);
         }
     }
 
     @SuppressWarnings("unchecked")
     private void promised(Voter.Out out) {
-        List<Life>[] lives = (List<Life>[]) new List<?>[promises.length];
+        List<Incarnation>[] lives = (List<Incarnation>[]) new List<?>[promises.length];
         for (int v = 0; v < lives.length; v++) {
             lives[v] = promises[v] == null ? null : promises[v].lives();
         }
         if (!enough(lives)) {
             return;
         }
-        Word.Promise best = null;
-        for (Word.Promise p : promises) {
+        Message.Promise best = null;
+        for (Message.Promise p : promises) {
             boolean newer = p != null
                     && (best == null
                             || p.acceptedBallot() > best.acceptedBallot()
@@ -260,7 +260,7 @@
     }
 
     /** Whether a majority has answered of which none knows that another has forgotten since what it answered. */
-    private boolean enough(List<Life>[] answers) {
+    private boolean enough(List<Incarnation>[] answers) {
         List<Integer> valid = new ArrayList<>();
         for (int v = 0; v < answers.length; v++) {
             if (answers[v] != null) {
--- a/src/main/java/rushproxy/accord/Holder.java
+++ b/src/main/java/rushproxy/consensus/LeaseHolder.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.Arrays;
 import java.util.function.LongPredicate;
@@ -7,13 +7,13 @@
  * By which stage one sidecar decides, and until when: it asks all voters and goes by what a majority answers for the length of a lease, counted
  * from when it asked, by its own monotonic clock. After that it is careful ({@link #stage} is null) until it has heard again. Pure.
  */
-final class Holder {
+final class LeaseHolder {
     private final Group group;
-    private final Rules rules;
+    private final SafetyRules rules;
     private final LongPredicate has;
     private int nonce;
     private long askedAt;
-    private final Word.Answer[] answers;
+    private final Message.LeaseReply[] answers;
     private Stage stage;
     private long era;
     /** Under which the stage was accepted where it was heard of. */
@@ -22,15 +22,15 @@
     private long until = Long.MIN_VALUE;
 
     /** @param nonce drawn by its process, so that answers to an earlier one are nobody's */
-    Holder(Group group, Rules rules, int nonce, LongPredicate has) {
+    LeaseHolder(Group group, SafetyRules rules, int nonce, LongPredicate has) {
         this.has = has;
         this.group = group;
         this.rules = rules;
         this.nonce = nonce;
-        answers = new Word.Answer[group.voters()];
+        answers = new Message.LeaseReply[group.voters()];
     }
 
-    private Holder(Holder o) {
+    private LeaseHolder(LeaseHolder o) {
         group = o.group;
         rules = o.rules;
         has = o.has;
@@ -43,8 +43,8 @@
         until = o.until;
     }
 
-    Holder copy() {
-        return new Holder(this);
+    LeaseHolder copy() {
+        return new LeaseHolder(this);
     }
 
     void ask(long now, Voter.Out out) {
@@ -52,7 +52,7 @@
         askedAt = now;
         Arrays.fill(answers, null);
         for (int v = 0; v < group.voters(); v++) {
-            out.say(v, new Word.Ask(nonce));
+            out.send(v, new Message.LeaseRequest(nonce));
         }
     }
 
@@ -81,8 +81,8 @@
     }
 
     /** True where it has come to another stage, which is to be told to who leads. */
-    boolean hear(long now, int from, Word word) {
-        if (!(word instanceof Word.Answer a) || a.nonce() != nonce || from >= group.voters()) {
+    boolean hear(long now, int from, Message message) {
+        if (!(message instanceof Message.LeaseReply a) || a.nonce() != nonce || from >= group.voters()) {
             return false;
         }
         answers[from] = a;
@@ -101,7 +101,7 @@
         }
         boolean other = !found.equals(stage) || a.era() != era;
         stage = found;
-        for (Word.Answer o : answers) {
+        for (Message.LeaseReply o : answers) {
             ballot =
                     o != null && o.accepted().equals(found) ? Math.max(other ? 0 : ballot, o.acceptedBallot()) : ballot;
         }
@@ -113,7 +113,7 @@
     /** The latest stage that is surely chosen, where a majority has accepted nothing after it; null where that is not known. */
     private Stage inForce(long of) {
         Stage best = era == of ? stage : null;
-        for (Word.Answer a : answers) {
+        for (Message.LeaseReply a : answers) {
             if (a != null
                     && a.era() == of
                     && (a.known() || !rules.majority() || count(of, a) >= group.majority())
@@ -125,15 +125,15 @@
             return null;
         }
         int upTo = 0;
-        for (Word.Answer a : answers) {
+        for (Message.LeaseReply a : answers) {
             upTo += a != null && a.era() == of && a.accepted().index() <= best.index() ? 1 : 0;
         }
         return upTo >= (rules.majority() ? group.majority() : 1) ? best : null;
     }
 
-    private int count(long of, Word.Answer like) {
+    private int count(long of, Message.LeaseReply like) {
         int n = 0;
-        for (Word.Answer a : answers) {
+        for (Message.LeaseReply a : answers) {
             n += a != null
                             && a.era() == of
                             && a.accepted().equals(like.accepted())
--- a/src/main/java/rushproxy/accord/Seat.java
+++ b/src/main/java/rushproxy/consensus/Member.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.function.LongPredicate;
 
@@ -6,44 +6,44 @@
  * One process's part in agreeing: its vote where it has one, its leading while it leads, and by what its sidecar decides. What it says goes to
  * sidecars by their numbers, to itself as well. Pure: time is a parameter, by a clock of its own that never goes back.
  */
-final class Seat {
+final class Member {
     private final Group group;
-    private final Rules rules;
+    private final SafetyRules rules;
     private final int me;
     private final LongPredicate has;
     /** Null where it has no vote. */
     private final Voter voter;
 
     private Leader leader;
-    private final Holder holder;
+    private final LeaseHolder leaseHolder;
 
     /** @param nonce drawn anew by each process, not 0 */
-    Seat(Group group, Rules rules, int me, int nonce) {
+    Member(Group group, SafetyRules rules, int me, int nonce) {
         this(group, rules, me, nonce, version -> true);
     }
 
     /** @param has whether what a version says is here and can be taken; asked for what it is about to go by */
-    Seat(Group group, Rules rules, int me, int nonce, LongPredicate has) {
+    Member(Group group, SafetyRules rules, int me, int nonce, LongPredicate has) {
         this.group = group;
         this.rules = rules;
         this.me = me;
         this.has = has;
         voter = me < group.voters() ? new Voter(group, rules, me, nonce, has) : null;
-        holder = new Holder(group, rules, nonce * 31, has);
+        leaseHolder = new LeaseHolder(group, rules, nonce * 31, has);
     }
 
-    private Seat(Seat o) {
+    private Member(Member o) {
         group = o.group;
         rules = o.rules;
         me = o.me;
         has = o.has;
         voter = o.voter == null ? null : o.voter.copy();
         leader = o.leader == null ? null : o.leader.copy();
-        holder = o.holder.copy();
+        leaseHolder = o.leaseHolder.copy();
     }
 
-    Seat copy() {
-        return new Seat(this);
+    Member copy() {
+        return new Member(this);
     }
 
     Voter voter() {
@@ -54,8 +54,8 @@
         return leader;
     }
 
-    Holder holder() {
-        return holder;
+    LeaseHolder leaseHolder() {
+        return leaseHolder;
     }
 
     /** Asks for what it lacks: a vote's memory, a lease. */
@@ -63,7 +63,7 @@
         if (voter != null) {
             voter.comeBack(now, out);
         }
-        holder.ask(now, out);
+        leaseHolder.ask(now, out);
     }
 
     /** Leads from now on, to this version, or to the end of what is open; false where it has no vote that counts. */
@@ -98,8 +98,8 @@
         }
     }
 
-    void hear(long now, int from, Word word, Voter.Out out) {
-        if (word instanceof Word.Propose p) {
+    void hear(long now, int from, Message message, Voter.Out out) {
+        if (message instanceof Message.Propose p) {
             // Who is at something already is not disturbed: its proposer is told by what comes into force.
             if (leader == null) {
                 lead(now, from, p.version(), p.abort(), out);
@@ -107,33 +107,33 @@
             return;
         }
         if (voter != null) {
-            voter.hear(now, from, word, out);
+            voter.hear(now, from, message, out);
         }
         if (leader != null) {
-            leader.hear(now, from, word, out);
+            leader.hear(now, from, message, out);
             leader.advance(now, out);
             if (leader.over()) {
                 leader = null;
             }
         }
-        if (word instanceof Word.Staged s) {
+        if (message instanceof Message.Validate s) {
             if (has.test(s.version())) {
-                out.say(from, new Word.Fit(s.era(), s.version()));
+                out.send(from, new Message.Valid(s.era(), s.version()));
             }
-        } else if (word instanceof Word.Chosen c) {
+        } else if (message instanceof Message.Chosen c) {
             chosen(now, from, c, out);
-        } else if (holder.hear(now, from, word)) {
-            out.say(holder.leader(), new Word.Taken(holder.era(), holder.last().index()));
+        } else if (leaseHolder.hear(now, from, message)) {
+            out.send(leaseHolder.leader(), new Message.Adopted(leaseHolder.era(), leaseHolder.last().index()));
         }
     }
 
-    /** A hint alone: what is in force it hears from a majority. Who has it already says so again, as that word may have been lost. */
-    private void chosen(long now, int from, Word.Chosen c, Voter.Out out) {
-        Stage has = holder.last();
-        if (has != null && holder.era() == c.era() && has.index() >= c.stage().index()) {
-            out.say(from, new Word.Taken(c.era(), has.index()));
+    /** A hint alone: what is in force it hears from a majority. Who has it already says so again, as that message may have been lost. */
+    private void chosen(long now, int from, Message.Chosen c, Voter.Out out) {
+        Stage has = leaseHolder.last();
+        if (has != null && leaseHolder.era() == c.era() && has.index() >= c.stage().index()) {
+            out.send(from, new Message.Adopted(c.era(), has.index()));
         } else {
-            holder.ask(now, out);
+            leaseHolder.ask(now, out);
         }
     }
 
@@ -144,6 +144,6 @@
         if (leader != null) {
             leader.print(to, now);
         }
-        holder.print(to, now);
+        leaseHolder.print(to, now);
     }
 }
--- a/src/main/java/rushproxy/accord/Word.java
+++ b/src/main/java/rushproxy/consensus/Message.java
@@ -1,44 +1,44 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.Arrays;
 import java.util.List;
 
 /** What sidecars say to each other to agree. Any of it may be lost, late, doubled or out of order. All but those of coming back carry the era. */
-sealed interface Word {
+sealed interface Message {
     // ---- leading: Paxos (Lamport, Paxos Made Simple, 2001), one register whose stages follow each other ----
 
-    record Prepare(long era, long ballot) implements Word {}
+    record Prepare(long era, long ballot) implements Message {}
 
     /** @param lives what the voter knows of all voters' lives, its own among them; {@code known}: its stage is chosen, not only accepted */
-    record Promise(long era, long ballot, List<Life> lives, long acceptedBallot, Stage accepted, boolean known)
-            implements Word {}
+    record Promise(long era, long ballot, List<Incarnation> lives, long acceptedBallot, Stage accepted, boolean known)
+            implements Message {}
 
-    record Accept(long era, long ballot, Stage stage) implements Word {}
+    record Accept(long era, long ballot, Stage stage) implements Message {}
 
-    record Accepted(long era, long ballot, long index, List<Life> lives) implements Word {}
+    record Accepted(long era, long ballot, long index, List<Incarnation> lives) implements Message {}
 
     /** A higher ballot has been promised. */
-    record Refused(long era, long ballot, long promised) implements Word {}
+    record Refused(long era, long ballot, long promised) implements Message {}
 
     /** A majority has accepted it: it never changes any more. */
-    record Chosen(long era, long ballot, Stage stage) implements Word {}
+    record Chosen(long era, long ballot, Stage stage) implements Message {}
 
     /** Its sidecar decides by nothing before this stage from now on. */
-    record Taken(long era, long index) implements Word {}
+    record Adopted(long era, long index) implements Message {}
 
     /** A sidecar without a vote asks one with: bring this version about, or take back what is open. */
-    record Propose(long version, boolean abort) implements Word {}
+    record Propose(long version, boolean abort) implements Message {}
 
     // ---- what versions say ----
 
     /** Pieces of it from this one on, please. */
-    record Want(long version, int piece) implements Word {}
+    record ChunkRequest(long version, int piece) implements Message {}
 
     /** @param of bytes in all */
-    record Piece(long version, int piece, int of, byte[] bytes) implements Word {
+    record Chunk(long version, int piece, int of, byte[] bytes) implements Message {
         @Override
         public boolean equals(Object o) {
-            return o instanceof Piece p
+            return o instanceof Chunk p
                     && p.version == version
                     && p.piece == piece
                     && p.of == of
@@ -52,39 +52,39 @@
     }
 
     /** A leader wants to bring this version about: who has read it and can take it says so. */
-    record Staged(long era, long version) implements Word {}
+    record Validate(long era, long version) implements Message {}
 
-    record Fit(long era, long version) implements Word {}
+    record Valid(long era, long version) implements Message {}
 
     /** It can't be taken here, and so nowhere. */
-    record Unfit(long version, String why) implements Word {}
+    record Invalid(long version, String why) implements Message {}
 
     // ---- leases ----
 
-    record Ask(int nonce) implements Word {}
+    record LeaseRequest(int nonce) implements Message {}
 
-    record Answer(long era, int nonce, long acceptedBallot, Stage accepted, boolean known) implements Word {}
+    record LeaseReply(long era, int nonce, long acceptedBallot, Stage accepted, boolean known) implements Message {}
 
     // ---- coming back ----
 
     /** A process that remembers nothing asks which life of its voter was known last. */
-    record Back(int nonce) implements Word {}
+    record RecoveryRequest(int nonce) implements Message {}
 
-    record Seen(int nonce, int count) implements Word {}
+    record KnownIncarnation(int nonce, int count) implements Message {}
 
     /** It remembers nothing either. */
-    record Blank(int nonce, int own) implements Word {}
+    record NoMemory(int nonce, int own) implements Message {}
 
-    record Rejoin(Life life) implements Word {}
+    record Rejoin(Incarnation life) implements Message {}
 
-    record State(long era, Life of, List<Life> lives, long promised, long acceptedBallot, Stage accepted, boolean known)
-            implements Word {}
+    record VoterState(long era, Incarnation of, List<Incarnation> lives, long promised, long acceptedBallot, Stage accepted, boolean known)
+            implements Message {}
 
     /** All were blank at once: nobody remembers anything that could be broken. Those are their nonces, by number. */
-    record Together(List<Integer> nonces) implements Word {}
+    record Bootstrap(List<Integer> nonces) implements Message {}
 
-    record Agreed(List<Integer> nonces) implements Word {}
+    record BootstrapAck(List<Integer> nonces) implements Message {}
 
     /** To one of them that has not heard from all: so it was, and its sender goes on from there. */
-    record Begun(List<Integer> nonces) implements Word {}
+    record Bootstrapped(List<Integer> nonces) implements Message {}
 }
--- a/src/main/java/rushproxy/accord/Options.java
+++ b/src/main/java/rushproxy/consensus/Options.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.nio.file.Path;
 
--- a/src/main/java/rushproxy/accord/Rules.java
+++ b/src/main/java/rushproxy/consensus/SafetyRules.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 /**
  * What makes it safe, each by its name, so that a checker can show that nothing holds without it. A sidecar has all of them.
@@ -10,6 +10,6 @@
  * @param leasesEnd     who has not asked for long decides by nothing but what is safe
  * @param majority      a stage is in force for who hears of it from a majority, or that it is chosen
  */
-record Rules(boolean recovers, boolean livesCount, boolean joint, boolean waits, boolean leasesEnd, boolean majority) {
-    static final Rules ALL = new Rules(true, true, true, true, true, true);
+record SafetyRules(boolean recovers, boolean livesCount, boolean joint, boolean waits, boolean leasesEnd, boolean majority) {
+    static final SafetyRules ALL = new SafetyRules(true, true, true, true, true, true);
 }
--- a/src/main/java/rushproxy/accord/Voter.java
+++ b/src/main/java/rushproxy/consensus/Voter.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import java.util.Arrays;
 import java.util.List;
@@ -10,13 +10,13 @@
  * (Viewstamped Replication Revisited, 2012, with lives counted). Pure.
  */
 final class Voter {
-    /** Says a word to a sidecar by its number; to itself too. */
+    /** Says a message to a sidecar by its number; to itself too. */
     interface Out {
-        void say(int to, Word word);
+        void send(int to, Message message);
     }
 
     private final Group group;
-    private final Rules rules;
+    private final SafetyRules rules;
     private final int me;
     private final int nonce;
     /** Whether what a version says is here, and can be taken: for nothing else is voted. */
@@ -24,7 +24,7 @@
 
     private boolean active;
     private long era;
-    private Life[] lives;
+    private Incarnation[] lives;
     private long promised;
     private long acceptedBallot;
     private Stage accepted = Stage.FIRST;
@@ -35,28 +35,28 @@
     private final int[] counts;
 
     private final int[] blanks;
-    private Life next;
-    private final Word.State[] states;
+    private Incarnation next;
+    private final Message.VoterState[] states;
     private List<Integer> together;
     private int agreed;
     /** With whom it began where nobody remembered anything; null where it came back to others. */
     private List<Integer> begun;
 
-    Voter(Group group, Rules rules, int me, int nonce, LongPredicate has) {
+    Voter(Group group, SafetyRules rules, int me, int nonce, LongPredicate has) {
         this.has = has;
         this.group = group;
         this.rules = rules;
         this.me = me;
         this.nonce = nonce;
-        lives = new Life[group.voters()];
-        Arrays.fill(lives, Life.UNKNOWN);
+        lives = new Incarnation[group.voters()];
+        Arrays.fill(lives, Incarnation.UNKNOWN);
         counts = new int[group.voters()];
         Arrays.fill(counts, -1);
         blanks = new int[group.voters()];
-        states = new Word.State[group.voters()];
+        states = new Message.VoterState[group.voters()];
         if (!rules.recovers()) {
             active = true;
-            lives[me] = new Life(1, nonce);
+            lives[me] = new Incarnation(1, nonce);
         }
     }
 
@@ -112,7 +112,7 @@
         return promised;
     }
 
-    List<Life> lives() {
+    List<Incarnation> lives() {
         return List.of(lives);
     }
 
@@ -125,77 +125,77 @@
             begin(now, List.of(nonce));
             return;
         }
-        Word word = next != null
-                ? new Word.Rejoin(next)
-                : together != null ? new Word.Together(together) : new Word.Back(nonce);
-        others(out, word);
-        if (word instanceof Word.Back) {
+        Message message = next != null
+                ? new Message.Rejoin(next)
+                : together != null ? new Message.Bootstrap(together) : new Message.RecoveryRequest(nonce);
+        others(out, message);
+        if (message instanceof Message.RecoveryRequest) {
             return;
         }
         // Who was blank may have come back otherwise meanwhile, and one that has told its state may be another life:
         // asked anew as well.
-        others(out, new Word.Back(nonce));
+        others(out, new Message.RecoveryRequest(nonce));
     }
 
-    private void others(Out out, Word word) {
+    private void others(Out out, Message message) {
         for (int v = 0; v < group.voters(); v++) {
             if (v != me) {
-                out.say(v, word);
+                out.send(v, message);
             }
         }
     }
 
-    void hear(long now, int from, Word word, Out out) {
-        if (from >= group.voters() && !(word instanceof Word.Ask)) {
+    void hear(long now, int from, Message message, Out out) {
+        if (from >= group.voters() && !(message instanceof Message.LeaseRequest)) {
             return;
         }
-        if (word instanceof Word.Prepare p) {
+        if (message instanceof Message.Prepare p) {
             prepare(from, p, out);
-        } else if (word instanceof Word.Accept a) {
+        } else if (message instanceof Message.Accept a) {
             accept(from, a, out);
-        } else if (word instanceof Word.Chosen c) {
+        } else if (message instanceof Message.Chosen c) {
             chosen(now, c);
-        } else if (word instanceof Word.Ask a && active) {
-            out.say(from, new Word.Answer(era, a.nonce(), acceptedBallot, accepted, known));
-        } else if (word instanceof Word.Back b) {
+        } else if (message instanceof Message.LeaseRequest a && active) {
+            out.send(from, new Message.LeaseReply(era, a.nonce(), acceptedBallot, accepted, known));
+        } else if (message instanceof Message.RecoveryRequest b) {
             back(from, b, out);
-        } else if (word instanceof Word.Seen s) {
+        } else if (message instanceof Message.KnownIncarnation s) {
             seen(from, s, out);
-        } else if (word instanceof Word.Blank b) {
+        } else if (message instanceof Message.NoMemory b) {
             blank(from, b, out);
-        } else if (word instanceof Word.Rejoin r) {
+        } else if (message instanceof Message.Rejoin r) {
             rejoin(from, r, out);
-        } else if (word instanceof Word.State s) {
+        } else if (message instanceof Message.VoterState s) {
             state(now, from, s);
-        } else if (word instanceof Word.Together t) {
+        } else if (message instanceof Message.Bootstrap t) {
             together(from, t, out);
-        } else if (word instanceof Word.Agreed a) {
+        } else if (message instanceof Message.BootstrapAck a) {
             agreed(now, from, a);
-        } else if (word instanceof Word.Begun b && !active && b.nonces().get(me) == nonce) {
+        } else if (message instanceof Message.Bootstrapped b && !active && b.nonces().get(me) == nonce) {
             // It has never voted in this life, so where all that vote began it may begin too.
             begin(now, b.nonces());
         }
     }
 
-    private void prepare(int from, Word.Prepare p, Out out) {
+    private void prepare(int from, Message.Prepare p, Out out) {
         if (!active || p.era() != era) {
             return;
         }
         // The same again: its answer was lost.
         if (p.ballot() >= promised) {
             promised = p.ballot();
-            out.say(from, new Word.Promise(era, promised, lives(), acceptedBallot, accepted, known));
+            out.send(from, new Message.Promise(era, promised, lives(), acceptedBallot, accepted, known));
         } else {
-            out.say(from, new Word.Refused(era, p.ballot(), promised));
+            out.send(from, new Message.Refused(era, p.ballot(), promised));
         }
     }
 
-    private void accept(int from, Word.Accept a, Out out) {
+    private void accept(int from, Message.Accept a, Out out) {
         if (!active || a.era() != era) {
             return;
         }
         if (a.ballot() < promised) {
-            out.say(from, new Word.Refused(era, a.ballot(), promised));
+            out.send(from, new Message.Refused(era, a.ballot(), promised));
             return;
         }
         if (!has.test(a.stage().from()) | !has.test(a.stage().to())) {
@@ -209,11 +209,11 @@
             accepted = a.stage();
         }
         if (a.stage().equals(accepted)) {
-            out.say(from, new Word.Accepted(era, a.ballot(), a.stage().index(), lives()));
+            out.send(from, new Message.Accepted(era, a.ballot(), a.stage().index(), lives()));
         }
     }
 
-    private void chosen(long now, Word.Chosen c) {
+    private void chosen(long now, Message.Chosen c) {
         if (active && c.era() == era && c.stage().equals(accepted) && !known) {
             known = true;
             knownAt = now;
@@ -222,54 +222,54 @@
 
     // ---- coming back ----
 
-    private void back(int from, Word.Back b, Out out) {
+    private void back(int from, Message.RecoveryRequest b, Out out) {
         if (!active) {
-            out.say(from, new Word.Blank(b.nonce(), nonce));
+            out.send(from, new Message.NoMemory(b.nonce(), nonce));
         } else if (begun != null && begun.get(from) == b.nonce()) {
-            out.say(from, new Word.Begun(begun));
+            out.send(from, new Message.Bootstrapped(begun));
         } else {
-            out.say(from, new Word.Seen(b.nonce(), lives[from].count()));
+            out.send(from, new Message.KnownIncarnation(b.nonce(), lives[from].count()));
         }
     }
 
-    private void seen(int from, Word.Seen s, Out out) {
+    private void seen(int from, Message.KnownIncarnation s, Out out) {
         if (active || next != null || s.nonce() != nonce) {
             return;
         }
         counts[from] = s.count();
         int most = Arrays.stream(counts).max().orElse(-1);
         if (Arrays.stream(counts).filter(c -> c >= 0).count() >= group.majority()) {
-            next = new Life(most + 1, nonce);
-            others(out, new Word.Rejoin(next));
+            next = new Incarnation(most + 1, nonce);
+            others(out, new Message.Rejoin(next));
         }
     }
 
-    private void rejoin(int from, Word.Rejoin r, Out out) {
+    private void rejoin(int from, Message.Rejoin r, Out out) {
         if (!active) {
             return;
         }
-        lives[from] = Life.later(lives[from], r.life());
+        lives[from] = Incarnation.later(lives[from], r.life());
         if (lives[from].equals(r.life())) {
-            out.say(from, new Word.State(era, r.life(), lives(), promised, acceptedBallot, accepted, known));
+            out.send(from, new Message.VoterState(era, r.life(), lives(), promised, acceptedBallot, accepted, known));
         }
     }
 
-    private void state(long now, int from, Word.State s) {
+    private void state(long now, int from, Message.VoterState s) {
         if (active || next == null || !next.equals(s.of())) {
             return;
         }
         states[from] = s;
-        List<Word.State> told = Arrays.stream(states).filter(Objects::nonNull).toList();
+        List<Message.VoterState> told = Arrays.stream(states).filter(Objects::nonNull).toList();
         // One that has come back itself since it spoke may not know what it knew.
         if (told.size() < group.majority() || rules.livesCount() && !consistent(told)) {
             return;
         }
         lives[me] = next;
-        for (Word.State t : told) {
+        for (Message.VoterState t : told) {
             era = t.era();
             promised = Math.max(promised, t.promised());
             for (int v = 0; v < lives.length; v++) {
-                lives[v] = Life.later(lives[v], t.lives().get(v));
+                lives[v] = Incarnation.later(lives[v], t.lives().get(v));
             }
             boolean newer = t.acceptedBallot() > acceptedBallot
                     || t.acceptedBallot() == acceptedBallot && t.accepted().index() > accepted.index();
@@ -285,9 +285,9 @@
         active = true;
     }
 
-    private boolean consistent(List<Word.State> told) {
+    private boolean consistent(List<Message.VoterState> told) {
         for (int v = 0; v < states.length; v++) {
-            for (Word.State t : told) {
+            for (Message.VoterState t : told) {
                 if (states[v] != null
                         && (states[v].lives().get(v).before(t.lives().get(v)) || states[v].era() != t.era())) {
                     return false;
@@ -297,7 +297,7 @@
         return true;
     }
 
-    private void blank(int from, Word.Blank b, Out out) {
+    private void blank(int from, Message.NoMemory b, Out out) {
         if (active || b.nonce() != nonce) {
             return;
         }
@@ -308,20 +308,20 @@
             if (!all.equals(together)) {
                 together = all;
                 agreed = 0;
-                others(out, new Word.Together(all));
+                others(out, new Message.Bootstrap(all));
             }
         }
     }
 
-    private void together(int from, Word.Together t, Out out) {
+    private void together(int from, Message.Bootstrap t, Out out) {
         boolean stillBlank = !active && t.nonces().get(me) == nonce;
         boolean begunSo = active && era == eraOf(t.nonces());
         if (stillBlank || begunSo) {
-            out.say(from, new Word.Agreed(t.nonces()));
+            out.send(from, new Message.BootstrapAck(t.nonces()));
         }
     }
 
-    private void agreed(long now, int from, Word.Agreed a) {
+    private void agreed(long now, int from, Message.BootstrapAck a) {
         if (active || !a.nonces().equals(together)) {
             return;
         }
@@ -331,12 +331,12 @@
         }
     }
 
-    /** All were blank between the first answer to {@link Word.Together} and the last to {@link Word.Back}: nothing is remembered anywhere. */
+    /** All were blank between the first answer to {@link Message.Bootstrap} and the last to {@link Message.RecoveryRequest}: nothing is remembered anywhere. */
     private void begin(long now, List<Integer> nonces) {
         era = eraOf(nonces);
         begun = nonces;
         for (int v = 0; v < lives.length; v++) {
-            lives[v] = new Life(1, nonces.get(v));
+            lives[v] = new Incarnation(1, nonces.get(v));
         }
         known = true;
         knownAt = now;
--- a/src/main/java/rushproxy/accord/audit/History.java
+++ b/src/main/java/rushproxy/consensus/audit/History.java
@@ -1,4 +1,4 @@
-package rushproxy.accord.audit;
+package rushproxy.consensus.audit;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/main/java/rushproxy/accord/audit/LogFiles.java
+++ b/src/main/java/rushproxy/consensus/audit/LogFiles.java
@@ -1,4 +1,4 @@
-package rushproxy.accord.audit;
+package rushproxy.consensus.audit;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/rushproxy/measure/PolicyChangeMeasure.java
+++ b/src/main/java/rushproxy/measure/PolicyChangeMeasure.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.Callable;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
-import rushproxy.accord.Explorer;
-import rushproxy.accord.Rehearsed;
+import rushproxy.consensus.Explorer;
+import rushproxy.consensus.ConsensusSimulation;
 import rushproxy.lab.Runner;
 import rushproxy.lab.scenario.Scenario;
 import rushproxy.lab.scenario.ScenarioFile;
@@ -26,7 +26,7 @@
 
 /**
  * Measures changes of policy on virtual time: how long until they are in force, for how long two versions go together, what they cost at rest and
- * while they are made, at several sizes and with words lost; and lets the explorer look for orders of events that break an invariant. Ends with
+ * while they are made, at several sizes and with messages lost; and lets the explorer look for orders of events that break an invariant. Ends with
  * {@code holds} or {@code falls short: ...}. Run by {@code bench/policy-change.sh}.
  */
 public final class PolicyChangeMeasure {
@@ -47,8 +47,8 @@
         }
         List<String> shortfalls = new ArrayList<>();
         System.out.println(
-                "virtual time, lease 3 s, words 5 ms on the way: from propose until in force there and at all (ms: median, worst), two versions at most (ms), "
-                        + "words a change and sidecar, words and bytes a second and sidecar at rest");
+                "virtual time, lease 3 s, messages 5 ms on the way: from propose until in force there and at all (ms: median, worst), two versions at most (ms), "
+                        + "messages a change and sidecar, messages and bytes a second and sidecar at rest");
         for (int members : new int[] {5, 16, 100, 300}) {
             for (double loss : new double[] {0, 0.05}) {
                 changes(members, loss, quick ? 10 : 50, shortfalls);
@@ -69,7 +69,7 @@
         for (int d = 0; d < small + large; d++) {
             int members = d < small ? 16 : 300;
             long seed = 1_000 + d;
-            days.add(() -> Rehearsed.day(5, members, LEASE_US, seed));
+            days.add(() -> ConsensusSimulation.day(5, members, LEASE_US, seed));
         }
         List<String> broken = new ArrayList<>();
         try (Runner runner = new Runner(Runtime.getRuntime().availableProcessors())) {
@@ -84,8 +84,8 @@
         Shortfalls.check(shortfalls, broken.isEmpty(), "days of faults: " + broken);
     }
 
-    private static Rehearsed fleet(int members, double loss, long seed) {
-        Rehearsed r = new Rehearsed(Math.min(5, members), members, LEASE_US, seed);
+    private static ConsensusSimulation fleet(int members, double loss, long seed) {
+        ConsensusSimulation r = new ConsensusSimulation(Math.min(5, members), members, LEASE_US, seed);
         r.network(loss, loss / 2, 5_000);
         if (r.until(() -> r.allGoBy(ALL, 0), 20 * S) < 0) {
             throw new IllegalStateException("a fleet of " + members + " does not begin, seed " + seed);
@@ -99,23 +99,23 @@
     }
 
     private static void changes(int members, double loss, int changes, List<String> shortfalls) {
-        Rehearsed r = fleet(members, loss, 1);
-        long words = r.words();
+        ConsensusSimulation r = fleet(members, loss, 1);
+        long messages = r.messages();
         long bytes = r.bytes();
         r.play(20 * S);
-        double restWords = (r.words() - words) / 20.0 / members;
+        double restMessages = (r.messages() - messages) / 20.0 / members;
         double restBytes = (r.bytes() - bytes) / 20.0 / members;
         long[] commit = new long[changes];
         long[] all = new long[changes];
         double each = 0;
         for (int c = 0; c < changes; c++) {
             int by = c % members;
-            words = r.words();
+            messages = r.messages();
             long version = r.propose(by, policy(c % 2));
             commit[c] = r.until(() -> r.goesBy(by, version), 30 * S);
             long rest = r.until(() -> r.allGoBy(ALL, version), 30 * S);
             all[c] = commit[c] + rest;
-            each += (double) (r.words() - words) / members / changes;
+            each += (double) (r.messages() - messages) / members / changes;
             Shortfalls.check(
                     shortfalls,
                     commit[c] >= 0 && rest >= 0,
@@ -135,7 +135,7 @@
                 all[changes - 1] / 1000,
                 r.longestJointUs() / 1000,
                 each,
-                restWords,
+                restMessages,
                 restBytes);
         Shortfalls.check(
                 shortfalls,
@@ -157,7 +157,7 @@
         long worst = 0;
         long back = 0;
         for (int seed = 1; seed <= fleets; seed++) {
-            Rehearsed r = fleet(100, 0.05, seed);
+            ConsensusSimulation r = fleet(100, 0.05, seed);
             r.play(4 * S);
             IntPredicate far = i -> i >= 67;
             r.cut(far);
@@ -198,7 +198,7 @@
                 s,
                 false,
                 null,
-                folder -> "[zones]\n[accord]\nfleet = \"measure\"\nvoters = 5\nfile = \""
+                folder -> "[zones]\n[consensus]\nfleet = \"measure\"\nvoters = 5\nfile = \""
                         + folder.resolve("policy.toml") + "\"\n")) {
             long begunUs = fleet.world().clock().now();
             fleet.begin();
--- a/src/main/java/rushproxy/operator/Operator.java
+++ b/src/main/java/rushproxy/operator/Operator.java
@@ -16,7 +16,7 @@
  * @param zones      how zones are lost, spilled from and regained; null where they are not told apart
  * @param subset     how many nodes one sidecar of many keeps to; null where it is all
  * @param jsonLog    whether events are printed as lines of JSON
- * @param accord     how changes of policy are decided in common; null where each sidecar goes by its own file
+ * @param consensus     how changes of policy are decided in common; null where each sidecar goes by its own file
  * @param membership how lists are judged; null where they are taken as they are
  */
 public record Operator(
@@ -26,7 +26,7 @@
         rushproxy.zones.Options zones,
         rushproxy.subset.Options subset,
         boolean jsonLog,
-        rushproxy.accord.Options accord) {
+        rushproxy.consensus.Options consensus) {
     /** Without a file: nothing is on that the platform has not asked for. */
     public static final Operator NONE = new Operator(null, null, null, null, null, false);
 
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -31,6 +31,7 @@
 
     /** The same from a table, which another file may hold. */
     public static Operator read(Table root) throws Broken {
+        root.renamed("accord", "[consensus]");
         Operator operator = new Operator(
                 membership(root.table("membership")),
                 grpc(root.table("grpc")),
@@ -38,7 +39,7 @@
                 zones(root.table("zones")),
                 subset(root.table("subset")),
                 jsonLog(root.table("log")),
-                accord(root.table("accord"), root));
+                consensus(root.table("consensus"), root));
         root.done();
         return operator;
     }
@@ -170,18 +171,18 @@
                                 + (s.sidecars() == 0 ? "" : "; there are " + s.sidecars() + " sidecars"));
     }
 
-    private static rushproxy.accord.Options accord(Table t, Table root) throws Broken {
+    private static rushproxy.consensus.Options consensus(Table t, Table root) throws Broken {
         if (t == null) {
             return null;
         }
         if (!root.has("zones")) {
-            throw t.broken("file", "a table [zones] beside [accord]: what is changed in common is its away and tiers");
+            throw t.broken("file", "a table [zones] beside [consensus]: what is changed in common is its away and tiers");
         }
         int voters = t.whole("voters", 5, 1, 7);
         if (voters % 2 == 0) {
             throw t.broken("voters", "an odd number, so that there is a majority");
         }
-        rushproxy.accord.Options options = new rushproxy.accord.Options(
+        rushproxy.consensus.Options options = new rushproxy.consensus.Options(
                 t.text("fleet", null),
                 voters,
                 t.duration("lease", "3s", "500ms", "1min", null),
@@ -303,9 +304,9 @@
         explain(operator.traces(), lines);
         explain(operator.zones(), lines);
         explain(operator.subset(), lines);
-        if (operator.accord() != null) {
-            rushproxy.accord.Options a = operator.accord();
-            lines.add("accord: changes of [zones] away and tiers are decided in common by fleet '" + a.fleet()
+        if (operator.consensus() != null) {
+            rushproxy.consensus.Options a = operator.consensus();
+            lines.add("consensus: changes of [zones] away and tiers are decided in common by fleet '" + a.fleet()
                     + "', the first " + a.voters() + " sidecars vote; who hears nothing for " + seconds(a.leaseUs())
                     + " is careful; proposed from " + a.file());
         }
--- a/src/main/java/rushproxy/scale/CapacityTable.java
+++ b/src/main/java/rushproxy/scale/CapacityTable.java
@@ -97,7 +97,7 @@
     }
 
     private void voter(List<Row> rows) {
-        String flat = "`accord`, flat: missing a control tier";
+        String flat = "`consensus`, flat: missing a control tier";
         if (has(Figure.VOTER_BYTES, Figure.VOTER_DATAGRAMS)) {
             double bytes = at(Figure.VOTER_BYTES) + Target.HEADER_BYTES * at(Figure.VOTER_DATAGRAMS);
             rows.add(new Row(
@@ -131,7 +131,7 @@
                     Target.CONTROL_BYTES,
                     "B/s",
                     "member-bytes + 28 member-datagrams",
-                    "`accord`"));
+                    "`consensus`"));
         }
         if (has(Figure.MEMBER_CORES)) {
             rows.add(new Row(
@@ -141,7 +141,7 @@
                     Target.CONTROL_CORES,
                     "cores",
                     "member-cores",
-                    "`accord`"));
+                    "`consensus`"));
         }
         if (has(Figure.MEMBER_HEAP)) {
             rows.add(new Row(
@@ -151,7 +151,7 @@
                     Target.CONTROL_KB,
                     "KB",
                     "member-heap",
-                    "`accord`"));
+                    "`consensus`"));
         }
     }
 
@@ -164,7 +164,7 @@
                     Target.START_MS,
                     "ms",
                     "start",
-                    "`accord`"));
+                    "`consensus`"));
         }
         if (has(Figure.CHANGE)) {
             rows.add(new Row(
@@ -174,7 +174,7 @@
                     Target.CHANGE_MS,
                     "ms",
                     "change",
-                    "`accord`"));
+                    "`consensus`"));
         }
         if (has(Figure.CHANGE_ONE_AWAY)) {
             double oneAway = at(Figure.CHANGE_ONE_AWAY);
@@ -185,7 +185,7 @@
                     Target.CHANGE_MS,
                     "ms",
                     "change-one-away",
-                    "`accord`"));
+                    "`consensus`"));
             rows.add(new Row(
                     "all sidecars",
                     "a second change right behind it",
--- a/src/main/java/rushproxy/scale/HollowHost.java
+++ b/src/main/java/rushproxy/scale/HollowHost.java
@@ -14,7 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
-import rushproxy.accord.Accord;
+import rushproxy.consensus.ConsensusNode;
 import rushproxy.core.Clock;
 import rushproxy.sidecar.CpuTime;
 
@@ -99,7 +99,7 @@
                 return refusal == null ? String.valueOf(clock.now()) : "refused " + refusal;
             }
             case "settled" -> {
-                SettledLog.Progress progress = settled.of(Accord.version(content(words[1])));
+                SettledLog.Progress progress = settled.of(ConsensusNode.version(content(words[1])));
                 return progress.count() + " " + progress.lastUs();
             }
             case "silence" -> member(words[1]).silence(words[2].equals("1"));
--- a/src/main/java/rushproxy/scale/HollowSidecar.java
+++ b/src/main/java/rushproxy/scale/HollowSidecar.java
@@ -12,7 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import rushproxy.accord.Accord;
+import rushproxy.consensus.ConsensusNode;
 import rushproxy.core.Clock;
 import rushproxy.fleet.Holdings;
 
@@ -35,7 +35,7 @@
     private HollowLoad load;
 
     private Channel channel;
-    private Accord accord;
+    private ConsensusNode consensus;
     private long lives;
     private boolean silent;
     /** The next look at the clock; null while none is due. */
@@ -77,7 +77,7 @@
         lives++;
         silent = false;
         version = 0;
-        accord = new Accord(
+        consensus = new ConsensusNode(
                 fleet.name().hashCode(),
                 fleet.voters(),
                 fleet.members(),
@@ -114,17 +114,17 @@
 
     /** Why it can't be proposed; null where it is on its way. */
     String propose(byte[] content) {
-        String refusal = accord.propose(clock.now(), content, this::send);
+        String refusal = consensus.propose(clock.now(), content, this::send);
         observe();
         return refusal;
     }
 
     /** Whether it has heard what is in force, and is sure that it still is. */
     boolean sure() {
-        return accord != null
+        return consensus != null
                 && !silent
-                && accord.learnt()
-                && accord.inForce(clock.now()).sure();
+                && consensus.learnt()
+                && consensus.inForce(clock.now()).sure();
     }
 
     private void look() {
@@ -135,18 +135,18 @@
         if (silent) {
             return;
         }
-        accord.tick(clock.now(), this::send);
+        consensus.tick(clock.now(), this::send);
         observe();
     }
 
     private void observe() {
-        Accord.InForce inForce = accord.inForce(clock.now());
+        ConsensusNode.InForce inForce = consensus.inForce(clock.now());
         if (inForce.sure() && !inForce.joint() && inForce.to() != version) {
             version = inForce.to();
             settled.settled(version, clock.now());
         }
         if (nextLook == null) {
-            long delayUs = Math.max(LEAST_LOOK_US, Math.min(MOST_LOOK_US, accord.dueAt() - clock.now()));
+            long delayUs = Math.max(LEAST_LOOK_US, Math.min(MOST_LOOK_US, consensus.dueAt() - clock.now()));
             nextLook = loop.schedule(this::look, delayUs, TimeUnit.MICROSECONDS);
         }
     }
@@ -161,7 +161,7 @@
 
     private void received(int from, byte[] message) {
         traffic.received(from, message.length);
-        if (silent || accord == null || !directory.passes(from, number)) {
+        if (silent || consensus == null || !directory.passes(from, number)) {
             return;
         }
         if (Holdings.isWord(message)) {
@@ -170,7 +170,7 @@
             }
             return;
         }
-        accord.hear(clock.now(), from, message, this::send);
+        consensus.hear(clock.now(), from, message, this::send);
         observe();
     }
 
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -12,7 +12,7 @@
 import rushproxy.Guide;
 import rushproxy.Others;
 import rushproxy.Policy;
-import rushproxy.accord.Accord;
+import rushproxy.consensus.ConsensusNode;
 import rushproxy.core.Attempt;
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
@@ -167,9 +167,9 @@
         }
         holdings = told == settings ? Holdings.of(settings) : null;
         lessons = told == settings ? Lessons.of(settings) : null;
-        if (operator.accord() != null) {
+        if (operator.consensus() != null) {
             policies = new Policies(
-                    timers, clock, operator.accord(), settings, seed ^ clock.now() * 31, network::tell, this::goBy);
+                    timers, clock, operator.consensus(), settings, seed ^ clock.now() * 31, network::tell, this::goBy);
         }
         List<Balancer.Upstream> first = members.start(lists);
         discovery = new RegistryWatch(
@@ -236,7 +236,7 @@
             }
             return;
         }
-        if (policies != null && Accord.isWord(message)) {
+        if (policies != null && ConsensusNode.isMessage(message)) {
             policies.hear(peer, message);
             return;
         }
--- a/src/main/java/rushproxy/sidecar/Policies.java
+++ b/src/main/java/rushproxy/sidecar/Policies.java
@@ -7,9 +7,9 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import rushproxy.Balancer.Settings;
-import rushproxy.accord.Accord;
-import rushproxy.accord.Accord.InForce;
-import rushproxy.accord.Options;
+import rushproxy.consensus.ConsensusNode;
+import rushproxy.consensus.ConsensusNode.InForce;
+import rushproxy.consensus.Options;
 import rushproxy.core.Clock;
 import rushproxy.core.Log;
 import rushproxy.core.Timers;
@@ -30,7 +30,7 @@
     private final List<String> zones;
     private final BiConsumer<Integer, byte[]> network;
     private final Consumer<Policy> effect;
-    private final Accord accord;
+    private final ConsensusNode consensus;
     private final List<Runnable> onceLearnt = new ArrayList<>();
     private InForce seen;
     private long sinceUs;
@@ -50,7 +50,7 @@
         this.network = network;
         this.effect = effect;
         zones = settings.zones();
-        accord = new Accord(
+        consensus = new ConsensusNode(
                 options.fleet().hashCode(),
                 options.voters(),
                 settings.balancers(),
@@ -78,25 +78,25 @@
 
     private void look() {
         due = false;
-        accord.tick(clock.now(), network::accept);
+        consensus.tick(clock.now(), network::accept);
         told();
     }
 
     private void lookLater() {
         if (!due) {
             due = true;
-            timers.in(Math.max(SOON_US, Math.min(LOOK_US, accord.dueAt() - clock.now())), this::look);
+            timers.in(Math.max(SOON_US, Math.min(LOOK_US, consensus.dueAt() - clock.now())), this::look);
         }
     }
 
     void hear(int peer, byte[] word) {
-        accord.hear(clock.now(), peer, word, network::accept);
+        consensus.hear(clock.now(), peer, word, network::accept);
         told();
     }
 
     /** Then it goes by what is in force, or has found that nothing is. */
     void onceLearnt(Runnable then) {
-        if (accord.learnt()) {
+        if (consensus.learnt()) {
             then.run();
         } else {
             onceLearnt.add(then);
@@ -106,8 +106,8 @@
     /** What it goes by may have changed: by a word, or by the clock alone. */
     private void told() {
         lookLater();
-        InForce now = accord.inForce(clock.now());
-        if (accord.learnt() && !onceLearnt.isEmpty()) {
+        InForce now = consensus.inForce(clock.now());
+        if (consensus.learnt() && !onceLearnt.isEmpty()) {
             List<Runnable> all = new ArrayList<>(onceLearnt);
             onceLearnt.clear();
             all.forEach(Runnable::run);
@@ -119,14 +119,14 @@
         seen = now;
         sinceUs = clock.now();
         boolean other = before == null || before.from() != now.from() || before.to() != now.to();
-        if (other && accord.learnt()) {
+        if (other && consensus.learnt()) {
             Policy from = policy(now.from());
             Policy to = policy(now.to());
             if (to != null || before != null && before.to() != now.to()) {
                 effect.accept(now.joint() && from != null ? from.stricter(to) : to);
             }
         }
-        if (accord.learnt()) {
+        if (consensus.learnt()) {
             say(now, before == null || before.era() != now.era() || before.index() != now.index());
         }
     }
@@ -140,7 +140,7 @@
                     "may have missed a change of policy: goes on by " + to + " until it hears a majority",
                     now,
                     "ago_ms",
-                    (clock.now() - accord.sureUntil()) / 1000);
+                    (clock.now() - consensus.sureUntil()) / 1000);
         } else if (now.joint()) {
             say(
                     "policy.joint",
@@ -170,7 +170,7 @@
 
     /** Null where nothing has been agreed on. */
     private Policy policy(long version) {
-        byte[] content = accord.content(version);
+        byte[] content = consensus.content(version);
         try {
             return content == null ? null : PolicyFile.read(content, zones);
         } catch (Broken e) {
@@ -185,10 +185,10 @@
 
     /** Why not; null where it is on its way. */
     String propose(byte[] content) {
-        if (accord.open()) {
+        if (consensus.open()) {
             return "a change is under way: see its status, or take it back";
         }
-        String wrong = accord.propose(clock.now(), content, network::accept);
+        String wrong = consensus.propose(clock.now(), content, network::accept);
         Log.event(
                 "policy.proposed",
                 wrong == null
@@ -200,25 +200,25 @@
 
     void abort() {
         Log.event("policy.abort", "what is open is to be taken back");
-        accord.abort(clock.now(), network::accept);
+        consensus.abort(clock.now(), network::accept);
         told();
     }
 
     Map<String, Object> status() {
-        InForce f = accord.inForce(clock.now());
+        InForce f = consensus.inForce(clock.now());
         Map<String, Object> m = new LinkedHashMap<>();
-        m.put("learnt", accord.learnt());
+        m.put("learnt", consensus.learnt());
         m.put("sure", f.sure());
         m.put("version", name(f.to()));
         m.put("from", name(f.from()));
         m.put("joint", f.joint());
         m.put("since_ms", (clock.now() - sinceUs) / 1000);
-        m.put("open", accord.open());
-        m.put("refused", accord.refusal() == null ? "" : accord.refusal());
+        m.put("open", consensus.open());
+        m.put("refused", consensus.refusal() == null ? "" : consensus.refusal());
         m.put(
                 "missing",
-                accord.missing().stream().boxed().map(i -> (Object) (long) i).toList());
-        m.put("words_dropped", accord.dropped());
+                consensus.missing().stream().boxed().map(i -> (Object) (long) i).toList());
+        m.put("messages_dropped", consensus.dropped());
         return m;
     }
 }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -176,9 +176,9 @@
         }
         Log.json(operator.jsonLog());
         Handover handover = Handover.of(environment, config);
-        String alone = operator.accord() == null ? null : alone(operator.accord(), config, handover);
+        String alone = operator.consensus() == null ? null : alone(operator.consensus(), config, handover);
         if (alone != null) {
-            Log.event("start.refused", "operator's file: [accord] " + alone);
+            Log.event("start.refused", "operator's file: [consensus] " + alone);
             return ending.failed(2);
         }
         Sidecar sidecar;
@@ -232,15 +232,15 @@
     }
 
     /** Why this sidecar can't decide in common with others; null where it can. */
-    private static String alone(rushproxy.accord.Options accord, Config config, Handover handover) {
+    private static String alone(rushproxy.consensus.Options consensus, Config config, Handover handover) {
         int sidecars = config.settings().balancers();
         return config.peerListen() == null || config.peers().size() < sidecars
                 ? "wants words between all sidecars: peer_listen, and peers with " + sidecars + " addresses"
                 : handover != null
                         ? "wants no second process of one sidecar beside it: TMPDIR is to be empty"
-                        : accord.voters() > sidecars
+                        : consensus.voters() > sidecars
                                 ? "voters: expected at most the " + sidecars + " sidecars that there are, found "
-                                        + accord.voters()
+                                        + consensus.voters()
                                 : null;
     }
 
@@ -343,11 +343,11 @@
 
     /** Reads the policy file, which may take as long as the disk does: not on the loop. Tells on the loop why not, or null. */
     void propose(Consumer<String> why) {
-        if (operator.accord() == null) {
-            why.accept("there is no policy file any more: the operator's file has lost [accord]");
+        if (operator.consensus() == null) {
+            why.accept("there is no policy file any more: the operator's file has lost [consensus]");
             return;
         }
-        Path file = operator.accord().file();
+        Path file = operator.consensus().file();
         new Thread(
                         () -> {
                             try {
@@ -482,7 +482,7 @@
 
     /** Whoever comes back learns what is in force before it says that it is ready; nobody waits for a fleet that can't tell. */
     private void learn() throws InterruptedException {
-        if (operator.accord() == null) {
+        if (operator.consensus() == null) {
             return;
         }
         CountDownLatch learnt = new CountDownLatch(1);
@@ -524,10 +524,10 @@
                 if (!Objects.equals(operator.grpc(), told.grpc())) {
                     Log.event("reload.later", "what changed under [grpc] holds from the next start on");
                 }
-                if (!Objects.equals(operator.accord(), told.accord())) {
+                if (!Objects.equals(operator.consensus(), told.consensus())) {
                     Log.event(
                             "reload.later",
-                            "what changed under [accord] holds from the next start on, but for its file");
+                            "what changed under [consensus] holds from the next start on, but for its file");
                 }
                 if (!Objects.equals(operator.subset(), told.subset())) {
                     Log.event("reload.later", "what changed under [subset] holds from the next start on");
--- a/src/main/java/rushproxy/toml/Table.java
+++ b/src/main/java/rushproxy/toml/Table.java
@@ -263,6 +263,13 @@
                 .toList();
     }
 
+    /** Refuses a key by the name that it had before, with the one that it has now. */
+    public void renamed(String before, String now) throws Broken {
+        if (table.keySet().contains(before)) {
+            throw broken(before, "its new name, " + now, table.get(List.of(before)));
+        }
+    }
+
     /** All keys of the table with their values, which may be of any kind; it asks no more of them. */
     public Map<String, Object> all() {
         Map<String, Object> all = new java.util.TreeMap<>();
--- a/src/test/java/rushproxy/accord/RehearsedTest.java
+++ b/src/test/java/rushproxy/consensus/ConsensusSimulationTest.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Fleets of the real state machine with faults between them; times are virtual. */
-class RehearsedTest {
+class ConsensusSimulationTest {
     private static final long LEASE_US = 3_000_000, S = 1_000_000;
     private static final IntPredicate ALL = i -> true;
 
@@ -21,11 +21,11 @@
     }
 
     private static long v(int policy) {
-        return Contents.version(text(policy));
+        return ContentStore.version(text(policy));
     }
 
-    private static Rehearsed fleet(int voters, int members, long seed) {
-        Rehearsed r = new Rehearsed(voters, members, LEASE_US, seed);
+    private static ConsensusSimulation fleet(int voters, int members, long seed) {
+        ConsensusSimulation r = new ConsensusSimulation(voters, members, LEASE_US, seed);
         r.network(0.05, 0.05, 5_000);
         assertTrue(r.until(() -> r.allGoBy(ALL, 0), 10 * S) >= 0, "all begin, seed " + seed);
         // A change right behind another has to wait for both where somebody is missing.
@@ -33,13 +33,13 @@
         return r;
     }
 
-    private static void sound(Rehearsed r) {
+    private static void sound(ConsensusSimulation r) {
         assertEquals("[]", r.broken().toString());
     }
 
     @Test
     void aChangeReachesAllWithinASecondAndALateOneAsWell() {
-        Rehearsed r = fleet(5, 60, 1);
+        ConsensusSimulation r = fleet(5, 60, 1);
         r.propose(2, text(7));
         assertTrue(r.until(() -> r.goesBy(2, v(7)), S) >= 0, "committed");
         assertTrue(r.until(() -> r.allGoBy(ALL, v(7)), S) >= 0, "everywhere");
@@ -59,7 +59,7 @@
     @Test
     void aProposerThatDiesLeavesNothingOpen() {
         for (long ms = 1; ms < 200; ms += 7) {
-            Rehearsed r = fleet(5, 12, ms);
+            ConsensusSimulation r = fleet(5, 12, ms);
             r.propose(1, text(7));
             r.play(ms * 1_000);
             r.kill(1);
@@ -76,7 +76,7 @@
     /** Cut off, it goes by what it knows until its lease is over, then it is careful; the others wait for that and no longer. */
     @Test
     void whoIsCutOffHoldsAChangeUpForItsLeaseAndNoLonger() {
-        Rehearsed r = fleet(5, 30, 3);
+        ConsensusSimulation r = fleet(5, 30, 3);
         IntPredicate far = i -> i >= 20;
         r.cut(far);
         r.propose(0, text(7));
@@ -90,7 +90,7 @@
 
     @Test
     void withoutAMajorityNothingChangesAndAllAreCareful() {
-        Rehearsed r = fleet(5, 20, 4);
+        ConsensusSimulation r = fleet(5, 20, 4);
         for (int i = 0; i < 3; i++) {
             r.kill(i);
         }
@@ -101,10 +101,10 @@
         sound(r);
     }
 
-    /** All voters forget everything at once: the fleet begins anew, and no word of before counts. */
+    /** All voters forget everything at once: the fleet begins anew, and no message of before counts. */
     @Test
     void aFleetThatHasForgottenAllBeginsAnew() {
-        Rehearsed r = fleet(3, 10, 5);
+        ConsensusSimulation r = fleet(3, 10, 5);
         r.propose(0, text(7));
         assertTrue(r.until(() -> r.allGoBy(ALL, v(7)), 3 * S) >= 0);
         for (int i = 0; i < 10; i++) {
@@ -124,7 +124,7 @@
     @Test
     void drawnFaultsBreakNothingAndAfterThemAllGoByTheSame() {
         for (long seed = 1; seed <= 60; seed++) {
-            assertEquals(List.of(), Rehearsed.day(5, 16, LEASE_US, seed), "seed " + seed);
+            assertEquals(List.of(), ConsensusSimulation.day(5, 16, LEASE_US, seed), "seed " + seed);
         }
     }
 
@@ -132,31 +132,31 @@
     @Test
     void whatOneCantTakeIsInForceNowhere() {
         for (int who : new int[] {1, 8}) {
-            Rehearsed r = new Rehearsed(
+            ConsensusSimulation r = new ConsensusSimulation(
                     3, 10, LEASE_US, 6, i -> content -> i == who && content[7] == '9' ? "no such zone: 'z'" : null);
             r.network(0.05, 0.05, 5_000);
             assertTrue(r.until(() -> r.allGoBy(ALL, 0), 10 * S) >= 0);
             r.play(4 * S);
             r.propose(5, text(9));
-            assertTrue(r.until(() -> r.accord(5).refusal() != null, 5 * S) >= 0);
-            assertEquals("sidecar " + who + ": no such zone: 'z'", r.accord(5).refusal());
+            assertTrue(r.until(() -> r.node(5).refusal() != null, 5 * S) >= 0);
+            assertEquals("sidecar " + who + ": no such zone: 'z'", r.node(5).refusal());
             r.play(10 * S);
             assertTrue(r.allGoBy(ALL, 0));
             r.propose(5, text(7));
             assertTrue(r.until(() -> r.allGoBy(ALL, v(7)), 5 * S) >= 0, "another one is");
-            assertArrayEquals(text(7), r.accord(9).content(v(7)));
+            assertArrayEquals(text(7), r.node(9).content(v(7)));
             sound(r);
         }
     }
 
     @Test
     void whatCantBeTakenWhereItIsProposedIsRefusedThere() {
-        Rehearsed r = new Rehearsed(1, 1, LEASE_US, 6, i -> content -> "broken");
+        ConsensusSimulation r = new ConsensusSimulation(1, 1, LEASE_US, 6, i -> content -> "broken");
         r.play(S);
         r.propose(0, text(1));
-        assertFalse(r.accord(0).open());
-        assertTrue(r.accord(0)
-                .propose(S, new byte[Contents.MOST_BYTES + 1], (to, word) -> {})
+        assertFalse(r.node(0).open());
+        assertTrue(r.node(0)
+                .propose(S, new byte[ContentStore.MOST_BYTES + 1], (to, message) -> {})
                 .contains("16385 bytes"));
     }
 }
--- a/src/test/java/rushproxy/accord/ContentsTest.java
+++ b/src/test/java/rushproxy/consensus/ContentStoreTest.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,10 +12,10 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-class ContentsTest {
-    private final Contents has = new Contents(c -> null);
-    private final Contents wants = new Contents(c -> c[0] == 'x' ? "an x" : null);
-    private final List<Word> words = new ArrayList<>();
+class ContentStoreTest {
+    private final ContentStore has = new ContentStore(c -> null);
+    private final ContentStore wants = new ContentStore(c -> c[0] == 'x' ? "an x" : null);
+    private final List<Message> messages = new ArrayList<>();
 
     private static byte[] content(int bytes, int seed) {
         byte[] content = new byte[bytes];
@@ -27,19 +27,19 @@
     /** All questions that are asked, answered, in any order and some twice. */
     private void fetch(int rounds) {
         for (int r = 0; r < rounds && wants.fetches(); r++) {
-            List<Word> asked = new ArrayList<>();
+            List<Message> asked = new ArrayList<>();
             wants.ask(0, false, (to, w) -> asked.add(w));
-            words.clear();
-            asked.forEach(w -> has.hear(1, w, (to, p) -> words.add(p)));
-            words.addAll(List.copyOf(words));
-            Collections.shuffle(words, new Random(r));
-            words.forEach(w -> wants.hear(0, w, (to, x) -> {}));
+            messages.clear();
+            asked.forEach(w -> has.hear(1, w, (to, p) -> messages.add(p)));
+            messages.addAll(List.copyOf(messages));
+            Collections.shuffle(messages, new Random(r));
+            messages.forEach(w -> wants.hear(0, w, (to, x) -> {}));
         }
     }
 
     @Test
     void whatIsFetchedIsWhatItsNumberSays() {
-        for (int bytes : new int[] {1, Contents.PIECE, Contents.PIECE + 1, 5_000, Contents.MOST_BYTES}) {
+        for (int bytes : new int[] {1, ContentStore.PIECE, ContentStore.PIECE + 1, 5_000, ContentStore.MOST_BYTES}) {
             byte[] content = content(bytes, bytes);
             long version = has.put(content);
             assertFalse(wants.has(version));
@@ -56,15 +56,15 @@
         long version = has.put(content);
         assertFalse(wants.has(version));
         for (int p = 0; p < 3; p++) {
-            wants.hear(0, new Word.Piece(version, p, 500, new byte[p < 2 ? 200 : 100]), (to, w) -> {});
+            wants.hear(0, new Message.Chunk(version, p, 500, new byte[p < 2 ? 200 : 100]), (to, w) -> {});
         }
         assertNull(wants.get(version));
-        for (Word.Piece wrong : new Word.Piece[] {
-            new Word.Piece(version, 9, 500, new byte[200]),
-            new Word.Piece(version, 0, 1 << 30, new byte[200]),
-            new Word.Piece(version, -1, 500, new byte[200]),
-            new Word.Piece(version, 0, 500, new byte[7]),
-            new Word.Piece(version, 0, -5, new byte[0])
+        for (Message.Chunk wrong : new Message.Chunk[] {
+            new Message.Chunk(version, 9, 500, new byte[200]),
+            new Message.Chunk(version, 0, 1 << 30, new byte[200]),
+            new Message.Chunk(version, -1, 500, new byte[200]),
+            new Message.Chunk(version, 0, 500, new byte[7]),
+            new Message.Chunk(version, 0, -5, new byte[0])
         }) {
             wants.hear(0, wrong, (to, w) -> {});
         }
@@ -92,11 +92,11 @@
             wants.has(versions.get(i));
         }
         assertEquals(
-                Contents.MOST_KEPT,
+                ContentStore.MOST_KEPT,
                 versions.stream().filter(v -> has.get(v) != null).count());
-        List<Word> asked = new ArrayList<>();
+        List<Message> asked = new ArrayList<>();
         wants.ask(0, false, (to, w) -> asked.add(w));
-        assertEquals(Contents.MOST_FETCHED, asked.size());
-        assertNull(has.put(new byte[Contents.MOST_BYTES + 1]));
+        assertEquals(ContentStore.MOST_FETCHED, asked.size());
+        assertNull(has.put(new byte[ContentStore.MOST_BYTES + 1]));
     }
 }
--- a/src/test/java/rushproxy/accord/ExplorerTest.java
+++ b/src/test/java/rushproxy/consensus/ExplorerTest.java
@@ -1,4 +1,4 @@
-package rushproxy.accord;
+package rushproxy.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -19,8 +19,8 @@
     @Test
     void aChangeWithoutAFaultReachesAll() {
         for (int members : new int[] {3, 5, 30}) {
-            int words = Explorer.sound(3, members).words(2);
-            assertTrue(words > 0 && words < 60 * members, words + " words among " + members);
+            int messages = Explorer.sound(3, members).messages(2);
+            assertTrue(messages > 0 && messages < 60 * members, messages + " messages among " + members);
         }
     }
 
@@ -42,12 +42,12 @@
     /** Each rule is needed: without it an invariant is broken, and the way there is short enough to be read. */
     @Test
     void whatIsLeftOutIsFound() {
-        Map<String, Rules> without = new LinkedHashMap<>();
-        without.put("recovers", new Rules(false, true, true, true, true, true));
-        without.put("joint", new Rules(true, true, false, true, true, true));
-        without.put("waits", new Rules(true, true, true, false, true, true));
-        without.put("leasesEnd", new Rules(true, true, true, true, false, true));
-        without.put("majority", new Rules(true, true, true, true, true, false));
+        Map<String, SafetyRules> without = new LinkedHashMap<>();
+        without.put("recovers", new SafetyRules(false, true, true, true, true, true));
+        without.put("joint", new SafetyRules(true, true, false, true, true, true));
+        without.put("waits", new SafetyRules(true, true, true, false, true, true));
+        without.put("leasesEnd", new SafetyRules(true, true, true, true, false, true));
+        without.put("majority", new SafetyRules(true, true, true, true, true, false));
         without.forEach((name, rules) -> {
             Explorer.Looked l = Explorer.broken(3, 3, rules).walks(3, 20_000, 300);
             assertNotNull(l.found(), name);
--- a/src/test/java/rushproxy/accord/audit/HistoryTest.java
+++ b/src/test/java/rushproxy/consensus/audit/HistoryTest.java
@@ -1,4 +1,4 @@
-package rushproxy.accord.audit;
+package rushproxy.consensus.audit;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/rushproxy/operator/OperatorFileTest.java
+++ b/src/test/java/rushproxy/operator/OperatorFileTest.java
@@ -166,7 +166,8 @@
         broken(
                 "[members]\n",
                 1,
-                "members: unknown; expected one of accord, grpc, log, membership, subset, traces, zones");
+                "members: unknown; expected one of consensus, grpc, log, membership, subset, traces, zones");
+        broken("[zones]\n[accord]\nfleet = \"x\"\n", 2, "accord: expected its new name, [consensus], found a table");
         broken("[log]\nformat = \"xml\"\n", 2, "log.format: expected \"text\" or \"json\", found \"xml\"");
         broken("[subset]\nleast = 1\n", 2, "subset.least: expected a whole number from 2 to 1000, found 1");
         broken(
--- a/src/test/java/rushproxy/operator/PolicyFileTest.java
+++ b/src/test/java/rushproxy/operator/PolicyFileTest.java
@@ -50,15 +50,15 @@
     @Test
     void whatIsDecidedInCommonIsReadFromTheOperatorsFile() throws Broken {
         Operator o =
-                OperatorFile.read(Table.parse("f", "[zones]\n[accord]\nfleet = \"x\"\nfile = \"p.toml\"\n", Map.of()));
-        assertEquals(new rushproxy.accord.Options("x", 5, 3_000_000, java.nio.file.Path.of("p.toml")), o.accord());
-        assertTrue(OperatorFile.explain(o).toString().contains("accord: "));
-        assertNull(OperatorFile.read(Table.parse("f", "[zones]\n", Map.of())).accord());
+                OperatorFile.read(Table.parse("f", "[zones]\n[consensus]\nfleet = \"x\"\nfile = \"p.toml\"\n", Map.of()));
+        assertEquals(new rushproxy.consensus.Options("x", 5, 3_000_000, java.nio.file.Path.of("p.toml")), o.consensus());
+        assertTrue(OperatorFile.explain(o).toString().contains("consensus: "));
+        assertNull(OperatorFile.read(Table.parse("f", "[zones]\n", Map.of())).consensus());
         for (String[] wrong : new String[][] {
-            {"[accord]\nfleet = \"x\"\nfile = \"p\"\n", "[zones]"},
-            {"[zones]\n[accord]\nfleet = \"x\"\nfile = \"p\"\nvoters = 4\n", "odd"},
-            {"[zones]\n[accord]\nfile = \"p\"\n", "fleet"},
-            {"[zones]\n[accord]\nfleet = \"x\"\nfile = \"p\"\nlease = \"10ms\"\n", "lease"}
+            {"[consensus]\nfleet = \"x\"\nfile = \"p\"\n", "[zones]"},
+            {"[zones]\n[consensus]\nfleet = \"x\"\nfile = \"p\"\nvoters = 4\n", "odd"},
+            {"[zones]\n[consensus]\nfile = \"p\"\n", "fleet"},
+            {"[zones]\n[consensus]\nfleet = \"x\"\nfile = \"p\"\nlease = \"10ms\"\n", "lease"}
         }) {
             String found = assertThrows(Broken.class, () -> OperatorFile.read(Table.parse("f", wrong[0], Map.of())))
                     .getMessage();
--- a/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
+++ b/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
@@ -17,8 +17,8 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.ResourceLock;
-import rushproxy.accord.audit.History;
-import rushproxy.accord.audit.LogFiles;
+import rushproxy.consensus.audit.History;
+import rushproxy.consensus.audit.LogFiles;
 import rushproxy.lab.scenario.ScenarioFile;
 import rushproxy.standin.Clients;
 import rushproxy.standin.Node;
@@ -40,7 +40,7 @@
                 true,
                 null,
                 folder ->
-                        "[log]\nformat = \"json\"\n[zones]\n[accord]\nfleet = \"test\"\nvoters = 3\nlease = \"1s\"\nfile = \""
+                        "[log]\nformat = \"json\"\n[zones]\n[consensus]\nfleet = \"test\"\nvoters = 3\nlease = \"1s\"\nfile = \""
                                 + folder.resolve("policy.toml") + "\"\n");
     }
 
@@ -224,7 +224,7 @@
             assertEquals(
                     List.of(),
                     loaded.stream()
-                            .filter(l -> l.contains("rushproxy.accord.")
+                            .filter(l -> l.contains("rushproxy.consensus.")
                                     || l.contains("sidecar.Policies")
                                     || l.contains("PolicyFile"))
                             .toList());
@@ -237,7 +237,7 @@
             world.nodes(2);
             Map<String, Object> known =
                     World.list(40, world.nodes().stream().map(World.Listed::of).toList());
-            String operator = "[zones]\n[accord]\nfleet = \"test\"\nvoters = 5\nfile = \"p\"\n";
+            String operator = "[zones]\n[consensus]\nfleet = \"test\"\nvoters = 5\nfile = \"p\"\n";
             Map<String, Object> peers = Map.of(
                     "peer_listen",
                     "127.0.0.1:0",
@@ -246,11 +246,11 @@
                     "peers_all",
                     "127.0.0.1:9");
             SidecarProcess few = world.peered(3, known, peers, operator);
-            few.awaitLog("operator's file: [accord] voters: expected at most the 3 sidecars that there are, found 5");
+            few.awaitLog("operator's file: [consensus] voters: expected at most the 3 sidecars that there are, found 5");
             assertEquals(2, few.process().waitFor());
             SidecarProcess silent = world.peered(3, known, Map.of(), operator);
             silent.awaitLog(
-                    "operator's file: [accord] wants words between all sidecars: peer_listen, and peers with 3 addresses");
+                    "operator's file: [consensus] wants words between all sidecars: peer_listen, and peers with 3 addresses");
             assertEquals(2, silent.process().waitFor());
         }
     }
