A control tier on virtual time: registers by scope, sidecars subscribe, a proposal waits its turn

Change: rushproxy.control (pure): ControlReplica has a register for each scope, ControlClient subscribes at a replica that rendezvous hashing gives it and moves to the next one, DatagramBatch packs messages of several scopes in a datagram; ControlSimulation plays them with clocks 4 % apart, loss, duplicates, pauses, kills and cuts, and checks ONE_POLICY whenever one comes to another stage. consensus: Subscription, ConsensusGroup, VirtualTime. Also: operator.ConsensusOptions in place of a third Options; consensus and control are in the pure packages that ArchitectureTest checks.

--- /dev/null
+++ b/src/main/java/rushproxy/consensus/ConsensusGroup.java
@@ -0,0 +1,25 @@
+package rushproxy.consensus;
+
+/**
+ * Who agrees on one register, the same at all processes of it.
+ *
+ * @param fleet   tells this register's messages from those of others
+ * @param voters  the first so many members vote: 1, 3, 5 or 7
+ * @param members by their numbers from 0 on
+ * @param leaseUs how long a member that hears nothing goes by what it heard, in us
+ * @param subscriberLeaseUs how long a subscriber does, in us, at most {@code leaseUs}; 0 where there are none
+ */
+public record ConsensusGroup(int fleet, int voters, int members, long leaseUs, long subscriberLeaseUs) {
+    /** How far two clocks may run apart, as a part of the time that passes. */
+    private static final double DRIFT = 0.02;
+
+    /** All processes are members. */
+    public static ConsensusGroup withoutSubscribers(int fleet, int voters, int members, long leaseUs) {
+        return new ConsensusGroup(fleet, voters, members, leaseUs, 0);
+    }
+
+    Group group() {
+        long waitUs = (long) (leaseUs * (1 + 2 * DRIFT));
+        return new Group(voters, members, leaseUs, waitUs, subscriberLeaseUs);
+    }
+}
--- a/src/main/java/rushproxy/consensus/ConsensusNode.java
+++ b/src/main/java/rushproxy/consensus/ConsensusNode.java
@@ -28,6 +28,23 @@
         public boolean joint() {
             return from != to;
         }
+
+        /** Whether two processes may decide by these at the same time: the same, or one joint with the other's version. */
+        public boolean goesWith(InForce other) {
+            boolean careful = !sure || !other.sure || to == Stage.NONE || other.to == Stage.NONE;
+            boolean same = from == other.from && to == other.to;
+            if (careful || same) {
+                return true;
+            }
+            if (era == other.era && index == other.index) {
+                return false;
+            }
+            return coversAlone(other) || other.coversAlone(this);
+        }
+
+        private boolean coversAlone(InForce other) {
+            return joint() && !other.joint() && (other.to == from || other.to == to);
+        }
     }
 
     /** Of a lease is asked anew; what is lost may be asked for again before it ends. */
@@ -38,8 +55,6 @@
     private static final long PATIENCE_US = 700_000;
     /** What is proposed here is given up after so long. */
     private static final long WISH_US = 20_000_000;
-    /** How far two clocks may run apart, as a part of the time that passes. */
-    private static final double DRIFT = 0.02;
 
     private final Group group;
     private final int me;
@@ -63,28 +78,18 @@
     private final ArrayDeque<Message> own = new ArrayDeque<>();
 
     /**
-     * @param fleet a number that tells this fleet from others
      * @param seed  another one for each process
-     * @param leaseUs how long a sidecar that hears nothing goes by what it heard
-     * @param check  says why what a version says can't be taken here; null where it can
+     * @param check says why what a version says can't be taken here; null where it can
      */
-    public ConsensusNode(
-            int fleet,
-            int voters,
-            int members,
-            int me,
-            long seed,
-            long leaseUs,
-            long now,
-            Function<byte[], String> check) {
+    public ConsensusNode(ConsensusGroup of, int me, long seed, long now, Function<byte[], String> check) {
         contents = new ContentStore(check);
-        group = new Group(voters, members, leaseUs, (long) (leaseUs * (1 + 2 * DRIFT)));
+        group = of.group();
         this.me = me;
-        codec = new MessageCodec(fleet, voters);
+        codec = new MessageCodec(of.fleet(), of.voters());
         random = new SplittableRandom(seed);
         participant = new Participant(
                 group, SafetyRules.ALL, me, random.nextInt(1, Integer.MAX_VALUE), now, contents::has);
-        askEveryUs = leaseUs / ASKS;
+        askEveryUs = of.leaseUs() / ASKS;
         askAt = now;
         stepAt = now;
         movedAt = now;
@@ -137,6 +142,7 @@
         refusal = null;
         wish = version;
         wishUntil = now + WISH_US;
+        wishAgainAt = now + PATIENCE_US;
         open(now, version, false, out);
         return null;
     }
@@ -149,8 +155,11 @@
 
     private void open(long now, long version, boolean abort, Out out) {
         Voter.Out saying = saying(out);
-        if (participant.leader() == null && !participant.lead(now, version, abort, saying)) {
-            saying.send(random.nextInt(group.voters()), new Message.Propose(version, abort));
+        Message proposal = new Message.Propose(version, abort);
+        if (participant.leader() != null) {
+            participant.hear(now, me, proposal, saying);
+        } else if (!participant.lead(now, version, abort, saying)) {
+            saying.send(random.nextInt(group.voters()), proposal);
         }
         hearOwn(now, saying);
         stepAt = Math.min(stepAt, now + AGAIN_US);
@@ -228,19 +237,41 @@
         }
     }
 
-    /** Bytes that a sidecar, by its number, has said. */
+    /** Bytes that a member or a subscriber, by its number, has sent; subscribers have those from {@code members} on. */
     public void hear(long now, int from, byte[] datagram, Out out) {
-        Message message = from < 0 || from >= group.members() ? null : codec.read(datagram);
+        Message message = from < 0 ? null : codec.read(datagram);
         if (message == null) {
             dropped++;
             return;
         }
+        Voter.Out saying = saying(out);
+        if (from >= group.members()) {
+            takeOfSubscriber(now, from, message, saying);
+        } else {
+            noteProgress(now, message);
+            take(now, from, message, saying);
+        }
+        hearOwn(now, saying);
+    }
+
+    private void noteProgress(long now, Message message) {
         if (message instanceof Message.Prepare || message instanceof Message.Accept || message instanceof Message.Chosen) {
             movedAt = now;
         }
-        Voter.Out saying = saying(out);
-        take(now, from, message, saying);
-        hearOwn(now, saying);
+    }
+
+    /** All that a subscriber may ask or say; anything else of it is dropped. */
+    private void takeOfSubscriber(long now, int from, Message message, Voter.Out saying) {
+        boolean allowed = message instanceof Message.SubscriberRequest
+                || message instanceof Message.Valid
+                || message instanceof Message.Invalid;
+        if (group.subscriberLeaseUs() > 0 && message instanceof Message.ChunkRequest) {
+            contents.hear(from, message, saying);
+        } else if (group.subscriberLeaseUs() > 0 && allowed) {
+            participant.hearSubscriber(now, from, message, saying);
+        } else {
+            dropped++;
+        }
     }
 
     private void take(long now, int from, Message message, Voter.Out saying) {
--- a/src/main/java/rushproxy/consensus/ConsensusSimulation.java
+++ b/src/main/java/rushproxy/consensus/ConsensusSimulation.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -14,26 +13,16 @@
  * how long changes take, what they cost, and that no two sidecars ever go by versions that do not go together. The same seed plays the same.
  */
 public final class ConsensusSimulation {
-    /** Something for a time, in the order of times. */
-    private record Due(long at, long order, Runnable what) implements Comparable<Due> {
-        @Override
-        public int compareTo(Due o) {
-            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
-        }
-    }
-
     private final int voters;
     private final long leaseUs;
     private final SplittableRandom random;
-    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final VirtualTime time = new VirtualTime(1_000_000);
     private final ConsensusNode[] nodes;
     /** Counts each sidecar's processes; what is for an earlier one comes to nothing. */
     private final int[] lives;
 
     private final long[] pausedUntil;
     private final List<String> broken = new ArrayList<>();
-    private long now = 1_000_000;
-    private long order;
     private double loss;
     private double doubles;
     private long delayUs = 5_000;
@@ -59,7 +48,7 @@
         pausedUntil = new long[members];
         for (int i = 0; i < members; i++) {
             int number = i;
-            in(random.nextLong(1_000_000), () -> start(number));
+            time.in(random.nextLong(1_000_000), () -> start(number));
         }
     }
 
@@ -103,7 +92,7 @@
         r.cut(i -> false);
         r.play(30_000_000);
         List<String> broken = new ArrayList<>(r.broken());
-        long last = r.nodes[0].inForce(r.now).to();
+        long last = r.nodes[0].inForce(r.time.now()).to();
         // Killed one after the other while they could not hear each other, more voters than a minority may have
         // forgotten: then nothing is decided any more.
         if (2 * r.remember() > voters && !r.allGoBy(i -> true, last)) {
@@ -125,15 +114,11 @@
         cutOff = who;
     }
 
-    private void in(long us, Runnable what) {
-        due.add(new Due(now + us, order++, what));
-    }
-
     /** A process of this sidecar begins, with no memory; the one before it has ended. */
     public void start(int i) {
         lives[i]++;
         pausedUntil[i] = 0;
-        nodes[i] = new ConsensusNode(1, voters, nodes.length, i, random.nextLong(), leaseUs, now, checks.apply(i));
+        nodes[i] = new ConsensusNode(ConsensusGroup.withoutSubscribers(1, voters, nodes.length, leaseUs), i, random.nextLong(), time.now(), checks.apply(i));
         tickLater(i, lives[i]);
     }
 
@@ -144,14 +129,14 @@
 
     /** It does nothing for so long, at whatever it was; what comes for it waits. */
     public void pause(int i, long us) {
-        pausedUntil[i] = now + us;
+        pausedUntil[i] = time.now() + us;
     }
 
     private void tickLater(int i, int life) {
-        in(
-                Math.max(1_000, nodes[i].dueAt() - now),
+        time.in(
+                Math.max(1_000, nodes[i].dueAt() - time.now()),
                 () -> act(i, life, () -> {
-                    nodes[i].tick(now, out(i));
+                    nodes[i].tick(time.now(), out(i));
                     tickLater(i, life);
                 }));
     }
@@ -160,8 +145,8 @@
         if (lives[i] != life || nodes[i] == null) {
             return;
         }
-        if (now < pausedUntil[i]) {
-            in(pausedUntil[i] - now, () -> act(i, life, what));
+        if (time.now() < pausedUntil[i]) {
+            time.in(pausedUntil[i] - time.now(), () -> act(i, life, what));
             return;
         }
         what.run();
@@ -176,9 +161,9 @@
                 return;
             }
             for (int copies = random.nextDouble() < doubles ? 2 : 1; copies > 0; copies--) {
-                in(
+                time.in(
                         (long) (delayUs * (0.3 + 1.4 * random.nextDouble())),
-                        () -> act(to, lives[to], () -> nodes[to].hear(now, from, message, out(to))));
+                        () -> act(to, lives[to], () -> nodes[to].hear(time.now(), from, message, out(to))));
             }
         };
     }
@@ -189,7 +174,7 @@
         ConsensusNode.InForce joint = null;
         long other = -1;
         for (int i = 0; i < nodes.length; i++) {
-            ConsensusNode.InForce f = nodes[i] == null || now < pausedUntil[i] ? null : nodes[i].inForce(now);
+            ConsensusNode.InForce f = nodes[i] == null || time.now() < pausedUntil[i] ? null : nodes[i].inForce(time.now());
             if (f == null || !f.sure() || f.to() == Stage.NONE) {
                 continue;
             }
@@ -203,32 +188,19 @@
         }
         boolean two = other >= 0 || one != null && joint != null && joint.from() != one.to() && joint.to() != one.to();
         if (two && broken.size() < 20) {
-            broken.add("ONE_POLICY at " + now + " us: " + one + ", " + joint + ", " + other);
+            broken.add("ONE_POLICY at " + time.now() + " us: " + one + ", " + joint + ", " + other);
         }
         if (joint == null && jointFrom >= 0) {
-            longestJointUs = Math.max(longestJointUs, now - jointFrom);
+            longestJointUs = Math.max(longestJointUs, time.now() - jointFrom);
             jointFrom = -1;
         } else if (joint != null && jointFrom < 0) {
-            jointFrom = now;
+            jointFrom = time.now();
         }
     }
 
     /** Plays until it holds, at the most for so long; how long it took, -1 where it did not come to it. */
     public long until(BooleanSupplier holds, long mostUs) {
-        long from = now;
-        while (!holds.getAsBoolean()) {
-            Due next = due.poll();
-            if (next == null || next.at > from + mostUs) {
-                if (next != null) {
-                    due.add(next);
-                }
-                now = from + mostUs;
-                return -1;
-            }
-            now = next.at;
-            next.what.run();
-        }
-        return now - from;
+        return time.until(holds, mostUs);
     }
 
     public void play(long us) {
@@ -237,7 +209,7 @@
 
     /** Its number; what it says goes with it. Why not, where it can't be taken there, is to be asked of {@link #node}. */
     public long propose(int by, byte[] content) {
-        nodes[by].propose(now, content, out(by));
+        nodes[by].propose(time.now(), content, out(by));
         return ContentStore.version(content);
     }
 
@@ -247,7 +219,7 @@
 
     /** Whether this sidecar is sure that this version alone is in force. */
     public boolean goesBy(int i, long version) {
-        ConsensusNode.InForce f = nodes[i] == null ? null : nodes[i].inForce(now);
+        ConsensusNode.InForce f = nodes[i] == null ? null : nodes[i].inForce(time.now());
         return f != null && f.sure() && !f.joint() && f.to() == version;
     }
 
@@ -271,7 +243,7 @@
     }
 
     public boolean sure(int i) {
-        return nodes[i] != null && nodes[i].inForce(now).sure();
+        return nodes[i] != null && nodes[i].inForce(time.now()).sure();
     }
 
     public long messages() {
--- a/src/main/java/rushproxy/consensus/Leader.java
+++ b/src/main/java/rushproxy/consensus/Leader.java
@@ -43,6 +43,8 @@
 
     private String refusal;
     private boolean over;
+    /** Over because another leads. */
+    private boolean refused;
 
     @SuppressWarnings("unchecked")
     Leader(Group group, SafetyRules rules, int me, Voter own, int proposer, long above, long wish, boolean abort) {
@@ -82,6 +84,7 @@
         proposer = o.proposer;
         refusal = o.refusal;
         over = o.over;
+        refused = o.refused;
     }
 
     /** Who is waited for: who has not said that he can take what is staged, or that he is past the stage before. */
@@ -106,6 +109,11 @@
         return over;
     }
 
+    /** Whether another leads. */
+    boolean refused() {
+        return refused;
+    }
+
     long ballot() {
         return ballot;
     }
@@ -232,6 +240,7 @@
             out.send(proposer, new Message.Invalid(staged, refusal));
         } else if (message instanceof Message.Refused r && r.era() == era && r.ballot() == ballot && r.promised() > ballot) {
             over = true;
+            refused = true;
         } else if (message instanceof Message.Adopted t && t.era() == era && chosen && t.index() >= stage.index()) {
             taken.set(from);
         }
--- a/src/main/java/rushproxy/consensus/Participant.java
+++ b/src/main/java/rushproxy/consensus/Participant.java
@@ -15,6 +15,10 @@
     private final Voter voter;
 
     private Leader leader;
+    /** What was proposed while it leads, the last one, and by whom; null where nothing was. */
+    private Message.Propose next;
+
+    private int nextProposer;
     private final LeaseHolder leaseHolder;
     private final LeaseGrantor grantor;
     private final SubscriberValidation validation;
@@ -51,6 +55,8 @@
         readable = o.readable;
         voter = o.voter == null ? null : o.voter.copy();
         leader = o.leader == null ? null : o.leader.copy();
+        next = o.next;
+        nextProposer = o.nextProposer;
         leaseHolder = o.leaseHolder.copy();
         grantor = o.grantor.copy();
         validation = o.validation.copy();
@@ -108,19 +114,14 @@
     void step(long now, Voter.Out out) {
         if (leader != null) {
             leader.step(now, out);
-            if (leader.over()) {
-                leader = null;
-            }
+            goOn(now, out);
         }
     }
 
     /** Takes a message of a member, itself among them. */
     void hear(long now, int from, Message message, Voter.Out out) {
         if (message instanceof Message.Propose p) {
-            // Who is at something already is not disturbed: its proposer is told by what comes into force.
-            if (leader == null) {
-                lead(now, from, p.version(), p.abort(), out);
-            }
+            propose(now, from, p, out);
             return;
         }
         if (voter != null) {
@@ -129,9 +130,7 @@
         if (leader != null) {
             leader.hear(now, from, message, out);
             leader.advance(now, out);
-            if (leader.over()) {
-                leader = null;
-            }
+            goOn(now, out);
         }
         if (message instanceof Message.Validate v) {
             validate(now, from, v, out);
@@ -143,6 +142,30 @@
         }
     }
 
+    /** Who leads already does that first, and this next: the last one that was proposed meanwhile. */
+    private void propose(long now, int from, Message.Propose proposal, Voter.Out out) {
+        if (leader == null) {
+            lead(now, from, proposal.version(), proposal.abort(), out);
+        } else {
+            next = proposal;
+            nextProposer = from;
+        }
+    }
+
+    /** Where what it led is over, what was proposed meanwhile is next. */
+    private void goOn(long now, Voter.Out out) {
+        if (!leader.over()) {
+            return;
+        }
+        boolean another = leader.refused();
+        leader = null;
+        Message.Propose proposal = next;
+        next = null;
+        if (proposal != null && !another) {
+            lead(now, nextProposer, proposal.version(), proposal.abort(), out);
+        }
+    }
+
     /** Takes a message of a subscriber, whose number is none of a member's. */
     void hearSubscriber(long now, int subscriber, Message message, Voter.Out out) {
         if (message instanceof Message.SubscriberRequest request) {
@@ -215,6 +238,7 @@
         if (leader != null) {
             leader.print(to, now);
         }
+        to.append(next);
         leaseHolder.print(to, now);
         grantor.print(to, now);
         validation.print(to, now);
--- /dev/null
+++ b/src/main/java/rushproxy/control/DatagramBatch.java
@@ -0,0 +1,88 @@
+package rushproxy.control;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Messages of several scopes in one datagram of at most {@link #MOST_BYTES}: a tag, a version, then for each message its scope (two bytes), its
+ * length (one byte) and its bytes, which have a check of their own. Collects what is sent in one turn until {@link #flush}.
+ */
+final class DatagramBatch {
+    static final byte TAG = 'C';
+    static final int MOST_BYTES = 256;
+    private static final byte VERSION = 1;
+    private static final int HEADER_BYTES = 2, MESSAGE_HEADER_BYTES = 3;
+
+    /** Takes one message of a scope. */
+    interface Receiver {
+        void accept(int scope, byte[] message);
+    }
+
+    /** Sends a datagram to a process by its number. */
+    interface Sender {
+        void send(int to, byte[] datagram);
+    }
+
+    private final Sender sender;
+    private final Map<Integer, ByteBuffer> open = new LinkedHashMap<>();
+
+    DatagramBatch(Sender sender) {
+        this.sender = sender;
+    }
+
+    /** Whether a datagram is of this kind, by its first byte. */
+    static boolean isBatch(byte[] datagram) {
+        return datagram.length > 0 && datagram[0] == TAG;
+    }
+
+    /** Puts a message in the next datagram to this process; sends the one before where it is full. */
+    void add(int to, int scope, byte[] message) {
+        if (message.length > MOST_BYTES - HEADER_BYTES - MESSAGE_HEADER_BYTES) {
+            throw new IllegalArgumentException("a message of " + message.length + " bytes");
+        }
+        ByteBuffer buffer = open.get(to);
+        if (buffer != null && buffer.remaining() < MESSAGE_HEADER_BYTES + message.length) {
+            send(to, buffer);
+            buffer = null;
+        }
+        if (buffer == null) {
+            buffer = ByteBuffer.allocate(MOST_BYTES).put(TAG).put(VERSION);
+            open.put(to, buffer);
+        }
+        buffer.putShort((short) scope).put((byte) message.length).put(message);
+    }
+
+    /** Sends all that was added. */
+    void flush() {
+        open.forEach(this::send);
+        open.clear();
+    }
+
+    private void send(int to, ByteBuffer buffer) {
+        sender.send(to, Arrays.copyOf(buffer.array(), buffer.position()));
+    }
+
+    /** Hands over each message; false where the datagram is none of this kind or ends in the middle of a message. */
+    static boolean read(byte[] datagram, Receiver receiver) {
+        if (datagram.length < HEADER_BYTES || datagram.length > MOST_BYTES || !isBatch(datagram) || datagram[1] != VERSION) {
+            return false;
+        }
+        ByteBuffer buffer = ByteBuffer.wrap(datagram, HEADER_BYTES, datagram.length - HEADER_BYTES);
+        while (buffer.hasRemaining()) {
+            if (buffer.remaining() < MESSAGE_HEADER_BYTES) {
+                return false;
+            }
+            int scope = Short.toUnsignedInt(buffer.getShort());
+            int length = Byte.toUnsignedInt(buffer.get());
+            if (buffer.remaining() < length) {
+                return false;
+            }
+            byte[] message = new byte[length];
+            buffer.get(message);
+            receiver.accept(scope, message);
+        }
+        return true;
+    }
+}
--- a/src/main/java/rushproxy/consensus/Options.java
+++ b/src/main/java/rushproxy/operator/ConsensusOptions.java
@@ -1,4 +1,4 @@
-package rushproxy.consensus;
+package rushproxy.operator;
 
 import java.nio.file.Path;
 
@@ -10,4 +10,4 @@
  * @param leaseUs how long a sidecar that hears nothing goes by what it heard
  * @param file    what is proposed from here: read when an operator asks for it
  */
-public record Options(String fleet, int voters, long leaseUs, Path file) {}
+public record ConsensusOptions(String fleet, int voters, long leaseUs, Path file) {}
--- a/src/main/java/rushproxy/operator/Operator.java
+++ b/src/main/java/rushproxy/operator/Operator.java
@@ -26,7 +26,7 @@
         rushproxy.zones.Options zones,
         rushproxy.subset.Options subset,
         boolean jsonLog,
-        rushproxy.consensus.Options consensus) {
+        ConsensusOptions consensus) {
     /** Without a file: nothing is on that the platform has not asked for. */
     public static final Operator NONE = new Operator(null, null, null, null, null, false);
 
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -171,7 +171,7 @@
                                 + (s.sidecars() == 0 ? "" : "; there are " + s.sidecars() + " sidecars"));
     }
 
-    private static rushproxy.consensus.Options consensus(Table t, Table root) throws Broken {
+    private static ConsensusOptions consensus(Table t, Table root) throws Broken {
         if (t == null) {
             return null;
         }
@@ -182,7 +182,7 @@
         if (voters % 2 == 0) {
             throw t.broken("voters", "an odd number, so that there is a majority");
         }
-        rushproxy.consensus.Options options = new rushproxy.consensus.Options(
+        ConsensusOptions options = new ConsensusOptions(
                 t.text("fleet", null),
                 voters,
                 t.duration("lease", "3s", "500ms", "1min", null),
@@ -305,7 +305,7 @@
         explain(operator.zones(), lines);
         explain(operator.subset(), lines);
         if (operator.consensus() != null) {
-            rushproxy.consensus.Options a = operator.consensus();
+            ConsensusOptions a = operator.consensus();
             lines.add("consensus: changes of [zones] away and tiers are decided in common by fleet '" + a.fleet()
                     + "', the first " + a.voters() + " sidecars vote; who hears nothing for " + seconds(a.leaseUs())
                     + " is careful; proposed from " + a.file());
--- a/src/main/java/rushproxy/scale/HollowSidecar.java
+++ b/src/main/java/rushproxy/scale/HollowSidecar.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import rushproxy.consensus.ConsensusGroup;
 import rushproxy.consensus.ConsensusNode;
 import rushproxy.core.Clock;
 import rushproxy.fleet.Holdings;
@@ -78,12 +79,10 @@
         silent = false;
         version = 0;
         consensus = new ConsensusNode(
-                fleet.name().hashCode(),
-                fleet.voters(),
-                fleet.members(),
+                ConsensusGroup.withoutSubscribers(
+                        fleet.name().hashCode(), fleet.voters(), fleet.members(), fleet.leaseUs()),
                 number,
                 fleet.seed() + number * 1_000_003L + lives,
-                fleet.leaseUs(),
                 clock.now(),
                 content -> null);
         look();
--- a/src/main/java/rushproxy/sidecar/Policies.java
+++ b/src/main/java/rushproxy/sidecar/Policies.java
@@ -9,10 +9,11 @@
 import rushproxy.Balancer.Settings;
 import rushproxy.consensus.ConsensusNode;
 import rushproxy.consensus.ConsensusNode.InForce;
-import rushproxy.consensus.Options;
+import rushproxy.consensus.ConsensusGroup;
 import rushproxy.core.Clock;
 import rushproxy.core.Log;
 import rushproxy.core.Timers;
+import rushproxy.operator.ConsensusOptions;
 import rushproxy.operator.PolicyFile;
 import rushproxy.operator.PolicyFile.Policy;
 import rushproxy.toml.Broken;
@@ -40,7 +41,7 @@
     Policies(
             Timers timers,
             Clock clock,
-            Options options,
+            ConsensusOptions options,
             Settings settings,
             long seed,
             BiConsumer<Integer, byte[]> network,
@@ -51,12 +52,10 @@
         this.effect = effect;
         zones = settings.zones();
         consensus = new ConsensusNode(
-                options.fleet().hashCode(),
-                options.voters(),
-                settings.balancers(),
+                ConsensusGroup.withoutSubscribers(
+                        options.fleet().hashCode(), options.voters(), settings.balancers(), options.leaseUs()),
                 settings.me(),
                 seed,
-                options.leaseUs(),
                 clock.now(),
                 this::wrong);
         sinceUs = clock.now();
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -33,6 +33,7 @@
 import rushproxy.membership.disk.ListKeeper;
 import rushproxy.membership.disk.ListStore;
 import rushproxy.membership.registry.RegistryHttp;
+import rushproxy.operator.ConsensusOptions;
 import rushproxy.operator.Operator;
 import rushproxy.operator.Operator.DiskOptions;
 import rushproxy.operator.Operator.TraceOptions;
@@ -232,7 +233,7 @@
     }
 
     /** Why this sidecar can't decide in common with others; null where it can. */
-    private static String alone(rushproxy.consensus.Options consensus, Config config, Handover handover) {
+    private static String alone(ConsensusOptions consensus, Config config, Handover handover) {
         int sidecars = config.settings().balancers();
         return config.peerListen() == null || config.peers().size() < sidecars
                 ? "wants words between all sidecars: peer_listen, and peers with " + sidecars + " addresses"
--- a/src/test/java/rushproxy/ArchitectureTest.java
+++ b/src/test/java/rushproxy/ArchitectureTest.java
@@ -34,6 +34,8 @@
         "rushproxy.subset",
         "rushproxy.fleet",
         "rushproxy.fleet.account",
+        "rushproxy.consensus",
+        "rushproxy.control",
         "rushproxy.figures"
     };
 
--- /dev/null
+++ b/src/test/java/rushproxy/control/ControlSimulationTest.java
@@ -0,0 +1,258 @@
+package rushproxy.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.IntPredicate;
+import org.junit.jupiter.api.Test;
+import rushproxy.consensus.ConsensusNode;
+
+/** The control tier and its sidecars with the faults that a fleet meets, on virtual time. */
+class ControlSimulationTest {
+    private static final long SECOND = 1_000_000;
+    private static final int REPLICAS = 7, VOTERS = 5, SCOPES = 6, SIDECARS = 40, SCOPES_EACH = 3;
+    private static final IntPredicate ALL = number -> true;
+
+    private static byte[] content(int number) {
+        return ("limit = " + number + "\n").repeat(60).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static long version(int number) {
+        return ConsensusNode.version(content(number));
+    }
+
+    private static ControlSimulation tier(long seed) {
+        ControlGroup group = new ControlGroup(7, SCOPES, VOTERS, REPLICAS, 2 * SECOND, 1_200_000);
+        ControlSimulation tier = new ControlSimulation(group, SIDECARS, SCOPES_EACH, seed);
+        tier.network(new ControlSimulation.Network(0.02, 0.02, 2_000));
+        assertTrue(tier.until(() -> allReady(tier), 10 * SECOND) >= 0, "all are ready, seed " + seed);
+        tier.play(3 * SECOND);
+        return tier;
+    }
+
+    private static boolean allReady(ControlSimulation tier) {
+        for (int number = 0; number < tier.processes(); number++) {
+            boolean ready = number < REPLICAS
+                    ? tier.replica(number) != null && tier.replica(number).ready(tier.now())
+                    : tier.client(number) != null && tier.client(number).ready();
+            if (!ready) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static void sound(ControlSimulation tier) {
+        assertEquals(List.of(), tier.breaches());
+    }
+
+    /** How long until a change is in force at all that can be reached, in us; -1 where it took over 12 s. */
+    private static long change(ControlSimulation tier, int replica, int scope, int number, IntPredicate reached) {
+        tier.propose(replica, scope, content(number));
+        return tier.until(() -> tier.everywhere(reached, scope, version(number)), 12 * SECOND);
+    }
+
+    private static int aSubscriber(ControlSimulation tier, int scope) {
+        return tier.subscribers(scope).get(0);
+    }
+
+    @Test
+    void aChangeIsInForceEverywhereWithinTwoSeconds() {
+        ControlSimulation tier = tier(1);
+        for (int number = 1; number <= 10; number++) {
+            long tookUs = change(tier, number % REPLICAS, number % SCOPES, number, ALL);
+            assertTrue(tookUs >= 0 && tookUs < 2 * SECOND, "change " + number + " took " + tookUs + " us");
+        }
+        int sidecar = aSubscriber(tier, 1);
+        assertEquals(
+                new String(content(7), StandardCharsets.UTF_8),
+                new String(tier.client(sidecar).content(1, version(7)), StandardCharsets.UTF_8));
+        sound(tier);
+    }
+
+    /** The change waits for the short lease of who is away, once: the next one not at all. */
+    @Test
+    void aKilledSidecarDelaysOneChangeByItsShortLease() {
+        ControlSimulation tier = tier(2);
+        tier.kill(aSubscriber(tier, 0));
+        long first = change(tier, 2, 0, 1, ALL);
+        long second = change(tier, 2, 0, 2, ALL);
+        assertTrue(first >= 0 && first < 3 * SECOND, first + " us");
+        assertTrue(second >= 0 && second < SECOND, second + " us");
+        sound(tier);
+    }
+
+    @Test
+    void aChangeOfOneServiceDoesNotWaitForAnother() {
+        ControlSimulation tier = tier(3);
+        int away = aSubscriber(tier, 0);
+        tier.pause(away, 5 * SECOND);
+        tier.propose(1, 0, content(1));
+        int other = 1;
+        while (tier.subscribers(other).contains(away)) {
+            other++;
+        }
+        long tookUs = change(tier, 1, other, 2, ALL);
+        assertTrue(tookUs >= 0 && tookUs < SECOND, tookUs + " us");
+        assertFalse(tier.everywhere(ALL, 0, version(1)), "the other one still waits");
+        sound(tier);
+    }
+
+    @Test
+    void aReplicaKilledAtAnyStepOfAChangeLeavesNothingOpen() {
+        for (int victim : new int[] {0, 3, 6}) {
+            for (long afterUs = 1_000; afterUs < 200_000; afterUs += 23_000) {
+                ControlSimulation tier = tier(afterUs + victim);
+                tier.propose(victim, 0, content(1));
+                tier.play(afterUs);
+                tier.kill(victim);
+                tier.play(9 * SECOND);
+                boolean everywhere = tier.everywhere(ALL, 0, version(1));
+                boolean nowhere = tier.everywhere(ALL, 0, 0);
+                assertTrue(everywhere || nowhere, "replica " + victim + " killed after " + afterUs + " us");
+                assertTrue(change(tier, (victim + 1) % REPLICAS, 0, 2, ALL) >= 0, "and the next one goes on");
+                sound(tier);
+            }
+        }
+    }
+
+    /** Its sidecars go to other replicas before their leases are over: they are sure all the time. */
+    @Test
+    void sidecarsOfAReplicaThatIsGoneOrPausedStaySure() {
+        for (boolean paused : new boolean[] {false, true}) {
+            ControlSimulation tier = tier(paused ? 5 : 6);
+            if (paused) {
+                tier.pause(6, 20 * SECOND);
+            } else {
+                tier.kill(6);
+            }
+            for (int step = 0; step < 100; step++) {
+                tier.play(50_000);
+                for (int number = REPLICAS; number < tier.processes(); number++) {
+                    int sidecar = number;
+                    assertTrue(
+                            tier.subscribers(0).stream().noneMatch(n -> n == sidecar)
+                                    || tier.inForce(sidecar, 0).sure(),
+                            "sidecar " + sidecar + " is not sure");
+                }
+            }
+            assertTrue(change(tier, 1, 0, 1, ALL) < 6 * SECOND, "a change waits for its leases and no longer");
+            sound(tier);
+        }
+    }
+
+    @Test
+    void aLeaderPausedOverItsLeaseBreaksNothing() {
+        for (long afterUs = 5_000; afterUs < 400_000; afterUs += 45_000) {
+            ControlSimulation tier = tier(afterUs);
+            tier.propose(0, 0, content(1));
+            tier.play(afterUs);
+            tier.pause(0, 4 * SECOND);
+            tier.play(SECOND);
+            tier.propose(1, 0, content(2));
+            tier.play(15 * SECOND);
+            assertTrue(tier.everywhere(ALL, 0, version(1)) || tier.everywhere(ALL, 0, version(2)), afterUs + " us");
+            sound(tier);
+        }
+    }
+
+    @Test
+    void twoOfFiveVotersMayBeGoneAndWithThreeGoneAllServeOnAndNothingChanges() {
+        ControlSimulation tier = tier(8);
+        tier.kill(0);
+        tier.kill(1);
+        assertTrue(change(tier, 5, 0, 1, ALL) < 6 * SECOND);
+        tier.cut(number -> number == 2);
+        assertEquals(-1, change(tier, 5, 0, 2, ALL));
+        int sidecar = aSubscriber(tier, 0);
+        assertFalse(tier.inForce(sidecar, 0).sure());
+        assertEquals(version(1), tier.inForce(sidecar, 0).to(), "it goes on by what it knew last");
+        tier.cut(number -> false);
+        assertTrue(tier.until(() -> tier.everywhere(ALL, 0, version(2)), 9 * SECOND) >= 0, "with the third one back");
+        sound(tier);
+    }
+
+    @Test
+    void aReplicaThatForgotEverythingComesBackAndGrantsLeasesAgain() {
+        ControlSimulation tier = tier(9);
+        assertTrue(change(tier, 0, 0, 1, ALL) >= 0);
+        tier.kill(3);
+        tier.play(300_000);
+        tier.start(3);
+        assertTrue(change(tier, 3, 0, 2, ALL) >= 0 || change(tier, 1, 0, 3, ALL) >= 0);
+        assertTrue(tier.until(() -> tier.replica(3).ready(tier.now()), 10 * SECOND) >= 0);
+        sound(tier);
+    }
+
+    /** Three voters are on one side with half of the sidecars; the others serve on and catch up. */
+    @Test
+    void aCutBetweenRegionsDuringAChangeHeals() {
+        for (long afterUs = 0; afterUs < 300_000; afterUs += 60_000) {
+            ControlSimulation tier = tier(10 + afterUs);
+            IntPredicate far = number -> number == 3 || number == 4 || number == 6 || number >= REPLICAS + SIDECARS / 2;
+            tier.propose(0, 0, content(1));
+            tier.play(afterUs);
+            tier.cut(far);
+            IntPredicate near = number -> !far.test(number);
+            assertTrue(tier.until(() -> tier.everywhere(near, 0, version(1)), 9 * SECOND) >= 0, afterUs + " us");
+            long next = change(tier, 1, 0, 2, near);
+            assertTrue(next >= 0 && next < 9 * SECOND, "the majority's side goes on changing: " + next + " us");
+            tier.cut(number -> false);
+            assertTrue(tier.until(() -> tier.everywhere(ALL, 0, version(2)), 9 * SECOND) >= 0, "healed");
+            sound(tier);
+        }
+    }
+
+    @Test
+    void allSidecarsRestartWithinASecondAndAreReadyWithinTen() {
+        ControlSimulation tier = tier(11);
+        assertTrue(change(tier, 0, 0, 1, ALL) >= 0);
+        for (int number = REPLICAS; number < tier.processes(); number++) {
+            tier.kill(number);
+            int restarted = number;
+            tier.in(SECOND, () -> tier.start(restarted));
+        }
+        tier.play(SECOND);
+        assertTrue(tier.until(() -> allReady(tier), 9 * SECOND) >= 0);
+        assertTrue(tier.everywhere(ALL, 0, version(1)));
+        sound(tier);
+    }
+
+    @Test
+    void twoChangesOfOneServiceAtOnceEndInOne() {
+        for (long seed = 20; seed < 30; seed++) {
+            ControlSimulation tier = tier(seed);
+            tier.propose(0, 0, content(1));
+            tier.propose(3, 0, content(2));
+            tier.play(12 * SECOND);
+            assertTrue(tier.everywhere(ALL, 0, version(1)) || tier.everywhere(ALL, 0, version(2)), "seed " + seed);
+            sound(tier);
+        }
+    }
+
+    /** It is in force nowhere, whoever proposed it learns whose no it was, and the next one is taken. */
+    @Test
+    void aContentThatOneSidecarCantTakeIsInForceNowhere() {
+        ControlSimulation tier = tier(12);
+        int sidecar = aSubscriber(tier, 0);
+        tier.kill(sidecar);
+        tier.checks(number -> content -> number == sidecar && content[8] == '9' ? "no such limit" : null);
+        tier.start(sidecar);
+        tier.play(3 * SECOND);
+        tier.propose(1, 0, content(9));
+        assertTrue(tier.until(() -> tier.replica(1).refusal(0) != null, 3 * SECOND) >= 0);
+        String refusal = tier.replica(1).refusal(0);
+        assertTrue(refusal.endsWith("subscriber " + sidecar + ": no such limit"), refusal);
+        tier.play(5 * SECOND);
+        for (int subscriber : tier.subscribers(0)) {
+            assertTrue(tier.goesBy(subscriber, 0, 0), subscriber + " goes by " + tier.inForce(subscriber, 0));
+        }
+        assertTrue(change(tier, 1, 0, 1, ALL) >= 0);
+        assertNull(tier.replica(1).refusal(0));
+        sound(tier);
+    }
+}
