--- a/src/main/java/rushproxy/control/ControlSimulation.java
+++ b/src/main/java/rushproxy/control/ControlSimulation.java
@@ -22,8 +22,8 @@
     public record Network(double loss, double duplicates, long delayUs) {}
 
     private static final int MOST_BREACHES = 20;
-    /** How far each clock is from the true one at most, as a part of the time that passes. */
-    private static final double CLOCK_ERROR = 0.02;
+    /** How far each clock is from the true one at most, as a part of the time that passes: what leases allow for. */
+    public static final double CLOCK_ERROR = 0.02;
 
     private final ControlGroup group;
     private final SplittableRandom random;
@@ -69,6 +69,11 @@
 
     /** Sidecars subscribe to so many scopes each, drawn at random; all processes begin within a second. */
     public ControlSimulation(ControlGroup group, int sidecars, int scopesEach, long seed) {
+        this(group, sidecars, scopesEach, CLOCK_ERROR, seed);
+    }
+
+    /** @param clockError how far each clock is from the true one at most; over {@link #CLOCK_ERROR} nothing is promised */
+    ControlSimulation(ControlGroup group, int sidecars, int scopesEach, double clockError, long seed) {
         this.group = group;
         random = new SplittableRandom(seed);
         processes = new Process[group.replicas() + sidecars];
@@ -79,7 +84,7 @@
         }
         for (int number = 0; number < processes.length; number++) {
             List<Integer> scopes = number < group.replicas() ? all : draw(scopesEach);
-            double rate = 1 + CLOCK_ERROR * (2 * random.nextDouble() - 1);
+            double rate = 1 + clockError * (2 * random.nextDouble() - 1);
             processes[number] = new Process(number, scopes, rate);
             int started = number;
             time.in(random.nextLong(1_000_000), () -> start(started));
--- a/src/test/java/rushproxy/control/ControlSimulationTest.java
+++ b/src/test/java/rushproxy/control/ControlSimulationTest.java
@@ -60,6 +60,22 @@
         return tier.subscribers(scope).get(0);
     }
 
+    /** With clocks that run apart by far more than leases allow for two versions are in force, and the simulation says so. */
+    @Test
+    void aBrokenPromiseOfClocksIsFound() {
+        ControlGroup group = new ControlGroup(7, 1, VOTERS, REPLICAS, 2 * SECOND, 2 * SECOND);
+        ControlSimulation tier = new ControlSimulation(group, SIDECARS, 1, 0.7, 1);
+        tier.play(10 * SECOND);
+        assertTrue(change(tier, 0, 0, 1, ALL) >= 0);
+        tier.play(5 * SECOND);
+        IntPredicate far = number -> number == 5 || number == 6 || number >= REPLICAS + SIDECARS / 2;
+        tier.cut(far);
+        tier.propose(0, 0, content(2));
+        tier.play(10 * SECOND);
+        assertFalse(tier.breaches().isEmpty());
+        assertTrue(tier.breaches().get(0).startsWith("ONE_POLICY"), tier.breaches().get(0));
+    }
+
     @Test
     void aChangeIsInForceEverywhereWithinTwoSeconds() {
         ControlSimulation tier = tier(1);
