--- /dev/null
+++ b/src/main/java/rushproxy/measure/ControlMeasure.java
@@ -0,0 +1,225 @@
+package rushproxy.measure;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.LocalDate;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import rushproxy.control.ControlDay;
+import rushproxy.control.ControlGroup;
+import rushproxy.scale.ControlFleet;
+import rushproxy.scale.ControlRun;
+import rushproxy.scale.Figure;
+import rushproxy.scale.RecordedSlope;
+import rushproxy.scale.Samples;
+import rushproxy.scale.ScaleRun;
+import rushproxy.scale.Target;
+import rushproxy.scale.Usage;
+
+/**
+ * Measures the control tier: what a replica and a sidecar spend at several sizes on real loopback sockets, how long changes take with faults,
+ * and a drawn day on virtual time. Ends with {@code holds} or {@code falls short: ...}. Run by {@code bench/capacity.sh}.
+ */
+public final class ControlMeasure {
+    private static final int[] SIZES = {260, 525, 1_050, 2_100};
+    private static final int[] QUICK_SIZES = {50, 100, 200};
+    private static final int REPLICAS = 11, VOTERS = 5;
+    private static final int SCOPES = 190, QUICK_SCOPES = 40, SCOPES_EACH = 4;
+    private static final long LEASE_US = 2_000_000, SUBSCRIBER_LEASE_US = 1_200_000;
+    private static final long MOST_CHANGE_US = 20_000_000;
+    /** Aim of a change with nobody away, milliseconds. */
+    private static final double CHANGE_AIM_MS = 2_000;
+    /** Least part of a slope's largest value that its residual may not exceed, for a line to build on. */
+    private static final double MOST_RESIDUAL = 0.1;
+
+    private final boolean quick;
+    private final Samples samples = new Samples();
+    private final List<String> shortfalls = new ArrayList<>();
+
+    private ControlMeasure(boolean quick) {
+        this.quick = quick;
+    }
+
+    /** Arguments: {@code --quick}, {@code --day}, {@code --record FILE} whose slopes of the control tier are replaced. */
+    public static void main(String[] args) throws Exception {
+        String what = args.length == 0 ? "" : args[0];
+        boolean known = args.length == 0
+                || args.length == 1 && (what.equals("--quick") || what.equals("--day"))
+                || args.length == 2 && what.equals("--record");
+        if (!known) {
+            System.err.println("usage: bench/capacity.sh [--quick | --day | --record FILE]");
+            System.exit(2);
+        }
+        ControlMeasure measure = new ControlMeasure(what.equals("--quick"));
+        if (!what.equals("--day")) {
+            measure.sizes();
+            measure.report(what.equals("--record") ? Path.of(args[1]) : null);
+        }
+        if (!what.equals("--record")) {
+            measure.day(what.equals("--day"));
+        }
+        List<String> shortfalls = measure.shortfalls;
+        System.out.println(shortfalls.isEmpty() ? "holds" : "falls short: " + String.join("; ", shortfalls));
+        System.exit(shortfalls.isEmpty() ? 0 : 1);
+    }
+
+    private void sizes() throws Exception {
+        int[] sizes = quick ? QUICK_SIZES : SIZES;
+        for (int size : sizes) {
+            ControlFleet fleet = new ControlFleet(
+                    REPLICAS,
+                    VOTERS,
+                    size,
+                    quick ? QUICK_SCOPES : SCOPES,
+                    SCOPES_EACH,
+                    LEASE_US,
+                    SUBSCRIBER_LEASE_US);
+            try (ControlRun run = new ControlRun(fleet)) {
+                System.out.printf(Locale.ROOT, "%5d  replicas are sure after %d ms%n", size, run.startReplicas() / 1_000);
+                double startMs = run.startSidecars() / 1e3;
+                Thread.sleep(quick ? 1_500 : 4_000);
+                rest(run, size);
+                changes(run, size);
+                // Not the first start: the replicas have the work of all others then too.
+                put(Figure.CONTROL_START, size, Math.max(startMs, run.startSidecars() / 1e3));
+                if (size == sizes[sizes.length - 1]) {
+                    replicaKilled(run, size);
+                }
+            }
+        }
+    }
+
+    private void rest(ControlRun run, int size) throws IOException, InterruptedException {
+        Usage replicasBefore = run.voterUsage();
+        Usage sidecarsBefore = run.sidecarUsage();
+        Thread.sleep(quick ? 1_000 : 6_000);
+        ScaleRun.Window replicas = new ScaleRun.Window(VOTERS, run.voterUsage().since(replicasBefore));
+        ScaleRun.Window sidecars = new ScaleRun.Window(size, run.sidecarUsage().since(sidecarsBefore));
+        put(Figure.REPLICA_DATAGRAMS, size, replicas.datagrams());
+        put(Figure.REPLICA_BYTES, size, replicas.bytes());
+        put(Figure.REPLICA_CORES, size, replicas.cores());
+        put(Figure.SUBSCRIBER_DATAGRAMS, size, sidecars.datagrams());
+        put(Figure.SUBSCRIBER_BYTES, size, sidecars.bytes());
+        put(Figure.SUBSCRIBER_CORES, size, sidecars.cores());
+        put(Figure.SUBSCRIBER_HEAP, size, (double) run.sidecarHeapKb() / size);
+    }
+
+    private void changes(ControlRun run, int size) throws IOException, InterruptedException {
+        double worstMs = 0;
+        for (int scope = 0; scope < (quick ? 3 : 10); scope++) {
+            worstMs = Math.max(worstMs, change(run, size, "nobody away", scope, 0));
+        }
+        put(Figure.CONTROL_CHANGE, size, worstMs);
+        int scope = 20;
+        int away = run.subscriberOf(scope);
+        run.silence(away);
+        put(Figure.CONTROL_CHANGE_ONE_AWAY, size, change(run, size, "one away", scope, 1));
+        put(Figure.CONTROL_SECOND_CHANGE, size, change(run, size, "one away, the next change at once", scope, 1));
+        run.restart(away);
+    }
+
+    private void replicaKilled(ControlRun run, int size) throws IOException, InterruptedException {
+        run.killReplica(0);
+        double tookMs = change(run, size, "a replica with a vote killed just before", 1, 0);
+        Shortfalls.check(shortfalls, tookMs <= Target.CHANGE_MS, "a change with a replica killed takes " + tookMs + " ms");
+    }
+
+    private static double change(ControlRun run, int size, String what, int scope, int away)
+            throws IOException, InterruptedException {
+        ScaleRun.Change change = run.change(1 + scope % (VOTERS - 1), scope, away, MOST_CHANGE_US);
+        System.out.printf(
+                Locale.ROOT,
+                "%5d  change of scope %d, %s: %d of %d after %d ms%n",
+                size,
+                scope,
+                what,
+                change.reached(),
+                change.wanted(),
+                change.tookUs() / 1_000);
+        return change.everywhere() ? change.tookUs() / 1e3 : MOST_CHANGE_US / 1e3;
+    }
+
+    private void report(Path record) throws IOException {
+        Map<Figure, RecordedSlope> slopes =
+                samples.slopes(LocalDate.now(ZoneOffset.UTC).toString());
+        slopes.values().forEach(slope -> System.out.println(slope.line()));
+        if (record != null) {
+            Map<Figure, RecordedSlope> all = RecordedSlope.read(Files.readAllLines(record));
+            all.putAll(slopes);
+            List<String> lines = new ArrayList<>(List.of(RecordedSlope.HEADER));
+            all.values().forEach(slope -> lines.add(slope.line()));
+            Files.write(record, lines);
+        }
+        aim(slopes, Figure.SUBSCRIBER_CORES, Target.CONTROL_CORES);
+        aim(slopes, Figure.REPLICA_CORES, Target.REPLICA_CORES);
+        aim(slopes, Figure.SUBSCRIBER_HEAP, Target.CONTROL_KB);
+        aim(slopes, Figure.CONTROL_START, Target.START_MS);
+        aim(slopes, Figure.CONTROL_CHANGE, CHANGE_AIM_MS);
+        aim(slopes, Figure.CONTROL_CHANGE_ONE_AWAY, Target.CHANGE_MS);
+        aim(slopes, Figure.CONTROL_SECOND_CHANGE, Target.CHANGE_MS);
+        withHeaders(slopes, Figure.SUBSCRIBER_BYTES, Figure.SUBSCRIBER_DATAGRAMS, Target.CONTROL_BYTES);
+        withHeaders(slopes, Figure.REPLICA_BYTES, Figure.REPLICA_DATAGRAMS, Target.REPLICA_BYTES);
+    }
+
+    private void aim(Map<Figure, RecordedSlope> slopes, Figure figure, double most) {
+        double value = slopes.get(figure).fit().at(Target.SIDECARS);
+        Shortfalls.check(
+                shortfalls,
+                value <= most,
+                String.format(Locale.ROOT, "%s at 2,100: %.4g, at most %.4g wanted", figure.key(), value, most));
+        double residual = slopes.get(figure).fit().residual();
+        if (residual > MOST_RESIDUAL) {
+            System.out.printf(Locale.ROOT, "%s: residual %.2f, no line to build on%n", figure.key(), residual);
+        }
+    }
+
+    private void withHeaders(Map<Figure, RecordedSlope> slopes, Figure bytes, Figure datagrams, double most) {
+        double value = slopes.get(bytes).fit().at(Target.SIDECARS)
+                + Target.HEADER_BYTES * slopes.get(datagrams).fit().at(Target.SIDECARS);
+        Shortfalls.check(
+                shortfalls,
+                value <= most,
+                String.format(Locale.ROOT, "%s with headers at 2,100: %.4g, at most %.4g", bytes.key(), value, most));
+    }
+
+    /** On virtual time: 2,100 changes and some 300 restarts and pauses, closer together than on an ordinary day. */
+    private void day(boolean whole) {
+        int sidecars = whole ? 2_100 : 200;
+        int scopes = whole ? SCOPES : 32;
+        int changes = whole ? 2_100 : 150;
+        long betweenUs = 2_000_000;
+        List<String> names = new ArrayList<>();
+        for (int scope = 0; scope < scopes; scope++) {
+            names.add("service-" + scope);
+        }
+        ControlGroup group = new ControlGroup("day", names, VOTERS, REPLICAS, LEASE_US, SUBSCRIBER_LEASE_US);
+        ControlDay.Plan plan =
+                new ControlDay.Plan(group, sidecars, SCOPES_EACH, changes, betweenUs, 7 * betweenUs, 3_000_000, 3);
+        ControlDay.Outcome day = ControlDay.play(plan, 1);
+        System.out.printf(
+                Locale.ROOT,
+                "a drawn day, %d sidecars, %d scopes, %d changes: median %d ms, 99 in 100 within %d ms, worst %d ms, %d not in force%n",
+                sidecars,
+                scopes,
+                day.tookUs().length,
+                day.quantileUs(0.5) / 1_000,
+                day.quantileUs(0.99) / 1_000,
+                day.quantileUs(1) / 1_000,
+                day.unfinished());
+        Shortfalls.check(shortfalls, day.breaches().isEmpty(), "a drawn day: " + day.breaches());
+        Shortfalls.check(shortfalls, day.unfinished() == 0, day.unfinished() + " changes of a day not in force");
+        Shortfalls.check(
+                shortfalls,
+                day.quantileUs(0.99) <= Target.CHANGE_MS * 1_000,
+                "99 in 100 changes of a day take " + day.quantileUs(0.99) / 1_000 + " ms");
+    }
+
+    private void put(Figure figure, int size, double value) {
+        samples.put(figure, size, value);
+        System.out.printf(Locale.ROOT, "%5d  %s: %.4g %s%n", size, figure.key(), value, figure.unit());
+    }
+}
--- a/src/main/java/rushproxy/scale/CapacityTable.java
+++ b/src/main/java/rushproxy/scale/CapacityTable.java
@@ -89,6 +89,7 @@
         voter(rows);
         member(rows);
         changes(rows);
+        control(rows);
         load(rows);
         sidecar(rows);
         chain(rows);
@@ -97,7 +98,7 @@
     }
 
     private void voter(List<Row> rows) {
-        String flat = "`consensus`, flat: missing a control tier";
+        String flat = "`consensus`, flat: a control tier in its place";
         if (has(Figure.VOTER_BYTES, Figure.VOTER_DATAGRAMS)) {
             double bytes = at(Figure.VOTER_BYTES) + Target.HEADER_BYTES * at(Figure.VOTER_DATAGRAMS);
             rows.add(new Row(
@@ -193,7 +194,44 @@
                     Target.CHANGE_MS,
                     "ms",
                     "2 change-one-away",
-                    "missing: scopes by service"));
+                    "`consensus`, flat: a control tier in its place"));
+        }
+    }
+
+    private void control(List<Row> rows) {
+        withHeaders(rows, "control replica that votes", Figure.REPLICA_BYTES, Figure.REPLICA_DATAGRAMS, Target.REPLICA_BYTES);
+        plain(rows, "control replica that votes", "processor at rest", Figure.REPLICA_CORES, Target.REPLICA_CORES, "cores");
+        withHeaders(
+                rows,
+                "sidecar, four scopes",
+                Figure.SUBSCRIBER_BYTES,
+                Figure.SUBSCRIBER_DATAGRAMS,
+                Target.CONTROL_BYTES);
+        plain(rows, "sidecar, four scopes", "processor at rest", Figure.SUBSCRIBER_CORES, Target.CONTROL_CORES, "cores");
+        plain(rows, "sidecar, four scopes", "heap, its part of a host", Figure.SUBSCRIBER_HEAP, Target.CONTROL_KB, "KB");
+        String sidecars = "all sidecars, control tier";
+        plain(rows, sidecars, "all start at once: the last is sure", Figure.CONTROL_START, Target.START_MS, "ms");
+        plain(rows, sidecars, "a change, nobody away", Figure.CONTROL_CHANGE, Target.CHANGE_MS, "ms");
+        plain(rows, sidecars, "a change, one sidecar away", Figure.CONTROL_CHANGE_ONE_AWAY, Target.CHANGE_MS, "ms");
+        plain(rows, sidecars, "a second change right behind it", Figure.CONTROL_SECOND_CHANGE, Target.CHANGE_MS, "ms");
+    }
+
+    private void withHeaders(List<Row> rows, String role, Figure bytes, Figure datagrams, double budget) {
+        if (has(bytes, datagrams)) {
+            rows.add(new Row(
+                    role,
+                    "bytes a second at rest, with headers",
+                    at(bytes) + Target.HEADER_BYTES * at(datagrams),
+                    budget,
+                    "B/s",
+                    bytes.key() + " + " + Target.HEADER_BYTES + " " + datagrams.key(),
+                    "`control`"));
+        }
+    }
+
+    private void plain(List<Row> rows, String role, String what, Figure figure, double budget, String unit) {
+        if (has(figure)) {
+            rows.add(new Row(role, what, at(figure), budget, unit, figure.key(), "`control`"));
         }
     }
 
--- a/src/main/java/rushproxy/scale/Figure.java
+++ b/src/main/java/rushproxy/scale/Figure.java
@@ -37,7 +37,29 @@
     /** The same, 99 in 100. */
     CHAIN_ADDED_P99("microseconds"),
     /** Natural logarithm of the attempts at the last hop for each request at the first, while the last one fails, by depth. */
-    CHAIN_ATTEMPTS_LOG("logarithm");
+    CHAIN_ATTEMPTS_LOG("logarithm"),
+    /** Datagrams in and out of one voting replica of the control tier at rest, by sidecars. */
+    REPLICA_DATAGRAMS("a second"),
+    /** Bytes in and out of one voting replica at rest, without headers. */
+    REPLICA_BYTES("bytes a second"),
+    /** Processor time of one voting replica's process at rest. */
+    REPLICA_CORES("parts of a core"),
+    /** Datagrams in and out of one sidecar that subscribes to four scopes, at rest. */
+    SUBSCRIBER_DATAGRAMS("a second"),
+    /** Bytes in and out of one such sidecar at rest, without headers. */
+    SUBSCRIBER_BYTES("bytes a second"),
+    /** Processor time of one such sidecar at rest. */
+    SUBSCRIBER_CORES("parts of a core"),
+    /** Heap of one such sidecar, with its part of the process that hosts it. */
+    SUBSCRIBER_HEAP("kilobytes"),
+    /** All sidecars begin at once while the replicas serve: until the last is sure of its scopes. */
+    CONTROL_START("milliseconds"),
+    /** A change of one scope, nobody away: until it is in force at all its subscribers; the worst of those made. */
+    CONTROL_CHANGE("milliseconds"),
+    /** The same with one subscriber away since just before. */
+    CONTROL_CHANGE_ONE_AWAY("milliseconds"),
+    /** A second change of the same scope right behind that. */
+    CONTROL_SECOND_CHANGE("milliseconds");
 
     private final String unit;
 
--- /dev/null
+++ b/src/main/java/rushproxy/scale/HollowControl.java
@@ -0,0 +1,171 @@
+package rushproxy.scale;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import rushproxy.consensus.ConsensusNode.InForce;
+import rushproxy.control.ControlClient;
+import rushproxy.control.ControlReplica;
+import rushproxy.control.RendezvousOrder;
+import rushproxy.core.Clock;
+
+/** One replica, or the control part of one sidecar, on a socket of its own. All on the host's event loop. */
+final class HollowControl {
+    private static final long LEAST_LOOK_US = 1_000;
+
+    private final int number;
+    private final ControlFleet fleet;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Directory directory;
+    private final Traffic traffic;
+    private final SettledLog settled;
+    private final List<Integer> scopes;
+    private final Map<Integer, Long> versions = new HashMap<>();
+    private Channel channel;
+    private ControlReplica replica;
+    private ControlClient client;
+    private boolean silent;
+    private int starts;
+
+    HollowControl(
+            int number,
+            ControlFleet fleet,
+            EventLoop loop,
+            Clock clock,
+            Directory directory,
+            Traffic traffic,
+            SettledLog settled) {
+        this.number = number;
+        this.fleet = fleet;
+        this.loop = loop;
+        this.clock = clock;
+        this.directory = directory;
+        this.traffic = traffic;
+        this.settled = settled;
+        scopes = fleet.scopesOf(number);
+    }
+
+    /** Opens its socket; it says nothing before {@link #start}. Not to be called on the loop. */
+    int open() throws InterruptedException {
+        channel = new Bootstrap()
+                .group(loop)
+                .channelFactory(NioDatagramChannel::new)
+                .handler(new Receiver())
+                .bind("127.0.0.1", 0)
+                .sync()
+                .channel();
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    /** A new process: it remembers nothing. */
+    void start() {
+        starts++;
+        silent = false;
+        versions.clear();
+        long seed = number * 1_000_003L + starts;
+        if (number < fleet.replicas()) {
+            replica = new ControlReplica(fleet.group(), number, seed, clock.now(), content -> null);
+        } else {
+            int[] order = RendezvousOrder.of(number, fleet.replicas());
+            client = new ControlClient(fleet.group(), scopes, order, seed, clock.now(), content -> null);
+        }
+        look(starts);
+    }
+
+    /** It neither hears nor says anything, as a machine that is gone. */
+    void silence() {
+        silent = true;
+    }
+
+    /** Whether it is sure of all its scopes. */
+    boolean sure() {
+        if (replica != null) {
+            return replica.ready(clock.now());
+        }
+        return client != null
+                && !silent
+                && scopes.stream()
+                        .allMatch(scope -> client.inForce(scope, clock.now()).sure());
+    }
+
+    /** Why it can't be proposed; null where it is on its way. */
+    String propose(int scope, byte[] content) {
+        return replica.propose(scope, content, clock.now(), this::send);
+    }
+
+    private void look(int of) {
+        if (silent || of != starts) {
+            return;
+        }
+        if (replica != null) {
+            replica.tick(clock.now(), this::send);
+        } else {
+            client.tick(clock.now(), this::send);
+        }
+        observe();
+        long dueAt = replica != null ? replica.dueAt() : client.dueAt();
+        long delayUs = Math.max(LEAST_LOOK_US, dueAt - clock.now());
+        loop.schedule(() -> look(of), delayUs, TimeUnit.MICROSECONDS);
+    }
+
+    private void observe() {
+        if (client == null) {
+            return;
+        }
+        for (int scope : scopes) {
+            InForce inForce = client.inForce(scope, clock.now());
+            boolean alone = inForce.sure() && !inForce.joint();
+            if (alone && versions.getOrDefault(scope, 0L) != inForce.to()) {
+                versions.put(scope, inForce.to());
+                settled.settled(inForce.to(), clock.now());
+            }
+        }
+    }
+
+    private void send(int to, byte[] datagram) {
+        InetSocketAddress address = directory.address(to);
+        if (address != null) {
+            traffic.sent(datagram.length);
+            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
+        }
+    }
+
+    private void received(int from, byte[] datagram) {
+        traffic.received(from, datagram.length);
+        if (silent || starts == 0) {
+            return;
+        }
+        if (replica != null) {
+            replica.hear(clock.now(), from, datagram, this::send);
+        } else {
+            client.hear(clock.now(), from, datagram, this::send);
+            observe();
+        }
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            int from = directory.number(packet.sender());
+            if (from >= 0) {
+                received(from, ByteBufUtil.getBytes(packet.content()));
+            }
+        }
+
+        /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {}
+    }
+}
--- a/src/main/java/rushproxy/scale/HollowHost.java
+++ b/src/main/java/rushproxy/scale/HollowHost.java
@@ -4,7 +4,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedReader;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
@@ -16,7 +15,6 @@
 import java.util.concurrent.Callable;
 import rushproxy.consensus.ConsensusNode;
 import rushproxy.core.Clock;
-import rushproxy.sidecar.CpuTime;
 
 /**
  * A process that hosts hollow sidecars of consecutive numbers. It does what its standard input says, a command a line, answers each with one
@@ -88,7 +86,7 @@
             case "peers" -> learn(words);
             case "start" -> sidecars.forEach(HollowSidecar::start);
             case "usage" -> {
-                return usage().line();
+                return Usage.ofThisProcess(clock.now(), traffic).line();
             }
             case "sure" -> {
                 return String.valueOf(
@@ -114,7 +112,7 @@
                 return String.valueOf(traffic.from(Integer.parseInt(words[1])));
             }
             case "heap" -> {
-                return String.valueOf(heapKb());
+                return String.valueOf(ProcessMemory.heapKb());
             }
             case "lose" -> directory.lose(Double.parseDouble(words[1]));
             default -> throw new IllegalArgumentException("no command '" + words[0] + "'");
@@ -139,28 +137,4 @@
             }
         }
     }
-
-    /** Memory in use behind a collection, kilobytes. */
-    private static long heapKb() {
-        System.gc();
-        Runtime runtime = Runtime.getRuntime();
-        return (runtime.totalMemory() - runtime.freeMemory()) / 1024;
-    }
-
-    private Usage usage() throws IOException {
-        return new Usage(
-                clock.now(),
-                CpuTime.ms(),
-                ProcessMemory.residentKb("self"),
-                descriptors(),
-                traffic.datagramsIn(),
-                traffic.datagramsOut(),
-                traffic.bytesIn(),
-                traffic.bytesOut());
-    }
-
-    private static int descriptors() {
-        String[] open = new File("/proc/self/fd").list();
-        return open == null ? -1 : open.length;
-    }
 }
--- a/src/main/java/rushproxy/scale/HostProcess.java
+++ b/src/main/java/rushproxy/scale/HostProcess.java
@@ -8,11 +8,12 @@
 import java.io.OutputStreamWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 
-/** A {@link HollowHost} that this process has started. It ends when it is closed, and when this process dies. */
+/** A host of hollow members that this process has started. It ends when it is closed, and when this process dies. */
 final class HostProcess implements AutoCloseable {
     private static final long MOST_WAIT_MS = 60_000;
     private static final long POLL_NANOS = 200_000;
@@ -24,11 +25,25 @@
     private final BufferedReader answers;
     private final List<Integer> ports;
 
-    /** Starts it with the members from {@code first} to before {@code until}; waits until their sockets are open. */
+    /** Starts a {@link HollowHost} with the members from {@code first} to before {@code until}; waits until their sockets are open. */
     HostProcess(Fleet fleet, int first, int until) throws IOException {
+        this(
+                HollowHost.class,
+                List.of(
+                        fleet.name(),
+                        String.valueOf(fleet.members()),
+                        String.valueOf(fleet.voters()),
+                        String.valueOf(fleet.leaseUs() / 1_000),
+                        String.valueOf(fleet.seed())),
+                first,
+                until);
+    }
+
+    /** Starts a program whose last two arguments are the first number and the one behind the last. */
+    HostProcess(Class<?> program, List<String> arguments, int first, int until) throws IOException {
         this.first = first;
         last = until - 1;
-        process = new ProcessBuilder(
+        List<String> command = new ArrayList<>(List.of(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
@@ -37,14 +52,11 @@
                         "-Xmx512m",
                         "-cp",
                         System.getProperty("java.class.path"),
-                        HollowHost.class.getName(),
-                        fleet.name(),
-                        String.valueOf(fleet.members()),
-                        String.valueOf(fleet.voters()),
-                        String.valueOf(fleet.leaseUs() / 1_000),
-                        String.valueOf(fleet.seed()),
-                        String.valueOf(first),
-                        String.valueOf(until))
+                        program.getName()));
+        command.addAll(arguments);
+        command.add(String.valueOf(first));
+        command.add(String.valueOf(until));
+        process = new ProcessBuilder(command)
                 .redirectError(ProcessBuilder.Redirect.INHERIT)
                 .directory(new File("."))
                 .start();
@@ -93,6 +105,28 @@
         return answer();
     }
 
+    /** Tells all a command, so that they work at once; their answers in the same order. */
+    static List<String> askAll(List<HostProcess> hosts, String command) throws IOException {
+        for (HostProcess host : hosts) {
+            host.tell(command);
+        }
+        List<String> answers = new ArrayList<>();
+        for (HostProcess host : hosts) {
+            answers.add(host.answer());
+        }
+        return answers;
+    }
+
+    /** What some hosts together have used since their start. */
+    static Usage usage(List<HostProcess> hosts) throws IOException {
+        Usage sum = null;
+        for (HostProcess host : hosts) {
+            Usage one = Usage.parse(host.ask("usage"));
+            sum = sum == null ? one : sum.plus(one);
+        }
+        return sum;
+    }
+
     @Override
     public void close() {
         process.destroyForcibly();
--- a/src/main/java/rushproxy/scale/ProcessMemory.java
+++ b/src/main/java/rushproxy/scale/ProcessMemory.java
@@ -20,4 +20,11 @@
         }
         return -1;
     }
+
+    /** Heap of this process in use behind a collection, kilobytes. */
+    static long heapKb() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return (runtime.totalMemory() - runtime.freeMemory()) / 1024;
+    }
 }
--- a/src/main/java/rushproxy/scale/ScaleRun.java
+++ b/src/main/java/rushproxy/scale/ScaleRun.java
@@ -116,14 +116,7 @@
     }
 
     private List<String> askAll(String command) throws IOException {
-        for (HostProcess host : all()) {
-            host.tell(command);
-        }
-        List<String> answers = new ArrayList<>();
-        for (HostProcess host : all()) {
-            answers.add(host.answer());
-        }
-        return answers;
+        return HostProcess.askAll(all(), command);
     }
 
     /** All members begin at once, remembering nothing; waits until all are sure of what is in force, and returns the microseconds that took. */
@@ -147,21 +140,12 @@
 
     /** What all voters have used since their start. */
     public Usage voterUsage() throws IOException {
-        return usage(voters);
+        return HostProcess.usage(voters);
     }
 
     /** What all members without a vote have used since their start. */
     public Usage memberUsage() throws IOException {
-        return usage(others);
-    }
-
-    private static Usage usage(List<HostProcess> hosts) throws IOException {
-        Usage sum = null;
-        for (HostProcess host : hosts) {
-            Usage one = Usage.parse(host.ask("usage"));
-            sum = sum == null ? one : sum.plus(one);
-        }
-        return sum;
+        return HostProcess.usage(others);
     }
 
     /** Each member has requests of its own from now on and tells the others what it holds. */
--- a/src/main/java/rushproxy/scale/Target.java
+++ b/src/main/java/rushproxy/scale/Target.java
@@ -31,6 +31,11 @@
     /** Of a sidecar of the largest fleet in which load messages are sent. */
     public static final int LOAD_MESSAGE_SIDECARS = 300;
 
+    /** Of a control machine's core, so that three times room is left. */
+    public static final double REPLICA_CORES = 1.0 / 3;
+    /** Of a control machine's link of 1 Gbit/s, bytes a second, so that three times room is left. */
+    public static final double REPLICA_BYTES = 125e6 / 3;
+
     private Target() {}
 
     /** Requests a second of one sidecar. */
--- a/src/main/java/rushproxy/scale/Usage.java
+++ b/src/main/java/rushproxy/scale/Usage.java
@@ -1,5 +1,9 @@
 package rushproxy.scale;
 
+import java.io.File;
+import java.io.IOException;
+import rushproxy.sidecar.CpuTime;
+
 /**
  * What one process has used since its start.
  *
@@ -20,6 +24,20 @@
         long bytesOut) {
     private static final int FIELDS = 8;
 
+    /** What this process has used; {@code now} in Unix time, microseconds. */
+    static Usage ofThisProcess(long now, Traffic traffic) throws IOException {
+        String[] open = new File("/proc/self/fd").list();
+        return new Usage(
+                now,
+                CpuTime.ms(),
+                ProcessMemory.residentKb("self"),
+                open == null ? -1 : open.length,
+                traffic.datagramsIn(),
+                traffic.datagramsOut(),
+                traffic.bytesIn(),
+                traffic.bytesOut());
+    }
+
     /** As one line of fields apart by spaces. */
     String line() {
         return atUs + " " + cpuMs + " " + residentKb + " " + descriptors + " " + datagramsIn + " " + datagramsOut + " "
