--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -145,6 +145,26 @@
         /** Points of the result that the probes of one pair may cost at most. */
         private static final double TOLL = 0.005;
 
+        /** The same where only so many sidecars share what this one sees; its number is one of theirs. */
+        public Settings among(int sharers) {
+            return new Settings(
+                    me % sharers,
+                    sharers,
+                    zone,
+                    zones,
+                    kinds,
+                    classes,
+                    tenants,
+                    limits,
+                    rules,
+                    reports,
+                    discoveryOnRequest,
+                    worthByWork,
+                    overShareWorth,
+                    prices,
+                    tickUs);
+        }
+
         /** The same sidecar under what {@code next} says of classes, tenants, limits and rules; the rest holds for a process's life. */
         public Settings changed(Settings next, int maxAttempts) {
             Limits l = next.limits;
--- a/src/main/java/rushproxy/consensus/ConsensusNode.java
+++ b/src/main/java/rushproxy/consensus/ConsensusNode.java
@@ -95,6 +95,7 @@
         movedAt = now;
     }
 
+    /** By what to decide now. */
     public InForce inForce(long now) {
         Stage s = participant.leaseHolder().stage(now);
         Stage last = s != null ? s : participant.leaseHolder().last();
@@ -185,6 +186,7 @@
         return Math.min(askAt, stepAt);
     }
 
+    /** Does what is due: renews its lease, says again what is unanswered, finishes what nobody goes on with. */
     public void tick(long now, Out out) {
         Voter.Out saying = saying(out);
         if (now >= askAt) {
@@ -299,6 +301,7 @@
         return MessageCodec.fleetOf(datagram);
     }
 
+    /** Whether a datagram is for this package, by its first byte. */
     public static boolean isMessage(byte[] datagram) {
         return MessageCodec.isMessage(datagram);
     }
--- a/src/main/java/rushproxy/consensus/Explorer.java
+++ b/src/main/java/rushproxy/consensus/Explorer.java
@@ -2,12 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -18,9 +15,6 @@
  * what they hold, or long random ones; what breaks is shortened. The same seed gives the same result.
  */
 public final class Explorer {
-    /** Messages under way at most, for each sidecar; beyond it the oldest is lost. */
-    private static final int MOST_MESSAGES = 13;
-
     /** What may happen. */
     enum Kind {
         DELIVER,
@@ -64,212 +58,6 @@
      */
     public record Looked(long states, int depth, boolean all, Found found) {}
 
-    /** All nodes, the messages under way, the time, and what an onlooker remembers. */
-    private static final class Scene {
-        final Group group;
-        final SafetyRules rules;
-        final Participant[] nodes;
-        /** Numbered behind the members. */
-        final Subscriber[] subscribers;
-
-        final List<Sent> messages = new ArrayList<>();
-        final Map<String, Stage> chosen = new HashMap<>();
-        long now = 1_000;
-        int lives;
-        String broken;
-
-        Scene(Group group, int subscribers, SafetyRules rules) {
-            this.group = group;
-            this.rules = rules;
-            nodes = new Participant[group.members()];
-            for (int i = 0; i < nodes.length; i++) {
-                nodes[i] = new Participant(group, rules, i, ++lives, now);
-            }
-            this.subscribers = new Subscriber[subscribers];
-            for (int i = 0; i < subscribers; i++) {
-                this.subscribers[i] = new Subscriber(rules, ++lives, version -> true);
-            }
-        }
-
-        Scene(Scene o) {
-            group = o.group;
-            rules = o.rules;
-            nodes = o.nodes.clone();
-            subscribers = o.subscribers.clone();
-            messages.addAll(o.messages);
-            chosen.putAll(o.chosen);
-            now = o.now;
-            lives = o.lives;
-            broken = o.broken;
-        }
-
-        /** Copied before it is changed, so that scenes may share what they have in common. */
-        private Participant own(int i) {
-            return nodes[i] = nodes[i].copy();
-        }
-
-        private Voter.Out out(int from) {
-            return (to, message) -> {
-                messages.add(new Sent(from, to, message));
-                if (messages.size() > MOST_MESSAGES * (nodes.length + subscribers.length)) {
-                    messages.remove(0);
-                }
-            };
-        }
-
-        void apply(Event e) {
-            switch (e.kind) {
-                case DELIVER, DOUBLE, LOSE -> {
-                    int at = messages.indexOf(e.message);
-                    if (at < 0) {
-                        return;
-                    }
-                    Sent s = e.kind == Kind.DOUBLE ? messages.get(at) : messages.remove(at);
-                    if (e.kind != Kind.LOSE) {
-                        deliver(s);
-                    }
-                }
-                case RENEW -> own(e.who).renew(now, out(e.who));
-                case SUBSCRIBE -> subscribe(e.who, e.version);
-                case RESTART_SUBSCRIBER ->
-                    subscribers[e.who - nodes.length] = new Subscriber(rules, ++lives, version -> true);
-                case STEP -> {
-                    own(e.who).step(now, out(e.who));
-                    look(e.who);
-                }
-                case LEAD -> own(e.who).lead(now, e.version, false, out(e.who));
-                case ABORT -> own(e.who).lead(now, Stage.NONE, true, out(e.who));
-                case CRASH -> nodes[e.who] = new Participant(group, rules, e.who, ++lives, now);
-                case TICK -> now++;
-                default -> throw new IllegalStateException();
-            }
-            if (broken == null) {
-                check();
-            }
-        }
-
-        private void deliver(Sent sent) {
-            if (sent.to >= nodes.length) {
-                Subscriber subscriber = ownSubscriber(sent.to);
-                if (sent.message instanceof Message.SubscriberLease lease) {
-                    subscriber.hear(now, lease);
-                } else if (sent.message instanceof Message.StageChanged) {
-                    subscribe(sent.to, sent.from);
-                }
-            } else if (sent.from >= nodes.length) {
-                own(sent.to).hearSubscriber(now, sent.from, sent.message, out(sent.to));
-            } else {
-                own(sent.to).hear(now, sent.from, sent.message, out(sent.to));
-                look(sent.to);
-            }
-        }
-
-        private Subscriber ownSubscriber(int number) {
-            int i = number - nodes.length;
-            return subscribers[i] = subscribers[i].copy();
-        }
-
-        private void subscribe(int number, int member) {
-            out(number).send(member, ownSubscriber(number).ask(now));
-        }
-
-        /** What a leader has brought about is for good. */
-        private void look(int i) {
-            Leader l = nodes[i].leader();
-            if (l != null && l.chosen() != null) {
-                forGood(nodes[i].voter().era(), l.chosen(), "leader " + i);
-            }
-        }
-
-        private void forGood(long era, Stage s, String who) {
-            Stage other = chosen.putIfAbsent(era + ":" + s.index(), s);
-            if (other != null && !other.equals(s)) {
-                broken = "EVERYWHERE_OR_NOWHERE: " + who + " has " + s + ", chosen was " + other;
-            }
-        }
-
-        private void check() {
-            for (int i = 0; i < nodes.length + subscribers.length; i++) {
-                Stage a = stage(i);
-                if (a == null) {
-                    continue;
-                }
-                forGood(era(i), a, name(i));
-                for (int j = 0; j < i; j++) {
-                    Stage b = stage(j);
-                    if (b != null && !goTogether(a, b, era(i) == era(j))) {
-                        broken = "ONE_POLICY: " + name(i) + " decides by " + a + ", " + name(j) + " by " + b;
-                    }
-                }
-            }
-        }
-
-        private Stage stage(int number) {
-            return number < nodes.length
-                    ? nodes[number].leaseHolder().stage(now)
-                    : subscribers[number - nodes.length].stage(now);
-        }
-
-        private long era(int number) {
-            return number < nodes.length
-                    ? nodes[number].leaseHolder().era()
-                    : subscribers[number - nodes.length].era();
-        }
-
-        private String name(int number) {
-            return (number < nodes.length ? "sidecar " : "subscriber ") + number;
-        }
-
-        /** The same, or one of them joint with the other's version. Who has agreed on nothing is careful, which goes with all. */
-        private static boolean goTogether(Stage a, Stage b, boolean sameEra) {
-            if (sameEra && a.index() == b.index()) {
-                return a.equals(b);
-            }
-            if (a.to() == Stage.NONE || b.to() == Stage.NONE || a.from() == b.from() && a.to() == b.to()) {
-                return true;
-            }
-            boolean one = a.joint() && !b.joint() && (b.to() == a.from() || b.to() == a.to());
-            boolean other = b.joint() && !a.joint() && (a.to() == b.from() || a.to() == b.to());
-            return one || other;
-        }
-
-        private void hearOwn() {
-            for (Sent own;
-                    (own = messages.stream()
-                                    .filter(w -> w.from == w.to)
-                                    .findFirst()
-                                    .orElse(null))
-                            != null; ) {
-                apply(new Event(Kind.DELIVER, 0, own, 0));
-            }
-            Set<Sent> once = new LinkedHashSet<>(messages);
-            messages.clear();
-            messages.addAll(once);
-        }
-
-        /** All messages arrive, in their order, until none is under way. */
-        void settle() {
-            for (int n = 0; n < 10_000 && !messages.isEmpty(); n++) {
-                apply(new Event(Kind.DELIVER, 0, messages.get(0), 0));
-            }
-        }
-
-        String print() {
-            StringBuilder all = new StringBuilder();
-            for (Participant s : nodes) {
-                s.print(all, now);
-                all.append('\n');
-            }
-            for (Subscriber s : subscribers) {
-                s.print(all, now);
-                all.append('\n');
-            }
-            messages.stream().map(Sent::toString).sorted().forEach(w -> all.append(w)
-                    .append('\n'));
-            return all.toString();
-        }
-    }
-
     /** Leases in steps of the checker's clock. */
     private static final int LEASE = 4, SUBSCRIBER_LEASE = 4;
 
@@ -299,8 +87,8 @@
     }
 
     /** All are there with no memory, have begun together, and then agreed on version 1. */
-    private Scene begin() {
-        Scene s = new Scene(group, subscribers, rules);
+    private ExplorerScene begin() {
+        ExplorerScene s = new ExplorerScene(group, subscribers, rules);
         for (int round = 0; round < 4; round++) {
             for (int i = 0; i < group.members(); i++) {
                 s.apply(Event.of(Kind.RENEW, i));
@@ -321,7 +109,7 @@
 
     /** Whether a change gets through where nothing goes wrong; how many messages it took. */
     public int messages(long version) {
-        Scene s = begin();
+        ExplorerScene s = begin();
         int[] said = new int[1];
         s.nodes[0].lead(s.now, version, false, count(s, 0, said));
         for (int round = 0; round < 50; round++) {
@@ -340,7 +128,7 @@
         return said[0];
     }
 
-    private static Voter.Out count(Scene s, int from, int[] said) {
+    private static Voter.Out count(ExplorerScene s, int from, int[] said) {
         return (to, message) -> {
             said[0] += from == to ? 0 : 1;
             s.messages.add(new Sent(from, to, message));
@@ -349,12 +137,12 @@
 
     /** So many random orders of so many events each; stops at the first that breaks an invariant. */
     public Looked walks(long seed, int walks, int events) {
-        Scene begin = begin();
+        ExplorerScene begin = begin();
         long played = 0;
         for (int w = 0; w < walks; w++) {
             SplittableRandom random = new SplittableRandom(seed * 1_000_003 + w);
             Troubles t = new Troubles(random, group, subscribers, events);
-            Scene s = new Scene(begin);
+            ExplorerScene s = new ExplorerScene(begin);
             List<Event> done = new ArrayList<>();
             for (int n = 0; n < events && s.broken == null; n++) {
                 Event e = draw(random, t, n, s.messages);
@@ -463,38 +251,17 @@
      * and two messages that say the same are one: both leave out orders that differ in nothing that counts.
      */
     public Looked all(int most, int crashes, int leads, int ticks) {
-        record Node(Scene scene, Node before, Event by, int depth, int crashes, int leads, int ticks) {}
+        record Node(ExplorerScene scene, Node before, Event by, int depth, int crashes, int leads, int ticks) {}
         Set<String> seen = new HashSet<>();
         ArrayDeque<Node> open = new ArrayDeque<>();
-        Scene begin = begin();
+        ExplorerScene begin = begin();
         open.add(new Node(begin, null, null, 0, crashes, leads, ticks));
         int depth = 0;
         while (!open.isEmpty()) {
             Node n = open.poll();
             depth = n.depth;
-            List<Event> next = new ArrayList<>();
-            n.scene.messages.forEach(w -> next.add(new Event(Kind.DELIVER, 0, w, 0)));
-            for (int i = 0; i < group.members(); i++) {
-                if (n.crashes > 0) {
-                    next.add(Event.of(Kind.CRASH, i));
-                }
-                if (n.leads > 0 && i < group.voters()) {
-                    next.add(new Event(Kind.LEAD, i, null, n.leads));
-                }
-                if (n.scene.messages.isEmpty()) {
-                    next.add(Event.of(n.scene.nodes[i].leader() != null ? Kind.STEP : Kind.RENEW, i));
-                }
-            }
-            for (int i = 0; i < subscribers && n.scene.messages.isEmpty(); i++) {
-                for (int member = 0; member < group.members(); member++) {
-                    next.add(new Event(Kind.SUBSCRIBE, group.members() + i, null, member));
-                }
-            }
-            if (n.ticks > 0) {
-                next.add(Event.of(Kind.TICK, 0));
-            }
-            for (Event e : next) {
-                Scene s = new Scene(n.scene);
+            for (Event e : following(n.scene, n.crashes, n.leads, n.ticks)) {
+                ExplorerScene s = new ExplorerScene(n.scene);
                 s.apply(e);
                 s.hearOwn();
                 Node to = new Node(
@@ -528,6 +295,32 @@
         return new Looked(seen.size(), depth, true, null);
     }
 
+    /** What may happen next in a scene, with so many crashes, leaders and steps of the clock left. */
+    private List<Event> following(ExplorerScene scene, int crashes, int leads, int ticks) {
+        List<Event> next = new ArrayList<>();
+        scene.messages.forEach(w -> next.add(new Event(Kind.DELIVER, 0, w, 0)));
+        for (int i = 0; i < group.members(); i++) {
+            if (crashes > 0) {
+                next.add(Event.of(Kind.CRASH, i));
+            }
+            if (leads > 0 && i < group.voters()) {
+                next.add(new Event(Kind.LEAD, i, null, leads));
+            }
+            if (scene.messages.isEmpty()) {
+                next.add(Event.of(scene.nodes[i].leader() != null ? Kind.STEP : Kind.RENEW, i));
+            }
+        }
+        for (int i = 0; i < subscribers && scene.messages.isEmpty(); i++) {
+            for (int member = 0; member < group.members(); member++) {
+                next.add(new Event(Kind.SUBSCRIBE, group.members() + i, null, member));
+            }
+        }
+        if (ticks > 0) {
+            next.add(Event.of(Kind.TICK, 0));
+        }
+        return next;
+    }
+
     /** 128 bits, so that two states are hardly ever taken for one. */
     private static String digest(String state) {
         long a = 1;
@@ -540,14 +333,14 @@
         return Long.toHexString(a) + Long.toHexString(b);
     }
 
-    private Found found(Scene begin, List<Event> done) {
+    private Found found(ExplorerScene begin, List<Event> done) {
         List<Event> least = shortened(begin, done);
         return new Found(
                 play(begin, least).broken, least.stream().map(Event::toString).toList());
     }
 
-    private static Scene play(Scene begin, List<Event> events) {
-        Scene s = new Scene(begin);
+    private static ExplorerScene play(ExplorerScene begin, List<Event> events) {
+        ExplorerScene s = new ExplorerScene(begin);
         for (Event e : events) {
             if (s.broken == null) {
                 s.apply(e);
@@ -557,7 +350,7 @@
     }
 
     /** Without all events that are not needed (delta debugging: Zeller, Hildebrandt, IEEE TSE 28(2), 2002). */
-    private static List<Event> shortened(Scene begin, List<Event> done) {
+    private static List<Event> shortened(ExplorerScene begin, List<Event> done) {
         List<Event> least = new ArrayList<>(done);
         int before;
         do {
--- a/src/main/java/rushproxy/consensus/audit/LogFiles.java
+++ b/src/main/java/rushproxy/consensus/audit/LogFiles.java
@@ -13,6 +13,11 @@
 public final class LogFiles {
     private LogFiles() {}
 
+    /**
+     * What a fleet went by, from a folder with a log of each sidecar.
+     *
+     * @throws Broken where a file can't be read, or a line is not what a sidecar writes
+     */
     public static History read(Path folder) throws Broken {
         History history = new History();
         try (Stream<Path> files = Files.list(folder)) {
--- a/src/main/java/rushproxy/control/ControlGroup.java
+++ b/src/main/java/rushproxy/control/ControlGroup.java
@@ -22,6 +22,7 @@
         String fleet, List<String> scopes, int voters, int replicas, long leaseUs, long subscriberLeaseUs) {
     public static final int MOST_SCOPES = 1_024;
 
+    /** @throws IllegalArgumentException where the numbers make no tier, or a scope is named twice */
     public ControlGroup {
         scopes = List.copyOf(scopes);
         if (scopes.isEmpty() || scopes.size() > MOST_SCOPES) {
--- a/src/main/java/rushproxy/sidecar/Engine.java
+++ b/src/main/java/rushproxy/sidecar/Engine.java
@@ -12,9 +12,7 @@
 import rushproxy.Guide;
 import rushproxy.Others;
 import rushproxy.Policy;
-import rushproxy.consensus.ConsensusGroup;
 import rushproxy.consensus.ConsensusNode;
-import rushproxy.operator.ConsensusOptions;
 import rushproxy.core.Attempt;
 import rushproxy.core.Classes;
 import rushproxy.core.Clock;
@@ -58,10 +56,8 @@
         /** To one peer, or to all where the number is -1. */
         void tell(int peer, byte[] message);
 
-        /** To a replica of the control tier, by its number. */
-        default void tellReplica(int replica, byte[] datagram) {
-            throw new UnsupportedOperationException("no control tier here");
-        }
+        /** To a replica of the control tier, by its number; nowhere where there is none. */
+        default void tellReplica(int replica, byte[] datagram) {}
 
         /** Closes idle connections to the upstream. */
         void close(String upstream);
@@ -154,27 +150,12 @@
         if (operator.subset() != null) {
             int nodes = lists.stream().mapToInt(l -> l.members().size()).max().orElse(0);
             int sharers = Subset.sharers(operator.subset(), settings.balancers(), nodes);
-            told = new Settings(
-                    settings.me() % sharers,
-                    sharers,
-                    settings.zone(),
-                    settings.zones(),
-                    settings.kinds(),
-                    settings.classes(),
-                    settings.tenants(),
-                    settings.limits(),
-                    settings.rules(),
-                    settings.reports(),
-                    settings.discoveryOnRequest(),
-                    settings.worthByWork(),
-                    settings.overShareWorth(),
-                    settings.prices(),
-                    settings.tickUs());
+            told = settings.among(sharers);
             members.keepTo(new Subset(operator.subset(), settings.me(), settings.balancers(), clock.now()));
         }
         holdings = told == settings ? Holdings.of(settings) : null;
         lessons = told == settings ? Lessons.of(settings) : null;
-        PolicySource.Factory source = policySource();
+        PolicySource.Factory source = PolicySources.of(operator, settings, seed ^ clock.now() * 31, clock, network);
         if (source != null) {
             policies = new Policies(timers, clock, settings.zones(), source, this::goBy);
         }
@@ -207,23 +188,6 @@
         }
     }
 
-    /** Null where nothing is decided in common. */
-    private PolicySource.Factory policySource() {
-        long ofProcess = seed ^ clock.now() * 31;
-        int me = settings.me();
-        if (operator.control() != null) {
-            return check -> new ControlPolicySource(
-                    operator.control(), me, ofProcess, clock.now(), network::tellReplica, check);
-        }
-        if (operator.consensus() == null) {
-            return null;
-        }
-        ConsensusOptions options = operator.consensus();
-        ConsensusGroup group = ConsensusGroup.withoutSubscribers(
-                options.fleet().hashCode(), options.voters(), settings.balancers(), options.leaseUs());
-        return check -> new FleetPolicySource(group, me, ofProcess, clock.now(), network::tell, check);
-    }
-
     /** A replica of the control tier, by its number, has sent something. */
     public void heardOfReplica(int replica, byte[] datagram) {
         if (policies != null && operator.control() != null) {
