Operators' calls are one class for policy and control commands; an answer without a body is told

Cause: Policies.At was used by ControlCommands too, and threw a NullPointerException with its trace where an answer with an error had no body, as CommandsTest's stand-in gives one (seen in its output; the exit code was right). Change: OperatorCall; such an answer is told by its status. A test of the control tier's commands.

--- a/src/main/java/rushproxy/cli/ControlCommands.java
+++ b/src/main/java/rushproxy/cli/ControlCommands.java
@@ -53,7 +53,7 @@
             name = "scopes",
             description = "What is in force in each scope, as far as that replica knows, and how many sidecars ask it.",
             mixinStandardHelpOptions = true)
-    int scopes(@Mixin Policies.At at) {
+    int scopes(@Mixin OperatorCall at) {
         return at.call("GET", SCOPES);
     }
 
@@ -61,7 +61,7 @@
             name = "status",
             description = "What is in force in a scope, and which replicas a change led there waits for.",
             mixinStandardHelpOptions = true)
-    int status(@Mixin Policies.At at, @Mixin Scope scope) {
+    int status(@Mixin OperatorCall at, @Mixin Scope scope) {
         return at.call("GET", SCOPES + "/" + scope.name);
     }
 
@@ -69,12 +69,12 @@
             name = "propose",
             description = "What that replica's file of the scope says is to be in force at all that subscribe to it.",
             mixinStandardHelpOptions = true)
-    int propose(@Mixin Policies.At at, @Mixin Scope scope) {
+    int propose(@Mixin OperatorCall at, @Mixin Scope scope) {
         return at.call("POST", SCOPES + "/" + scope.name + "/propose");
     }
 
     @Command(name = "abort", description = "Takes back what is open in a scope.", mixinStandardHelpOptions = true)
-    int abort(@Mixin Policies.At at, @Mixin Scope scope) {
+    int abort(@Mixin OperatorCall at, @Mixin Scope scope) {
         return at.call("POST", SCOPES + "/" + scope.name + "/abort");
     }
 }
--- a/src/main/java/rushproxy/cli/Policies.java
+++ b/src/main/java/rushproxy/cli/Policies.java
@@ -1,17 +1,11 @@
 package rushproxy.cli;
 
-import java.io.IOException;
-import java.net.HttpURLConnection;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import rushproxy.consensus.audit.History;
 import rushproxy.consensus.audit.LogFiles;
@@ -24,50 +18,11 @@
         mixinStandardHelpOptions = true,
         subcommands = {Policies.Past.class, Policies.Audit.class})
 final class Policies {
-    /** Which sidecar is called, and how. */
-    static final class At {
-        private static final int WAIT_MS = 2_000;
-
-        @Option(
-                names = "--at",
-                paramLabel = "HOST:PORT",
-                required = true,
-                description = "a sidecar's address for operators")
-        private String at;
-
-        @CommandLine.Spec(CommandLine.Spec.Target.MIXEE)
-        private CommandLine.Model.CommandSpec spec;
-
-        int call(String method, String path) {
-            if (!at.matches("[0-9a-zA-Z.-]{1,253}:[0-9]{1,5}")) {
-                throw new ParameterException(
-                        spec.commandLine(), "--at: expected an address such as 127.0.0.1:9000, found '" + at + "'");
-            }
-            try {
-                HttpURLConnection c = (HttpURLConnection)
-                        URI.create("http://" + at + path).toURL().openConnection();
-                c.setRequestMethod(method);
-                c.setConnectTimeout(WAIT_MS);
-                c.setReadTimeout(WAIT_MS);
-                int status = c.getResponseCode();
-                String text = new String(
-                                (status < 400 ? c.getInputStream() : c.getErrorStream()).readAllBytes(),
-                                StandardCharsets.UTF_8)
-                        .strip();
-                (status < 300 ? spec.commandLine().getOut() : spec.commandLine().getErr()).println(text);
-                return status < 300 ? 0 : 1;
-            } catch (IOException e) {
-                spec.commandLine().getErr().println(at + " does not answer: " + e.getMessage());
-                return 1;
-            }
-        }
-    }
-
     @Command(
             name = "status",
             description = "By which policy that sidecar goes, since when, and whom a change led there waits for.",
             mixinStandardHelpOptions = true)
-    int status(@Mixin At at) {
+    int status(@Mixin OperatorCall at) {
         return at.call("GET", "/control/policy");
     }
 
@@ -75,12 +30,12 @@
             name = "propose",
             description = "What that sidecar's policy file says is to be in force everywhere.",
             mixinStandardHelpOptions = true)
-    int propose(@Mixin At at) {
+    int propose(@Mixin OperatorCall at) {
         return at.call("POST", "/control/policy/propose");
     }
 
     @Command(name = "abort", description = "Takes back what is open.", mixinStandardHelpOptions = true)
-    int abort(@Mixin At at) {
+    int abort(@Mixin OperatorCall at) {
         return at.call("POST", "/control/policy/abort");
     }
 
--- a/src/test/java/rushproxy/cli/CommandsTest.java
+++ b/src/test/java/rushproxy/cli/CommandsTest.java
@@ -47,6 +47,37 @@
         assertEquals(0, Commands.run("check", "deploy/operator.toml"));
     }
 
+    @Test
+    void commandsOfAControlTierCallAReplica() throws Exception {
+        HttpServer replica = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        List<String> calls = new CopyOnWriteArrayList<>();
+        replica.createContext("/", x -> {
+            calls.add(x.getRequestMethod() + " " + x.getRequestURI());
+            x.sendResponseHeaders(x.getRequestURI().getPath().endsWith("propose") ? 409 : 200, -1);
+            x.close();
+        });
+        replica.start();
+        String at = "127.0.0.1:" + replica.getAddress().getPort();
+        try {
+            assertEquals(0, Commands.run("control", "scopes", "--at", at));
+            assertEquals(0, Commands.run("control", "status", "--at", at, "--scope", "booking"));
+            assertEquals(1, Commands.run("control", "propose", "--at", at, "--scope", "booking"));
+            assertEquals(0, Commands.run("control", "abort", "--at", at, "--scope", "booking"));
+        } finally {
+            replica.stop(0);
+        }
+        assertEquals(
+                List.of(
+                        "GET /control/scopes",
+                        "GET /control/scopes/booking",
+                        "POST /control/scopes/booking/propose",
+                        "POST /control/scopes/booking/abort"),
+                calls);
+        assertEquals(2, Commands.run("control", "status", "--at", at));
+        assertEquals(0, Commands.run("control", "check", "deploy/control.toml"));
+        assertEquals(2, Commands.run("control", "check", "deploy/operator.toml"));
+    }
+
     @Test
     void commandsOfAPolicyTellWhatCameOfThem() throws Exception {
         HttpServer sidecar = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
