A restarted replica waits for the length of a replica's lease before it says what is adopted

Cause, by reading: an earlier process of the replica that is paused and not dead could, until its own lease is over, still grant leases that the new one does not know of; the new one waited for the length of a subscriber's lease alone.

--- a/src/main/java/rushproxy/consensus/LeaseGrantor.java
+++ b/src/main/java/rushproxy/consensus/LeaseGrantor.java
@@ -104,8 +104,7 @@
      */
     long adopted(long now, LeaseHolder own) {
         enter(own.era());
-        boolean quiet = now - startedAt < group.subscriberLeaseUs();
-        if (quiet && rules.keeps(SafetyRule.QUIET_START)) {
+        if (quiet(now) && rules.keeps(SafetyRule.QUIET_START)) {
             return Stage.UNKNOWN_INDEX;
         }
         long index = own.last().index();
@@ -117,6 +116,11 @@
         return index;
     }
 
+    /** For as long as an earlier process, were it only paused, could hold a lease of its own and grant of it. */
+    private boolean quiet(long now) {
+        return group.subscriberLeaseUs() > 0 && now - startedAt < group.waitUs();
+    }
+
     private static long earliest(long now, TreeMap<Long, Long> granted) {
         for (Map.Entry<Long, Long> lease : granted.entrySet()) {
             if (lease.getValue() > now) {
@@ -143,7 +147,7 @@
     }
 
     void print(StringBuilder to, long now) {
-        to.append('G').append(Math.min(group.subscriberLeaseUs(), now - startedAt));
+        to.append('G').append(quiet(now) ? now - startedAt : -1);
         leases.entrySet().stream()
                 .sorted(Comparator.comparing(entry -> entry.getKey().toString()))
                 .forEach(entry -> print(to, now, entry.getKey(), entry.getValue()));
--- a/src/test/java/rushproxy/consensus/SubscriberLeaseTest.java
+++ b/src/test/java/rushproxy/consensus/SubscriberLeaseTest.java
@@ -42,7 +42,7 @@
             }
             deliver();
         }
-        now += SUBSCRIBER_LEASE;
+        now += LEASE;
         change(0, 1, LEASE);
         // A change right behind another would wait for the leases of both where a member is away.
         run(0, 2, LEASE);
