--- a/src/main/java/rushproxy/control/server/ControlServer.java
+++ b/src/main/java/rushproxy/control/server/ControlServer.java
@@ -138,10 +138,9 @@
             return;
         }
         replica.hear(clock.now(), from, datagram, this::send);
-        observe();
     }
 
-    /** Says what has changed in any scope. */
+    /** Says what has changed in any scope; too much work for each datagram. */
     private void observe() {
         long now = clock.now();
         for (int scope = 0; scope < seen.length; scope++) {
