--- a/src/main/java/rushproxy/cli/OperatorCall.java
+++ b/src/main/java/rushproxy/cli/OperatorCall.java
@@ -30,8 +30,8 @@
                     spec.commandLine(), "--at: expected an address such as 127.0.0.1:9000, found '" + at + "'");
         }
         try {
-            HttpURLConnection call =
-                    (HttpURLConnection) URI.create("http://" + at + path).toURL().openConnection();
+            HttpURLConnection call = (HttpURLConnection)
+                    URI.create("http://" + at + path).toURL().openConnection();
             call.setRequestMethod(method);
             call.setConnectTimeout(WAIT_MS);
             call.setReadTimeout(WAIT_MS);
--- a/src/main/java/rushproxy/consensus/ConsensusNode.java
+++ b/src/main/java/rushproxy/consensus/ConsensusNode.java
@@ -87,8 +87,8 @@
         this.me = me;
         codec = new MessageCodec(of.fleet(), of.voters());
         random = new SplittableRandom(seed);
-        participant = new Participant(
-                group, SafetyRules.ALL, me, random.nextInt(1, Integer.MAX_VALUE), now, contents::has);
+        participant =
+                new Participant(group, SafetyRules.ALL, me, random.nextInt(1, Integer.MAX_VALUE), now, contents::has);
         askEveryUs = of.leaseUs() / ASKS;
         askAt = now;
         stepAt = now;
@@ -178,7 +178,9 @@
 
     /** Whom a change that is led from here waits for, by number; empty where none is. */
     public BitSet missing() {
-        return participant.leader() == null ? new BitSet() : participant.leader().missing();
+        return participant.leader() == null
+                ? new BitSet()
+                : participant.leader().missing();
     }
 
     /** When {@link #tick} is due next. */
@@ -191,7 +193,9 @@
         Voter.Out saying = saying(out);
         if (now >= askAt) {
             // Until it knows, it asks more often; all of a fleet that starts together do not ask in step.
-            long every = learnt() && (participant.voter() == null || participant.voter().active())
+            long every = learnt()
+                            && (participant.voter() == null
+                                    || participant.voter().active())
                     ? askEveryUs
                     : Math.min(askEveryUs, 4 * AGAIN_US);
             askAt = now + every / 2 + random.nextLong(every / 2 + 1);
@@ -257,7 +261,9 @@
     }
 
     private void noteProgress(long now, Message message) {
-        if (message instanceof Message.Prepare || message instanceof Message.Accept || message instanceof Message.Chosen) {
+        if (message instanceof Message.Prepare
+                || message instanceof Message.Accept
+                || message instanceof Message.Chosen) {
             movedAt = now;
         }
     }
--- a/src/main/java/rushproxy/consensus/ConsensusSimulation.java
+++ b/src/main/java/rushproxy/consensus/ConsensusSimulation.java
@@ -38,7 +38,8 @@
     }
 
     /** @param checks of each sidecar, by number: why it can't take a content, null where it can */
-    public ConsensusSimulation(int voters, int members, long leaseUs, long seed, IntFunction<Function<byte[], String>> checks) {
+    public ConsensusSimulation(
+            int voters, int members, long leaseUs, long seed, IntFunction<Function<byte[], String>> checks) {
         this.checks = checks;
         this.voters = voters;
         this.leaseUs = leaseUs;
@@ -118,7 +119,12 @@
     public void start(int i) {
         lives[i]++;
         pausedUntil[i] = 0;
-        nodes[i] = new ConsensusNode(ConsensusGroup.withoutSubscribers(1, voters, nodes.length, leaseUs), i, random.nextLong(), time.now(), checks.apply(i));
+        nodes[i] = new ConsensusNode(
+                ConsensusGroup.withoutSubscribers(1, voters, nodes.length, leaseUs),
+                i,
+                random.nextLong(),
+                time.now(),
+                checks.apply(i));
         tickLater(i, lives[i]);
     }
 
@@ -174,7 +180,8 @@
         ConsensusNode.InForce joint = null;
         long other = -1;
         for (int i = 0; i < nodes.length; i++) {
-            ConsensusNode.InForce f = nodes[i] == null || time.now() < pausedUntil[i] ? null : nodes[i].inForce(time.now());
+            ConsensusNode.InForce f =
+                    nodes[i] == null || time.now() < pausedUntil[i] ? null : nodes[i].inForce(time.now());
             if (f == null || !f.sure() || f.to() == Stage.NONE) {
                 continue;
             }
--- a/src/main/java/rushproxy/consensus/ContentStore.java
+++ b/src/main/java/rushproxy/consensus/ContentStore.java
@@ -115,8 +115,9 @@
 
     /** Asks for what is still wanted: who has spoken of it, or at times {@code other}, who may have it by now. */
     void ask(int other, boolean instead, Voter.Out out) {
-        fetched.forEach((version, f) ->
-                out.send(f.source < 0 || instead ? other : f.source, new Message.ChunkRequest(version, f.there.nextClearBit(0))));
+        fetched.forEach((version, f) -> out.send(
+                f.source < 0 || instead ? other : f.source,
+                new Message.ChunkRequest(version, f.there.nextClearBit(0))));
     }
 
     void hear(int from, Message message, Voter.Out out) {
--- a/src/main/java/rushproxy/consensus/ExplorerScene.java
+++ b/src/main/java/rushproxy/consensus/ExplorerScene.java
@@ -80,8 +80,8 @@
             }
             case RENEW -> own(e.who()).renew(now, out(e.who()));
             case SUBSCRIBE -> subscribe(e.who(), e.version());
-            case RESTART_SUBSCRIBER ->
-                subscribers[e.who() - nodes.length] = new Subscriber(rules, ++lives, version -> true);
+            case RESTART_SUBSCRIBER -> subscribers[e.who() - nodes.length] =
+                    new Subscriber(rules, ++lives, version -> true);
             case STEP -> {
                 own(e.who()).step(now, out(e.who()));
                 look(e.who());
@@ -160,9 +160,7 @@
     }
 
     private long era(int number) {
-        return number < nodes.length
-                ? nodes[number].leaseHolder().era()
-                : subscribers[number - nodes.length].era();
+        return number < nodes.length ? nodes[number].leaseHolder().era() : subscribers[number - nodes.length].era();
     }
 
     private String name(int number) {
--- a/src/main/java/rushproxy/consensus/Group.java
+++ b/src/main/java/rushproxy/consensus/Group.java
@@ -15,9 +15,8 @@
     Group {
         boolean noVoters = voters < 1 || voters > MOST_VOTERS || voters % 2 == 0 || voters > members;
         if (noVoters || waitUs < leaseUs || subscriberLeaseUs < 0 || subscriberLeaseUs > leaseUs) {
-            throw new IllegalArgumentException(
-                    "no group: " + voters + " voters of " + members + ", " + leaseUs + " us, " + waitUs + " us, "
-                            + subscriberLeaseUs + " us for subscribers");
+            throw new IllegalArgumentException("no group: " + voters + " voters of " + members + ", " + leaseUs
+                    + " us, " + waitUs + " us, " + subscriberLeaseUs + " us for subscribers");
         }
     }
 
--- a/src/main/java/rushproxy/consensus/Leader.java
+++ b/src/main/java/rushproxy/consensus/Leader.java
@@ -165,7 +165,9 @@
 
     /** Nobody decides by anything before this stage any more. */
     private boolean done(long now) {
-        return !rules.keeps(SafetyRule.WAITING) || taken.cardinality() == group.members() || now - chosenAt >= group.waitUs();
+        return !rules.keeps(SafetyRule.WAITING)
+                || taken.cardinality() == group.members()
+                || now - chosenAt >= group.waitUs();
     }
 
     private void stage(Voter.Out out) {
@@ -231,14 +233,20 @@
                     out.send(m, new Message.Chosen(era, ballot, stage));
                 }
             }
-        } else if (message instanceof Message.Valid f && f.era() == era && f.version() == staged && staged != Stage.NONE) {
+        } else if (message instanceof Message.Valid f
+                && f.era() == era
+                && f.version() == staged
+                && staged != Stage.NONE) {
             fit.set(from);
         } else if (message instanceof Message.Invalid u && u.version() == staged && staged != Stage.NONE) {
             // Nothing of it has been brought about: it leaves no trace.
             refusal = "sidecar " + from + ": " + u.why();
             over = true;
             out.send(proposer, new Message.Invalid(staged, refusal));
-        } else if (message instanceof Message.Refused r && r.era() == era && r.ballot() == ballot && r.promised() > ballot) {
+        } else if (message instanceof Message.Refused r
+                && r.era() == era
+                && r.ballot() == ballot
+                && r.promised() > ballot) {
             over = true;
             refused = true;
         } else if (message instanceof Message.Adopted t && t.era() == era && chosen && t.index() >= stage.index()) {
--- a/src/main/java/rushproxy/consensus/Message.java
+++ b/src/main/java/rushproxy/consensus/Message.java
@@ -94,7 +94,14 @@
 
     record Rejoin(Incarnation life) implements Message {}
 
-    record VoterState(long era, Incarnation of, List<Incarnation> lives, long promised, long acceptedBallot, Stage accepted, boolean known)
+    record VoterState(
+            long era,
+            Incarnation of,
+            List<Incarnation> lives,
+            long promised,
+            long acceptedBallot,
+            Stage accepted,
+            boolean known)
             implements Message {}
 
     /** All were blank at once: nobody remembers anything that could be broken. Those are their nonces, by number. */
--- a/src/main/java/rushproxy/consensus/MessageCodec.java
+++ b/src/main/java/rushproxy/consensus/MessageCodec.java
@@ -69,10 +69,8 @@
     /** A message as a datagram, or as a part of one. */
     byte[] bytes(Message message) {
         ByteBuffer b = ByteBuffer.allocate(MOST).put(TAG).put(VERSION).putInt(fleet);
-        boolean known = putLeading(b, message)
-                || putContent(b, message)
-                || putLease(b, message)
-                || putRecovery(b, message);
+        boolean known =
+                putLeading(b, message) || putContent(b, message) || putLease(b, message) || putRecovery(b, message);
         if (!known) {
             throw new IllegalArgumentException("no form for " + message);
         }
@@ -111,11 +109,7 @@
         if (message instanceof Message.ChunkRequest w) {
             b.put(CHUNK_REQUEST).putLong(w.version()).putInt(w.piece());
         } else if (message instanceof Message.Chunk w) {
-            b.put(CHUNK)
-                    .putLong(w.version())
-                    .putInt(w.piece())
-                    .putInt(w.of())
-                    .put(w.bytes());
+            b.put(CHUNK).putLong(w.version()).putInt(w.piece()).putInt(w.of()).put(w.bytes());
         } else if (message instanceof Message.Invalid w) {
             byte[] why = w.why().getBytes(StandardCharsets.UTF_8);
             b.put(INVALID).putLong(w.version()).put(why, 0, Math.min(why.length, MOST_WHY));
@@ -136,9 +130,14 @@
             put(b.put(LEASE_REPLY).putLong(w.era()).putInt(w.nonce()).putLong(w.acceptedBallot()), w.accepted())
                     .put(flag(w.known()));
         } else if (message instanceof Message.SubscriberRequest w) {
-            b.put(SUBSCRIBER_REQUEST).putInt(w.process()).putInt(w.nonce()).putLong(w.era()).putLong(w.index());
+            b.put(SUBSCRIBER_REQUEST)
+                    .putInt(w.process())
+                    .putInt(w.nonce())
+                    .putLong(w.era())
+                    .putLong(w.index());
         } else if (message instanceof Message.SubscriberLease w) {
-            put(b.put(SUBSCRIBER_LEASE).putLong(w.era()).putInt(w.nonce()), w.stage()).putLong(w.validUs());
+            put(b.put(SUBSCRIBER_LEASE).putLong(w.era()).putInt(w.nonce()), w.stage())
+                    .putLong(w.validUs());
         } else if (message instanceof Message.StageChanged w) {
             b.put(STAGE_CHANGED).putLong(w.era()).putLong(w.index());
         } else {
@@ -182,7 +181,8 @@
         }
         ByteBuffer b = ByteBuffer.wrap(datagram, 2, datagram.length - 2 - CHECK);
         if (b.getInt() != fleet
-                || ByteBuffer.wrap(datagram).getInt(datagram.length - CHECK) != check(datagram, datagram.length - CHECK)) {
+                || ByteBuffer.wrap(datagram).getInt(datagram.length - CHECK)
+                        != check(datagram, datagram.length - CHECK)) {
             return null;
         }
         try {
@@ -196,7 +196,8 @@
     private Message read(ByteBuffer b) {
         return switch (b.get()) {
             case PREPARE -> new Message.Prepare(b.getLong(), b.getLong());
-            case PROMISE -> new Message.Promise(b.getLong(), b.getLong(), lives(b), b.getLong(), stage(b), b.get() != 0);
+            case PROMISE -> new Message.Promise(
+                    b.getLong(), b.getLong(), lives(b), b.getLong(), stage(b), b.get() != 0);
             case ACCEPT -> new Message.Accept(b.getLong(), b.getLong(), stage(b));
             case ACCEPTED -> new Message.Accepted(b.getLong(), b.getLong(), b.getLong(), lives(b));
             case REFUSED -> new Message.Refused(b.getLong(), b.getLong(), b.getLong());
@@ -208,7 +209,8 @@
             case KNOWN_INCARNATION -> new Message.KnownIncarnation(b.getInt(), b.getInt());
             case NO_MEMORY -> new Message.NoMemory(b.getInt(), b.getInt());
             case REJOIN -> new Message.Rejoin(life(b));
-            case VOTER_STATE -> new Message.VoterState(b.getLong(), life(b), lives(b), b.getLong(), b.getLong(), stage(b), b.get() != 0);
+            case VOTER_STATE -> new Message.VoterState(
+                    b.getLong(), life(b), lives(b), b.getLong(), b.getLong(), stage(b), b.get() != 0);
             case BOOTSTRAP -> new Message.Bootstrap(nonces(b));
             case BOOTSTRAP_ACK -> new Message.BootstrapAck(nonces(b));
             case PROPOSE -> new Message.Propose(b.getLong(), b.get() != 0);
--- a/src/main/java/rushproxy/consensus/Voter.java
+++ b/src/main/java/rushproxy/consensus/Voter.java
@@ -171,7 +171,9 @@
             together(from, t, out);
         } else if (message instanceof Message.BootstrapAck a) {
             agreed(now, from, a);
-        } else if (message instanceof Message.Bootstrapped b && !active && b.nonces().get(me) == nonce) {
+        } else if (message instanceof Message.Bootstrapped b
+                && !active
+                && b.nonces().get(me) == nonce) {
             // It has never voted in this life, so where all that vote began it may begin too.
             begin(now, b.nonces());
         }
@@ -259,7 +261,8 @@
             return;
         }
         states[from] = s;
-        List<Message.VoterState> told = Arrays.stream(states).filter(Objects::nonNull).toList();
+        List<Message.VoterState> told =
+                Arrays.stream(states).filter(Objects::nonNull).toList();
         // One that has come back itself since it spoke may not know what it knew.
         if (told.size() < group.majority() || rules.keeps(SafetyRule.INCARNATIONS) && !consistent(told)) {
             return;
--- a/src/main/java/rushproxy/control/ControlClient.java
+++ b/src/main/java/rushproxy/control/ControlClient.java
@@ -112,7 +112,10 @@
 
     /** Datagrams and messages that were none of this tier's. */
     public long dropped() {
-        return dropped + subscriptions.values().stream().mapToLong(Subscription::dropped).sum();
+        return dropped
+                + subscriptions.values().stream()
+                        .mapToLong(Subscription::dropped)
+                        .sum();
     }
 
     /** When {@link #tick} is due next. */
@@ -202,5 +205,4 @@
             fetchAt = Math.min(fetchAt, heard == Heard.CHUNK ? now + NEXT_CHUNKS_US : now);
         }
     }
-
 }
--- a/src/main/java/rushproxy/control/ControlDay.java
+++ b/src/main/java/rushproxy/control/ControlDay.java
@@ -188,8 +188,8 @@
     private void cutARegion() {
         int voters = plan.group.voters();
         int replicas = plan.group.replicas();
-        IntPredicate far =
-                number -> number < replicas ? number > voters / 2 && number % 2 == 1 : number >= replicas + 2 * plan.sidecars / 3;
+        IntPredicate far = number ->
+                number < replicas ? number > voters / 2 && number % 2 == 1 : number >= replicas + 2 * plan.sidecars / 3;
         cutOff = far;
         tier.cut(far);
         tier.in(2 * SECOND + random.nextLong(10 * SECOND), () -> {
--- a/src/main/java/rushproxy/control/ControlReplica.java
+++ b/src/main/java/rushproxy/control/ControlReplica.java
@@ -141,5 +141,4 @@
         }
         return sum;
     }
-
 }
--- a/src/main/java/rushproxy/control/ControlSimulation.java
+++ b/src/main/java/rushproxy/control/ControlSimulation.java
@@ -136,8 +136,8 @@
             process.replica = new ControlReplica(group, number, random.nextLong(), clock, checks.apply(number));
         } else {
             int[] preferred = replicasFor(number);
-            process.client = new ControlClient(
-                    group, process.scopes, preferred, random.nextLong(), clock, checks.apply(number));
+            process.client =
+                    new ControlClient(group, process.scopes, preferred, random.nextLong(), clock, checks.apply(number));
         }
         tickLater(process, process.incarnation);
     }
@@ -163,10 +163,12 @@
     private void tickLater(Process process, int incarnation) {
         long dueAt = process.replica != null ? process.replica.dueAt() : process.client.dueAt();
         long waitUs = (long) ((dueAt - process.clock(time.now())) / process.clockRate);
-        time.in(Math.max(500, waitUs), () -> act(process, incarnation, () -> {
-            tick(process);
-            tickLater(process, incarnation);
-        }));
+        time.in(
+                Math.max(500, waitUs),
+                () -> act(process, incarnation, () -> {
+                    tick(process);
+                    tickLater(process, incarnation);
+                }));
     }
 
     private void tick(Process process) {
--- a/src/main/java/rushproxy/control/DatagramBatch.java
+++ b/src/main/java/rushproxy/control/DatagramBatch.java
@@ -66,7 +66,10 @@
 
     /** Hands over each message; false where the datagram is none of this kind or ends in the middle of a message. */
     static boolean read(byte[] datagram, Receiver receiver) {
-        if (datagram.length < HEADER_BYTES || datagram.length > MOST_BYTES || !isBatch(datagram) || datagram[1] != VERSION) {
+        if (datagram.length < HEADER_BYTES
+                || datagram.length > MOST_BYTES
+                || !isBatch(datagram)
+                || datagram[1] != VERSION) {
             return false;
         }
         ByteBuffer buffer = ByteBuffer.wrap(datagram, HEADER_BYTES, datagram.length - HEADER_BYTES);
--- a/src/main/java/rushproxy/control/server/ControlServer.java
+++ b/src/main/java/rushproxy/control/server/ControlServer.java
@@ -88,7 +88,8 @@
         }
         Log.json(file.json());
         // A stop that was asked for is no failure; what a replica knows, the others know too.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> Runtime.getRuntime().halt(0), "ending"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> Runtime.getRuntime().halt(0), "ending"));
         try {
             new ControlServer(file).start();
         } catch (Exception e) {
@@ -160,7 +161,9 @@
         String version = versionName(inForce.to());
         String text = !inForce.sure()
                 ? "may have missed a change: grants no leases until it hears a majority"
-                : inForce.joint() ? "version " + version + " is being brought about" : "version " + version + " is in force";
+                : inForce.joint()
+                        ? "version " + version + " is being brought about"
+                        : "version " + version + " is in force";
         Log.event(
                 inForce.sure() ? "control.in_force" : "control.unsure",
                 "scope " + name + ": " + text,
--- a/src/main/java/rushproxy/control/server/SubscriberNumbers.java
+++ b/src/main/java/rushproxy/control/server/SubscriberNumbers.java
@@ -56,7 +56,8 @@
     }
 
     private void forgetQuiet(long now) {
-        Map.Entry<InetSocketAddress, Entry> oldest = entries.entrySet().iterator().next();
+        Map.Entry<InetSocketAddress, Entry> oldest =
+                entries.entrySet().iterator().next();
         if (now - oldest.getValue().heardAt >= QUIET_US) {
             entries.remove(oldest.getKey());
             addresses.remove(oldest.getValue().number);
--- a/src/main/java/rushproxy/measure/ControlMeasure.java
+++ b/src/main/java/rushproxy/measure/ControlMeasure.java
@@ -71,15 +71,10 @@
         int[] sizes = quick ? QUICK_SIZES : SIZES;
         for (int size : sizes) {
             ControlFleet fleet = new ControlFleet(
-                    REPLICAS,
-                    VOTERS,
-                    size,
-                    quick ? QUICK_SCOPES : SCOPES,
-                    SCOPES_EACH,
-                    LEASE_US,
-                    SUBSCRIBER_LEASE_US);
+                    REPLICAS, VOTERS, size, quick ? QUICK_SCOPES : SCOPES, SCOPES_EACH, LEASE_US, SUBSCRIBER_LEASE_US);
             try (ControlRun run = new ControlRun(fleet)) {
-                System.out.printf(Locale.ROOT, "%5d  replicas are sure after %d ms%n", size, run.startReplicas() / 1_000);
+                System.out.printf(
+                        Locale.ROOT, "%5d  replicas are sure after %d ms%n", size, run.startReplicas() / 1_000);
                 double startMs = run.startSidecars() / 1e3;
                 Thread.sleep(quick ? 1_500 : 4_000);
                 rest(run, size);
@@ -125,7 +120,8 @@
     private void replicaKilled(ControlRun run, int size) throws IOException, InterruptedException {
         run.killReplica(0);
         double tookMs = change(run, size, "a replica with a vote killed just before", 1, 0);
-        Shortfalls.check(shortfalls, tookMs <= Target.CHANGE_MS, "a change with a replica killed takes " + tookMs + " ms");
+        Shortfalls.check(
+                shortfalls, tookMs <= Target.CHANGE_MS, "a change with a replica killed takes " + tookMs + " ms");
     }
 
     private static double change(ControlRun run, int size, String what, int scope, int away)
--- a/src/main/java/rushproxy/operator/OperatorFile.java
+++ b/src/main/java/rushproxy/operator/OperatorFile.java
@@ -177,7 +177,8 @@
             return null;
         }
         if (!root.has("zones")) {
-            throw t.broken("file", "a table [zones] beside [consensus]: what is changed in common is its away and tiers");
+            throw t.broken(
+                    "file", "a table [zones] beside [consensus]: what is changed in common is its away and tiers");
         }
         int voters = t.whole("voters", 5, 1, 7);
         if (voters % 2 == 0) {
@@ -197,7 +198,8 @@
             return null;
         }
         if (root.has("consensus") || !root.has("zones")) {
-            throw t.broken("scope", "a table [zones] beside [control], and no [consensus]: the scope has its away and tiers");
+            throw t.broken(
+                    "scope", "a table [zones] beside [control], and no [consensus]: the scope has its away and tiers");
         }
         ControlTier tier = ControlTier.read(t, List.of(t.text("scope", null)));
         InetSocketAddress listen = t.has("listen") ? t.address("listen") : new InetSocketAddress("0.0.0.0", 0);
@@ -328,7 +330,8 @@
         if (operator.control() != null) {
             ControlTier tier = operator.control().tier();
             lines.add("control: [zones] away and tiers are those of scope '"
-                    + tier.group().scopes().get(0) + "' of control tier '" + tier.group().fleet() + "' with "
+                    + tier.group().scopes().get(0) + "' of control tier '"
+                    + tier.group().fleet() + "' with "
                     + tier.replicas().size() + " replicas; who hears nothing for "
                     + seconds(tier.group().subscriberLeaseUs()) + " is careful");
         }
--- a/src/main/java/rushproxy/scale/CapacityTable.java
+++ b/src/main/java/rushproxy/scale/CapacityTable.java
@@ -199,16 +199,39 @@
     }
 
     private void control(List<Row> rows) {
-        withHeaders(rows, "control replica that votes", Figure.REPLICA_BYTES, Figure.REPLICA_DATAGRAMS, Target.REPLICA_BYTES);
-        plain(rows, "control replica that votes", "processor at rest", Figure.REPLICA_CORES, Target.REPLICA_CORES, "cores");
+        withHeaders(
+                rows,
+                "control replica that votes",
+                Figure.REPLICA_BYTES,
+                Figure.REPLICA_DATAGRAMS,
+                Target.REPLICA_BYTES);
+        plain(
+                rows,
+                "control replica that votes",
+                "processor at rest",
+                Figure.REPLICA_CORES,
+                Target.REPLICA_CORES,
+                "cores");
         withHeaders(
                 rows,
                 "sidecar, four scopes",
                 Figure.SUBSCRIBER_BYTES,
                 Figure.SUBSCRIBER_DATAGRAMS,
                 Target.CONTROL_BYTES);
-        plain(rows, "sidecar, four scopes", "processor at rest", Figure.SUBSCRIBER_CORES, Target.CONTROL_CORES, "cores");
-        plain(rows, "sidecar, four scopes", "heap, its part of a host", Figure.SUBSCRIBER_HEAP, Target.CONTROL_KB, "KB");
+        plain(
+                rows,
+                "sidecar, four scopes",
+                "processor at rest",
+                Figure.SUBSCRIBER_CORES,
+                Target.CONTROL_CORES,
+                "cores");
+        plain(
+                rows,
+                "sidecar, four scopes",
+                "heap, its part of a host",
+                Figure.SUBSCRIBER_HEAP,
+                Target.CONTROL_KB,
+                "KB");
         String sidecars = "all sidecars, control tier";
         plain(rows, sidecars, "all start at once: the last is sure", Figure.CONTROL_START, Target.START_MS, "ms");
         plain(rows, sidecars, "a change, nobody away", Figure.CONTROL_CHANGE, Target.CHANGE_MS, "ms");
--- a/src/main/java/rushproxy/scale/HostProcess.java
+++ b/src/main/java/rushproxy/scale/HostProcess.java
@@ -44,15 +44,15 @@
         this.first = first;
         last = until - 1;
         List<String> command = new ArrayList<>(List.of(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-XX:+UseSerialGC",
-                        "-XX:TieredStopAtLevel=1",
-                        "-XX:-UsePerfData",
-                        "-Xss512k",
-                        "-Xmx512m",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        program.getName()));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
+                "-Xss512k",
+                "-Xmx512m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                program.getName()));
         command.addAll(arguments);
         command.add(String.valueOf(first));
         command.add(String.valueOf(until));
--- a/src/main/java/rushproxy/sidecar/PolicySources.java
+++ b/src/main/java/rushproxy/sidecar/PolicySources.java
@@ -19,8 +19,8 @@
             Operator operator, Settings settings, long seed, Clock clock, Engine.Network network) {
         int me = settings.me();
         if (operator.control() != null) {
-            return check -> new ControlPolicySource(
-                    operator.control(), me, seed, clock.now(), network::tellReplica, check);
+            return check ->
+                    new ControlPolicySource(operator.control(), me, seed, clock.now(), network::tellReplica, check);
         }
         if (operator.consensus() == null) {
             return null;
--- a/src/test/java/rushproxy/consensus/ParticipantTest.java
+++ b/src/test/java/rushproxy/consensus/ParticipantTest.java
@@ -55,7 +55,8 @@
         begin(rules);
         members[0].lead(0, 1, false, out(0));
         hand(s -> !(s.message instanceof Message.Accept a && a.stage().index() == 1));
-        hand(s -> s.to == 2 && s.message instanceof Message.Accept || s.to == 0 && s.message instanceof Message.Accepted);
+        hand(s ->
+                s.to == 2 && s.message instanceof Message.Accept || s.to == 0 && s.message instanceof Message.Accepted);
         restart(2, rules);
         for (int round = 0; round < 2; round++) {
             members[2].voter().comeBack(0, out(2));
@@ -63,7 +64,8 @@
         }
         assertTrue(members[2].voter().active());
         assertEquals(0, members[2].voter().accepted().index(), "what it had accepted is forgotten");
-        hand(s -> s.to == 0 && s.message instanceof Message.Accept || s.to == 0 && s.message instanceof Message.Accepted);
+        hand(s ->
+                s.to == 0 && s.message instanceof Message.Accept || s.to == 0 && s.message instanceof Message.Accepted);
         return members[0].leader().chosen();
     }
 
--- a/src/test/java/rushproxy/consensus/SubscriberLeaseTest.java
+++ b/src/test/java/rushproxy/consensus/SubscriberLeaseTest.java
@@ -18,6 +18,7 @@
     private static final long LEASE = 48, SUBSCRIBER_LEASE = 36;
     /** For how long a leader waits for who does not say that it can take a version. */
     private static final long STAGE = LEASE / 3;
+
     private static final int NEAR = 3, FAR = 4;
 
     private record Sent(int from, int to, Message message) {}
--- a/src/test/java/rushproxy/control/ControlSimulationTest.java
+++ b/src/test/java/rushproxy/control/ControlSimulationTest.java
@@ -26,7 +26,8 @@
     }
 
     private static ControlSimulation tier(long seed) {
-        ControlGroup group = new ControlGroup("test", ControlGroup.numbered(SCOPES), VOTERS, REPLICAS, 2 * SECOND, 1_200_000);
+        ControlGroup group =
+                new ControlGroup("test", ControlGroup.numbered(SCOPES), VOTERS, REPLICAS, 2 * SECOND, 1_200_000);
         ControlSimulation tier = new ControlSimulation(group, SIDECARS, SCOPES_EACH, seed);
         tier.network(new ControlSimulation.Network(0.02, 0.02, 2_000));
         assertTrue(tier.until(() -> allReady(tier), 10 * SECOND) >= 0, "all are ready, seed " + seed);
@@ -63,7 +64,8 @@
     /** With clocks that run apart by far more than leases allow for two versions are in force, and the simulation says so. */
     @Test
     void aBrokenPromiseOfClocksIsFound() {
-        ControlGroup group = new ControlGroup("test", ControlGroup.numbered(1), VOTERS, REPLICAS, 2 * SECOND, 2 * SECOND);
+        ControlGroup group =
+                new ControlGroup("test", ControlGroup.numbered(1), VOTERS, REPLICAS, 2 * SECOND, 2 * SECOND);
         ControlSimulation tier = new ControlSimulation(group, SIDECARS, 1, 0.7, 1);
         tier.play(10 * SECOND);
         assertTrue(change(tier, 0, 0, 1, ALL) >= 0);
@@ -73,7 +75,8 @@
         tier.propose(0, 0, content(2));
         tier.play(10 * SECOND);
         assertFalse(tier.breaches().isEmpty());
-        assertTrue(tier.breaches().get(0).startsWith("ONE_POLICY"), tier.breaches().get(0));
+        assertTrue(
+                tier.breaches().get(0).startsWith("ONE_POLICY"), tier.breaches().get(0));
     }
 
     @Test
--- a/src/test/java/rushproxy/control/RendezvousOrderTest.java
+++ b/src/test/java/rushproxy/control/RendezvousOrderTest.java
@@ -17,7 +17,8 @@
             first[order[0]]++;
             second[order[1]]++;
             assertArrayEquals(
-                    IntStream.range(0, 11).toArray(), Arrays.stream(order).sorted().toArray());
+                    IntStream.range(0, 11).toArray(),
+                    Arrays.stream(order).sorted().toArray());
         }
         for (int replica = 0; replica < 11; replica++) {
             assertTrue(first[replica] > 130 && first[replica] < 260, Arrays.toString(first));
--- a/src/test/java/rushproxy/operator/OperatorFileTest.java
+++ b/src/test/java/rushproxy/operator/OperatorFileTest.java
@@ -169,9 +169,18 @@
                 "members: unknown; expected one of consensus, control, grpc, log, membership, subset, traces, zones");
         String control = "[zones]\n[control]\nfleet = \"x\"\nscope = \"booking\"\n";
         broken(control, 2, "control.replicas: expected 1 to 31 addresses, each once, found nothing");
-        broken(control + "replicas = [\"127.0.0.1:1\"]\n", 2, "control.voters: expected an odd number of at most the 1 replicas");
-        broken(control + "replicas = [\"127.0.0.1:1\"]\nvoters = 1\nnear = [1]\n", 7, "control.near: expected a list of whole numbers from 0 to 0");
-        broken("[control]\nscope = \"b\"\n", 2, "control.scope: expected a table [zones] beside [control], and no [consensus]");
+        broken(
+                control + "replicas = [\"127.0.0.1:1\"]\n",
+                2,
+                "control.voters: expected an odd number of at most the 1 replicas");
+        broken(
+                control + "replicas = [\"127.0.0.1:1\"]\nvoters = 1\nnear = [1]\n",
+                7,
+                "control.near: expected a list of whole numbers from 0 to 0");
+        broken(
+                "[control]\nscope = \"b\"\n",
+                2,
+                "control.scope: expected a table [zones] beside [control], and no [consensus]");
         broken("[zones]\n[accord]\nfleet = \"x\"\n", 2, "accord: expected its new name, [consensus], found a table");
         broken("[log]\nformat = \"xml\"\n", 2, "log.format: expected \"text\" or \"json\", found \"xml\"");
         broken("[subset]\nleast = 1\n", 2, "subset.least: expected a whole number from 2 to 1000, found 1");
--- a/src/test/java/rushproxy/operator/PolicyFileTest.java
+++ b/src/test/java/rushproxy/operator/PolicyFileTest.java
@@ -49,8 +49,8 @@
 
     @Test
     void whatIsDecidedInCommonIsReadFromTheOperatorsFile() throws Broken {
-        Operator o =
-                OperatorFile.read(Table.parse("f", "[zones]\n[consensus]\nfleet = \"x\"\nfile = \"p.toml\"\n", Map.of()));
+        Operator o = OperatorFile.read(
+                Table.parse("f", "[zones]\n[consensus]\nfleet = \"x\"\nfile = \"p.toml\"\n", Map.of()));
         assertEquals(new ConsensusOptions("x", 5, 3_000_000, java.nio.file.Path.of("p.toml")), o.consensus());
         assertTrue(OperatorFile.explain(o).toString().contains("consensus: "));
         assertNull(OperatorFile.read(Table.parse("f", "[zones]\n", Map.of())).consensus());
--- a/src/test/java/rushproxy/scale/ScaleRunTest.java
+++ b/src/test/java/rushproxy/scale/ScaleRunTest.java
@@ -70,8 +70,8 @@
             config.put("peers_all", peers.get(0));
             Map<String, Object> list =
                     World.list(40, world.nodes().stream().map(World.Listed::of).toList());
-            String operator = "[zones]\n[consensus]\nfleet = \"scale\"\nvoters = " + VOTERS + "\nlease = \"1s\"\nfile = \""
-                    + world.folder().resolve("policy.toml") + "\"\n";
+            String operator = "[zones]\n[consensus]\nfleet = \"scale\"\nvoters = " + VOTERS
+                    + "\nlease = \"1s\"\nfile = \"" + world.folder().resolve("policy.toml") + "\"\n";
             run.start();
             SidecarProcess sidecar = world.peered(real, members, list, config, operator);
             world.ready(sidecar.address()).get(60, TimeUnit.SECONDS);
--- a/src/test/java/rushproxy/standin/ManySidecarsTest.java
+++ b/src/test/java/rushproxy/standin/ManySidecarsTest.java
@@ -81,7 +81,7 @@
             assertEquals(
                     List.of(),
                     verdict.first().stream()
-                             .filter(foul -> foul.rule() != Referee.Rule.COLD_SPARED)
+                            .filter(foul -> foul.rule() != Referee.Rule.COLD_SPARED)
                             .toList());
         }
     }
--- a/src/test/java/rushproxy/standin/fleet/ControlStage.java
+++ b/src/test/java/rushproxy/standin/fleet/ControlStage.java
@@ -140,7 +140,8 @@
     void awaitReady(int replica) throws Exception {
         for (int tries = 0; !call(replica, "GET", "/control/ready").startsWith("200"); tries++) {
             if (tries == MOST_TRIES) {
-                throw new IOException("replica " + replica + " is not ready: " + replicas.get(replica).log());
+                throw new IOException("replica " + replica + " is not ready: "
+                        + replicas.get(replica).log());
             }
             world.play(20);
         }
--- a/src/test/java/rushproxy/standin/fleet/ControlTierTest.java
+++ b/src/test/java/rushproxy/standin/fleet/ControlTierTest.java
@@ -70,7 +70,8 @@
             stage.world().play(300);
             String first = change(stage, 0, "booking", away("north"), List.of());
             assertFalse(
-                    stage.sidecar(1).log().toString().contains(first), "the other service's sidecars hear nothing of it");
+                    stage.sidecar(1).log().toString().contains(first),
+                    "the other service's sidecars hear nothing of it");
             change(stage, 1, "recall", away("north"), List.of());
             stage.world().play(700);
             int before = served(stage, "north");
@@ -107,7 +108,8 @@
             stage.sidecar(2).awaitLog(UNSURE);
             proposed(stage, 0, "booking", away("west"));
             String third = stage.sidecar(0)
-                    .awaitLog(line -> IN_FORCE.matcher(line).matches() && !line.contains(first) && !line.contains(second));
+                    .awaitLog(line ->
+                            IN_FORCE.matcher(line).matches() && !line.contains(first) && !line.contains(second));
             assertFalse(stage.call(2, "GET", "/control/ready").startsWith("200"), "no majority, no lease");
             Matcher matcher = IN_FORCE.matcher(third);
             assertTrue(matcher.matches());
--- a/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
+++ b/src/test/java/rushproxy/standin/fleet/PolicyChangeTest.java
@@ -246,7 +246,8 @@
                     "peers_all",
                     "127.0.0.1:9");
             SidecarProcess few = world.peered(3, known, peers, operator);
-            few.awaitLog("operator's file: [consensus] voters: expected at most the 3 sidecars that there are, found 5");
+            few.awaitLog(
+                    "operator's file: [consensus] voters: expected at most the 3 sidecars that there are, found 5");
             assertEquals(2, few.process().waitFor());
             SidecarProcess silent = world.peered(3, known, Map.of(), operator);
             silent.awaitLog(
