One rule of what goes together, one hollow socket, one way to say what is in force

Cause, read again: ConsensusNode.InForce.goesWith repeated the explorer's goTogether, a little weaker where one index had no version at one of two; HollowControl copied HollowSidecar's socket; Subscription copied how ConsensusNode says what is in force; LeaseGrantor.behind searched a list for each lease. Change: Stage.goesWith serves the explorer and the control simulation, which is the stricter by it; HollowSocket; InForce.of; a set.

--- a/src/main/java/rushproxy/consensus/ConsensusNode.java
+++ b/src/main/java/rushproxy/consensus/ConsensusNode.java
@@ -29,21 +29,20 @@
             return from != to;
         }
 
-        /** Whether two processes may decide by these at the same time: the same, or one joint with the other's version. */
+        /** Whether two processes may decide by these at the same time; who is not sure decides by nothing. */
         public boolean goesWith(InForce other) {
-            boolean careful = !sure || !other.sure || to == Stage.NONE || other.to == Stage.NONE;
-            boolean same = from == other.from && to == other.to;
-            if (careful || same) {
-                return true;
-            }
-            if (era == other.era && index == other.index) {
-                return false;
-            }
-            return coversAlone(other) || other.coversAlone(this);
+            return !sure || !other.sure || stage().goesWith(other.stage(), era == other.era);
+        }
+
+        private Stage stage() {
+            return new Stage(index, from, to);
         }
 
-        private boolean coversAlone(InForce other) {
-            return joint() && !other.joint() && (other.to == from || other.to == to);
+        /** @param last what was heard of last, null before anything */
+        static InForce of(long era, Stage last, boolean sure) {
+            return last == null
+                    ? new InForce(0, Stage.UNKNOWN_INDEX, Stage.NONE, Stage.NONE, false)
+                    : new InForce(era, last.index(), last.from(), last.to(), sure);
         }
     }
 
@@ -97,11 +96,8 @@
 
     /** By what to decide now. */
     public InForce inForce(long now) {
-        Stage s = participant.leaseHolder().stage(now);
-        Stage last = s != null ? s : participant.leaseHolder().last();
-        return last == null
-                ? new InForce(0, -1, Stage.NONE, Stage.NONE, false)
-                : new InForce(participant.leaseHolder().era(), last.index(), last.from(), last.to(), s != null);
+        LeaseHolder holder = participant.leaseHolder();
+        return InForce.of(holder.era(), holder.last(), holder.stage(now) != null);
     }
 
     /** Until when it is sure of what is in force if it hears nothing more, or was last; only once it has {@link #learnt}. */
--- a/src/main/java/rushproxy/consensus/ExplorerScene.java
+++ b/src/main/java/rushproxy/consensus/ExplorerScene.java
@@ -146,7 +146,7 @@
             forGood(era(i), a, name(i));
             for (int j = 0; j < i; j++) {
                 Stage b = stage(j);
-                if (b != null && !goTogether(a, b, era(i) == era(j))) {
+                if (b != null && !a.goesWith(b, era(i) == era(j))) {
                     broken = "ONE_POLICY: " + name(i) + " decides by " + a + ", " + name(j) + " by " + b;
                 }
             }
@@ -167,19 +167,6 @@
         return (number < nodes.length ? "sidecar " : "subscriber ") + number;
     }
 
-    /** The same, or one of them joint with the other's version. Who has agreed on nothing is careful, which goes with all. */
-    private static boolean goTogether(Stage a, Stage b, boolean sameEra) {
-        if (sameEra && a.index() == b.index()) {
-            return a.equals(b);
-        }
-        if (a.to() == Stage.NONE || b.to() == Stage.NONE || a.from() == b.from() && a.to() == b.to()) {
-            return true;
-        }
-        boolean one = a.joint() && !b.joint() && (b.to() == a.from() || b.to() == a.to());
-        boolean other = b.joint() && !a.joint() && (a.to() == b.from() || a.to() == b.to());
-        return one || other;
-    }
-
     void hearOwn() {
         for (Sent own;
                 (own = messages.stream()
--- a/src/main/java/rushproxy/consensus/LeaseGrantor.java
+++ b/src/main/java/rushproxy/consensus/LeaseGrantor.java
@@ -1,10 +1,11 @@
 package rushproxy.consensus;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -132,13 +133,13 @@
 
     /** Subscribers with a lease now that may go by a stage before this index; each once. */
     List<Integer> behind(long now, long index) {
-        List<Integer> behind = new ArrayList<>();
+        Set<Integer> behind = new LinkedHashSet<>();
         leases.forEach((holder, granted) -> {
-            if (earliest(now, granted) < index && !behind.contains(holder.subscriber())) {
+            if (earliest(now, granted) < index) {
                 behind.add(holder.subscriber());
             }
         });
-        return behind;
+        return List.copyOf(behind);
     }
 
     /** Subscribers with a lease now. */
--- a/src/main/java/rushproxy/consensus/Stage.java
+++ b/src/main/java/rushproxy/consensus/Stage.java
@@ -21,6 +21,23 @@
         return from != to;
     }
 
+    /**
+     * Whether two processes may decide by these at the same time: the same, or one of them joint with the other's version. Who has agreed on
+     * nothing is careful, which goes with all; but one index has one stage.
+     */
+    boolean goesWith(Stage other, boolean sameEra) {
+        if (sameEra && index == other.index) {
+            return equals(other);
+        }
+        boolean careful = to == NONE || other.to == NONE;
+        boolean same = from == other.from && to == other.to;
+        return careful || same || covers(other) || other.covers(this);
+    }
+
+    private boolean covers(Stage other) {
+        return joint() && !other.joint() && (other.to == from || other.to == to);
+    }
+
     Stage towards(long version) {
         if (joint()) {
             throw new IllegalStateException(this + " is not settled");
--- a/src/main/java/rushproxy/consensus/Subscription.java
+++ b/src/main/java/rushproxy/consensus/Subscription.java
@@ -26,11 +26,7 @@
 
     /** By what to decide now. */
     public ConsensusNode.InForce inForce(long now) {
-        Stage last = subscriber.last();
-        return last == null
-                ? new ConsensusNode.InForce(0, Stage.UNKNOWN_INDEX, Stage.NONE, Stage.NONE, false)
-                : new ConsensusNode.InForce(
-                        subscriber.era(), last.index(), last.from(), last.to(), subscriber.stage(now) != null);
+        return ConsensusNode.InForce.of(subscriber.era(), subscriber.last(), subscriber.stage(now) != null);
     }
 
     /** Whether it has ever heard what is in force: before it has, it is not ready. */
--- a/src/main/java/rushproxy/scale/HollowControl.java
+++ b/src/main/java/rushproxy/scale/HollowControl.java
@@ -1,15 +1,6 @@
 package rushproxy.scale;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,12 +19,10 @@
     private final ControlFleet fleet;
     private final EventLoop loop;
     private final Clock clock;
-    private final Directory directory;
-    private final Traffic traffic;
+    private final HollowSocket socket;
     private final SettledLog settled;
     private final List<Integer> scopes;
     private final Map<Integer, Long> versions = new HashMap<>();
-    private Channel channel;
     private ControlReplica replica;
     private ControlClient client;
     private boolean silent;
@@ -51,22 +40,14 @@
         this.fleet = fleet;
         this.loop = loop;
         this.clock = clock;
-        this.directory = directory;
-        this.traffic = traffic;
+        socket = new HollowSocket(directory, traffic, this::received);
         this.settled = settled;
         scopes = fleet.scopesOf(number);
     }
 
     /** Opens its socket; it says nothing before {@link #start}. Not to be called on the loop. */
     int open() throws InterruptedException {
-        channel = new Bootstrap()
-                .group(loop)
-                .channelFactory(NioDatagramChannel::new)
-                .handler(new Receiver())
-                .bind("127.0.0.1", 0)
-                .sync()
-                .channel();
-        return ((InetSocketAddress) channel.localAddress()).getPort();
+        return socket.open(loop);
     }
 
     /** A new process: it remembers nothing. */
@@ -102,7 +83,7 @@
 
     /** Why it can't be proposed; null where it is on its way. */
     String propose(int scope, byte[] content) {
-        return replica.propose(scope, content, clock.now(), this::send);
+        return replica.propose(scope, content, clock.now(), socket::send);
     }
 
     private void look(int of) {
@@ -110,9 +91,9 @@
             return;
         }
         if (replica != null) {
-            replica.tick(clock.now(), this::send);
+            replica.tick(clock.now(), socket::send);
         } else {
-            client.tick(clock.now(), this::send);
+            client.tick(clock.now(), socket::send);
         }
         observe();
         long dueAt = replica != null ? replica.dueAt() : client.dueAt();
@@ -134,38 +115,15 @@
         }
     }
 
-    private void send(int to, byte[] datagram) {
-        InetSocketAddress address = directory.address(to);
-        if (address != null) {
-            traffic.sent(datagram.length);
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
-        }
-    }
-
     private void received(int from, byte[] datagram) {
-        traffic.received(from, datagram.length);
         if (silent || starts == 0) {
             return;
         }
         if (replica != null) {
-            replica.hear(clock.now(), from, datagram, this::send);
+            replica.hear(clock.now(), from, datagram, socket::send);
         } else {
-            client.hear(clock.now(), from, datagram, this::send);
+            client.hear(clock.now(), from, datagram, socket::send);
             observe();
         }
     }
-
-    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            int from = directory.number(packet.sender());
-            if (from >= 0) {
-                received(from, ByteBufUtil.getBytes(packet.content()));
-            }
-        }
-
-        /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {}
-    }
 }
--- a/src/main/java/rushproxy/scale/HollowSidecar.java
+++ b/src/main/java/rushproxy/scale/HollowSidecar.java
@@ -1,16 +1,7 @@
 package rushproxy.scale;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import rushproxy.consensus.ConsensusGroup;
 import rushproxy.consensus.ConsensusNode;
@@ -30,12 +21,11 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Directory directory;
-    private final Traffic traffic;
+    private final HollowSocket socket;
     private final SettledLog settled;
     /** Null before it is given any load. */
     private HollowLoad load;
 
-    private Channel channel;
     private ConsensusNode consensus;
     private long lives;
     private boolean silent;
@@ -57,20 +47,13 @@
         this.loop = loop;
         this.clock = clock;
         this.directory = directory;
-        this.traffic = traffic;
+        socket = new HollowSocket(directory, traffic, this::received);
         this.settled = settled;
     }
 
     /** Opens its socket; it says nothing before {@link #start}. Not to be called on the loop. */
     int open() throws InterruptedException {
-        channel = new Bootstrap()
-                .group(loop)
-                .channelFactory(NioDatagramChannel::new)
-                .handler(new Receiver())
-                .bind("127.0.0.1", 0)
-                .sync()
-                .channel();
-        return ((InetSocketAddress) channel.localAddress()).getPort();
+        return socket.open(loop);
     }
 
     /** A new process: it remembers nothing. */
@@ -100,7 +83,7 @@
     void load(double perSecond) {
         load = new HollowLoad(number, fleet.members(), loop, clock, fleet.seed() + number, (to, message) -> {
             if (to != number) {
-                send(to, message);
+                socket.send(to, message);
             }
         });
         load.start(perSecond);
@@ -113,7 +96,7 @@
 
     /** Why it can't be proposed; null where it is on its way. */
     String propose(byte[] content) {
-        String refusal = consensus.propose(clock.now(), content, this::send);
+        String refusal = consensus.propose(clock.now(), content, socket::send);
         observe();
         return refusal;
     }
@@ -134,7 +117,7 @@
         if (silent) {
             return;
         }
-        consensus.tick(clock.now(), this::send);
+        consensus.tick(clock.now(), socket::send);
         observe();
     }
 
@@ -150,16 +133,7 @@
         }
     }
 
-    private void send(int to, byte[] message) {
-        InetSocketAddress address = directory.address(to);
-        if (address != null) {
-            traffic.sent(message.length);
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), address));
-        }
-    }
-
     private void received(int from, byte[] message) {
-        traffic.received(from, message.length);
         if (silent || consensus == null || !directory.passes(from, number)) {
             return;
         }
@@ -169,21 +143,7 @@
             }
             return;
         }
-        consensus.hear(clock.now(), from, message, this::send);
+        consensus.hear(clock.now(), from, message, socket::send);
         observe();
     }
-
-    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            int from = directory.number(packet.sender());
-            if (from >= 0) {
-                received(from, ByteBufUtil.getBytes(packet.content()));
-            }
-        }
-
-        /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {}
-    }
 }
