Log state changes of the endpoint list and the calls whose lists are refused

Change: a failed discovery call names its number, URI and duration and the version and age of the list in use; a refused list is called complete or changes; each list that changes states logs one line with counts and up to five ids.

--- a/src/main/java/loadbalancer/membership/Membership.java
+++ b/src/main/java/loadbalancer/membership/Membership.java
@@ -192,16 +192,18 @@
             logMessages.add("discovery's list is older (" + list.generation() + ") than the current one (" + generation
                     + "), which it replaces all the same");
         }
-        Set<String> listedIds = apply(list);
+        StateChangeSummary stateChanges = new StateChangeSummary();
+        Set<String> listedIds = apply(list, stateChanges);
         int previousSize = entries.size();
         if (list.complete()) {
-            entries.keySet().retainAll(listedIds);
+            removeUnlisted(listedIds, stateChanges);
         }
         boolean firstConfirmation = !confirmed && !stalenessPolicy.acceptsAll();
         if (firstConfirmation) {
             logMessages.add("discovery responded: " + entries.size() + " upstreams confirmed, "
                     + (previousSize - entries.size()) + " removed");
         }
+        stateChanges.describe(list.generation()).ifPresent(logMessages::add);
         entries.values().forEach(EndpointEntry::confirm);
         checks.abandonAll();
         generation = list.generation();
@@ -217,10 +219,14 @@
     }
 
     /** Adds, updates and removes entries by the list, and returns the ids that it contains. */
-    private Set<String> apply(EndpointList list) {
+    private Set<String> apply(EndpointList list, StateChangeSummary stateChanges) {
         Set<String> listedIds = new HashSet<>();
         for (Endpoint endpoint : list.endpoints()) {
             listedIds.add(endpoint.id());
+            stateChanges.add(
+                    endpoint.id(),
+                    listedState(endpoint.id()),
+                    endpoint.upstream().state());
             if (endpoint.upstream().state() == UpstreamState.GONE) {
                 entries.remove(endpoint.id());
             } else if (entries.containsKey(endpoint.id()) || entries.size() < MAX_ENDPOINTS) {
@@ -232,6 +238,21 @@
         return listedIds;
     }
 
+    private UpstreamState listedState(String id) {
+        EndpointEntry entry = entries.get(id);
+        return entry == null ? UpstreamState.GONE : entry.upstream().state();
+    }
+
+    private void removeUnlisted(Set<String> listedIds, StateChangeSummary stateChanges) {
+        entries.keySet().removeIf(id -> {
+            boolean unlisted = !listedIds.contains(id);
+            if (unlisted) {
+                stateChanges.add(id, listedState(id), UpstreamState.GONE);
+            }
+            return unlisted;
+        });
+    }
+
     /** The endpoint as the balancer gets it; one that has just been removed is passed on as it was listed. */
     private Endpoint effectiveChange(Endpoint endpoint) {
         EndpointEntry entry = entries.get(endpoint.id());
--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
@@ -72,6 +72,10 @@
 
     private long callCount;
     private long callStartedMicros;
+    /** URI of the latest call, for the log. */
+    private String callUri = "";
+    /** When discovery last returned a usable list; 0 if it has not yet. */
+    private long listReceivedMicros;
 
     /** Receives the watch's results, on the event loop. */
     public interface Listener {
@@ -177,8 +181,8 @@
         callStartedMicros = clock.nowMicros();
         long waitMillis = listUnconfirmed || consecutiveRestarts > 0 ? 0 : schedule.waitMillis(random);
         responseTimer = timers.schedule(responseTimeoutMillis(waitMillis) * 1_000, () -> onTimeout(number));
-        String uri = completeListNeeded ? PATH : PATH + "?index=" + generation + "&wait=" + waitMillis;
-        client.get(uri, new DiscoveryClient.ResponseListener() {
+        callUri = completeListNeeded ? PATH : PATH + "?index=" + generation + "&wait=" + waitMillis;
+        client.get(callUri, new DiscoveryClient.ResponseListener() {
             @Override
             public void onResponse(int status, byte[] body, boolean keepAlive) {
                 if (currentCall == number) {
@@ -242,7 +246,7 @@
         listUnconfirmed |= !selfPolling;
         if (!selfPolling || !failureLogged) {
             failureLogged = true;
-            Log.event("discovery.call.failed", "discovery call failed: " + reason, "why", reason);
+            logFailure(number, reason);
         }
         if (selfPolling) {
             scheduleRetry();
@@ -251,6 +255,28 @@
         }
     }
 
+    private void logFailure(long number, String reason) {
+        long nowMicros = clock.nowMicros();
+        long callMillis = (nowMicros - callStartedMicros) / 1000;
+        String listAge = listReceivedMicros == 0
+                ? "not from discovery"
+                : "received " + (nowMicros - listReceivedMicros) / 1000 + " ms ago";
+        Log.event(
+                "discovery.call.failed",
+                "discovery call failed: " + reason + "; call " + number + " for " + callUri + " took " + callMillis
+                        + " ms; the list in use has version " + generation + ", " + listAge,
+                "why",
+                reason,
+                "call",
+                number,
+                "uri",
+                callUri,
+                "durationMs",
+                callMillis,
+                "version",
+                generation);
+    }
+
     private void scheduleRetry() {
         timers.schedule(backoff.nextDelayMicros(), this::poll);
     }
@@ -289,7 +315,8 @@
         if (!usable) {
             throw new IllegalArgumentException(
                     "expected a complete list with endpoints, or requested changes from version "
-                            + generation + " on; received version " + list.generation() + " with "
+                            + generation + " on; received " + (list.complete() ? "a complete list" : "changes")
+                            + " of version " + list.generation() + " with "
                             + list.endpoints().size() + " endpoints");
         }
         return list;
@@ -302,6 +329,7 @@
         failureLogged = false;
         consecutiveRestarts = 0;
         generation = list.generation();
+        listReceivedMicros = clock.nowMicros();
         backoff.reset();
         boolean answersPoll = pollPending;
         pollPending = false;
