Obey a complete endpoint list without endpoints

What callers saw: requests served by servers that discovery had withdrawn, 4.6 s and more after the list was written to the sidecar.

Cause: DiscoveryWatch.readList took a complete list with 0 endpoints for a malformed response, and Membership.onDiscoveryList ignored one as well, so the former list stayed in use without a limit of time.

Change: both guards are gone. An empty list is applied like any other: the balancer and the pools get the removal, the watch goes on from its version. This works because removing an endpoint stops its use by the ordinary path, whatever the number removed.

StandInDiscovery treated its empty lists as not notified, which hid the fault from all tests; they notify now, with a version of their own.

--- a/src/main/java/loadbalancer/membership/Membership.java
+++ b/src/main/java/loadbalancer/membership/Membership.java
@@ -180,13 +180,10 @@
      * Applies a complete list from discovery, or changes, and confirms all endpoints that remain. Endpoints that a
      * complete list does not contain are removed. Changes build on the base, so they also confirm the endpoints that
      * they do not contain. A complete list of an older version is applied as well, because a discovery service that was
-     * restored from a backup knows the current endpoints. An empty complete list is ignored, because it would leave the
-     * sidecar without upstreams.
+     * restored from a backup knows the current endpoints. An empty complete list removes all endpoints, as discovery has
+     * withdrawn them.
      */
     public EndpointChange onDiscoveryList(long nowMicros, EndpointList list) {
-        if (list.complete() && list.endpoints().isEmpty()) {
-            return new EndpointChange(false, List.of(), List.of("discovery returned an empty list: ignored"));
-        }
         List<String> logMessages = new ArrayList<>();
         if (list.generation() < generation && (list.complete() || !confirmed)) {
             logMessages.add("discovery's list is older (" + list.generation() + ") than the current one (" + generation
--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
@@ -311,13 +311,10 @@
     private EndpointList readList(byte[] body) {
         EndpointList list = DiscoveryListFormat.read(JsonObject.parse(body), ListSource.DISCOVERY, clock.nowMicros());
         boolean follows = !completeListNeeded && list.generation() >= generation;
-        boolean usable = list.complete() ? !list.endpoints().isEmpty() : follows;
-        if (!usable) {
-            throw new IllegalArgumentException(
-                    "expected a complete list with endpoints, or requested changes from version "
-                            + generation + " on; received " + (list.complete() ? "a complete list" : "changes")
-                            + " of version " + list.generation() + " with "
-                            + list.endpoints().size() + " endpoints");
+        if (!list.complete() && !follows) {
+            throw new IllegalArgumentException("expected a complete list, or requested changes from version "
+                    + generation + " on; received changes of version " + list.generation() + " with "
+                    + list.endpoints().size() + " endpoints");
         }
         return list;
     }
--- a/src/main/java/loadbalancer/testbed/StandInDiscovery.java
+++ b/src/main/java/loadbalancer/testbed/StandInDiscovery.java
@@ -33,8 +33,8 @@
 import loadbalancer.json.JsonObject;
 
 /**
- * A stand-in registry: the whole list and a watch on its changes, as discovery has them. It can be down, late, empty, or
- * lose its versions. All on the stage's loop; methods may be called from any thread.
+ * A stand-in discovery service: the complete list and a watch on its changes. It can be down, late, list nothing, or lose
+ * its versions. All on the stage's loop; methods may be called from any thread.
  */
 public final class StandInDiscovery implements AutoCloseable {
     /** Changes before this version are not remembered. */
@@ -97,13 +97,17 @@
     public void list(StandInUpstream node, String lifecycle) {
         loop.execute(() -> {
             lines.put(node.id(), new Line(node, lifecycle, ++version));
-            for (Watch w : List.copyOf(watches)) {
-                watches.remove(w);
-                tell(w.from, w.index, false);
-            }
+            answerWatches();
         });
     }
 
+    private void answerWatches() {
+        for (Watch watch : List.copyOf(watches)) {
+            watches.remove(watch);
+            tell(watch.from, watch.index, false);
+        }
+    }
+
     /** While it is down its connections are reset and calls end with 503. */
     public void down(boolean now) {
         down = now;
@@ -120,9 +124,14 @@
         seen = address;
     }
 
-    /** Answers lists without a member, as a registry that has lost its data. */
+    /** From now on a new version withdraws all nodes by an empty complete list, or lists them again. */
     public void empty(boolean now) {
-        empty = now;
+        loop.execute(() -> {
+            empty = now;
+            version++;
+            lines.replaceAll((id, line) -> new Line(line.node, line.lifecycle, version));
+            answerWatches();
+        });
     }
 
     /** Starts its versions again from below those it had, as one restored from an old copy. */
@@ -169,7 +178,7 @@
         long index = Long.parseLong(query.parameters().get("index").get(0));
         long waitMs = Long.parseLong(
                 query.parameters().getOrDefault("wait", List.of("0")).get(0));
-        if (index != version || empty) {
+        if (index != version) {
             // What was missed goes back further than is remembered, or it is of another history: all of it.
             tell(ctx, index, index > version || index < BASE);
             return;
@@ -199,10 +208,10 @@
         List<Line> told = new ArrayList<>();
         for (Line l : lines.values()) {
             boolean gone = l.lifecycle.equals("Gone");
-            if (!empty && whole && gone) {
-                // Not named in a whole list: told so.
+            if (empty || whole && gone) {
+                // A complete list that does not contain the node withdraws it.
                 told.add(l);
-            } else if (!empty && (whole || l.version > index)) {
+            } else if (whole || l.version > index) {
                 Map<String, Object> e = new LinkedHashMap<>();
                 e.put("instanceId", l.node.id());
                 e.put("hostPort", seen.apply(ctx.channel().attr(SIDECAR).get(), l.node));
@@ -226,7 +235,10 @@
         answer(ctx, HttpResponseStatus.OK, JsonObject.write(list));
         for (Line l : told) {
             referee.told(
-                    clock.nowMicros(), ctx.channel().attr(SIDECAR).get(), l.node.id(), l.lifecycle.equals("Ready"));
+                    clock.nowMicros(),
+                    ctx.channel().attr(SIDECAR).get(),
+                    l.node.id(),
+                    !empty && l.lifecycle.equals("Ready"));
         }
     }
 
