Use what a refused endpoint list says: withdrawals and readable entries

Found by reading all places where DiscoveryWatch and DiscoveryListFormat refuse a list.

Change: DiscoveryListReader reads entry by entry. Readable entries are applied (PartialEndpointList), an unreadable one leaves its upstream as it was, and an entry that says draining or gone needs no other field. The call still counts as failed and the complete list is requested after the backoff, so nothing is confirmed by such a list. Lists of the configuration and the disk are read as strictly as before.

--- a/src/main/java/loadbalancer/balancing/UpstreamDirectory.java
+++ b/src/main/java/loadbalancer/balancing/UpstreamDirectory.java
@@ -54,6 +54,9 @@
 
     private void update(Upstream listed) {
         TrackedUpstream upstream = upstreams.get(listed.id());
+        if (upstream == null && listed.state() == UpstreamState.GONE) {
+            return;
+        }
         if (upstream == null) {
             MachineType machineType =
                     machineTypes.computeIfAbsent(listed.machineType(), name -> new MachineType(context.defaultCores));
--- a/src/main/java/loadbalancer/http1/Upstreams.java
+++ b/src/main/java/loadbalancer/http1/Upstreams.java
@@ -81,6 +81,12 @@
 
     private void update(Endpoint endpoint) {
         String id = endpoint.upstream().id();
+        UpstreamState state = endpoint.upstream().state();
+        if (state == UpstreamState.GONE) {
+            // Replacements get new ids, so the map would grow without bound if gone upstreams stayed in it.
+            remove(id);
+            return;
+        }
         InetSocketAddress address = Addresses.parse(endpoint.address());
         long startedMicros = endpoint.upstream().startedMicros();
         UpstreamTarget target = targets.get(id);
@@ -91,14 +97,16 @@
             target = new UpstreamTarget(address, startedMicros);
             targets.put(id, target);
         }
-        UpstreamState state = endpoint.upstream().state();
         target.setState(state);
         if (state != UpstreamState.READY) {
             target.closeIdle();
         }
-        if (state == UpstreamState.GONE) {
-            // Replacements get new ids, so the map would grow without bound if gone upstreams stayed in it.
-            targets.remove(id);
+    }
+
+    private void remove(String id) {
+        UpstreamTarget target = targets.remove(id);
+        if (target != null) {
+            target.remove();
         }
     }
 
--- a/src/main/java/loadbalancer/json/JsonObject.java
+++ b/src/main/java/loadbalancer/json/JsonObject.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -167,6 +168,15 @@
         return list(name).stream().map(element -> objectIn(name, element)).toList();
     }
 
+    /** Returns the elements of an array field, each empty if it is not an object. */
+    public List<Optional<JsonObject>> objectsOrEmpty(String name) {
+        return list(name).stream()
+                .map(element -> element instanceof Map<?, ?> map
+                        ? Optional.of(new JsonObject(map))
+                        : Optional.<JsonObject>empty())
+                .toList();
+    }
+
     private static JsonObject objectIn(String name, Object element) {
         if (element instanceof Map<?, ?> map) {
             return new JsonObject(map);
--- a/src/main/java/loadbalancer/membership/Endpoint.java
+++ b/src/main/java/loadbalancer/membership/Endpoint.java
@@ -5,7 +5,7 @@
 /**
  * An upstream and the addresses where it listens, as a source listed them.
  *
- * @param address     numeric {@code ip:port}, validated by the source
+ * @param address     numeric {@code ip:port}, validated by the source; may be empty if the upstream is gone
  * @param grpcAddress the same for gRPC; null if the upstream does not serve gRPC
  */
 public record Endpoint(Upstream upstream, String address, String grpcAddress) {
--- a/src/main/java/loadbalancer/membership/EndpointChecks.java
+++ b/src/main/java/loadbalancer/membership/EndpointChecks.java
@@ -90,6 +90,13 @@
         inFlight--;
     }
 
+    /** Stops waiting for the check of a removed endpoint, if one is in flight. */
+    void abandon(EndpointEntry entry) {
+        if (entry.isCheckInFlight()) {
+            end(entry);
+        }
+    }
+
     /** Stops waiting for checks in flight, whose results have no effect once discovery has responded. */
     void abandonAll() {
         inFlight = 0;
--- a/src/main/java/loadbalancer/membership/Membership.java
+++ b/src/main/java/loadbalancer/membership/Membership.java
@@ -193,7 +193,7 @@
         Set<String> listedIds = apply(list, stateChanges);
         int previousSize = entries.size();
         if (list.complete()) {
-            removeUnlisted(listedIds, stateChanges);
+            removeUnlisted(listedIds, Set.of(), stateChanges);
         }
         boolean firstConfirmation = !confirmed && !stalenessPolicy.acceptsAll();
         if (firstConfirmation) {
@@ -225,7 +225,7 @@
                     listedState(endpoint.id()),
                     endpoint.upstream().state());
             if (endpoint.upstream().state() == UpstreamState.GONE) {
-                entries.remove(endpoint.id());
+                remove(endpoint.id());
             } else if (entries.containsKey(endpoint.id()) || entries.size() < MAX_ENDPOINTS) {
                 entries.computeIfAbsent(
                                 endpoint.id(), id -> new EndpointEntry(endpoint, EndpointEntry.State.CONFIRMED, 0))
@@ -240,14 +240,40 @@
         return entry == null ? UpstreamState.GONE : entry.upstream().state();
     }
 
-    private void removeUnlisted(Set<String> listedIds, StateChangeSummary stateChanges) {
-        entries.keySet().removeIf(id -> {
-            boolean unlisted = !listedIds.contains(id);
-            if (unlisted) {
-                stateChanges.add(id, listedState(id), UpstreamState.GONE);
-            }
-            return unlisted;
-        });
+    private void removeUnlisted(Set<String> listedIds, Set<String> keptIds, StateChangeSummary stateChanges) {
+        List<String> unlistedIds = entries.keySet().stream()
+                .filter(id -> !listedIds.contains(id) && !keptIds.contains(id))
+                .toList();
+        for (String id : unlistedIds) {
+            stateChanges.add(id, listedState(id), UpstreamState.GONE);
+            remove(id);
+        }
+    }
+
+    private void remove(String id) {
+        EndpointEntry removed = entries.remove(id);
+        if (removed != null) {
+            checks.abandon(removed);
+        }
+    }
+
+    /**
+     * Applies what a list from discovery says that can't be used as a whole: it adds, updates and removes endpoints, but
+     * confirms none and does not change the version.
+     */
+    public EndpointChange onPartialList(PartialEndpointList list) {
+        EndpointList readable = list.readable();
+        StateChangeSummary stateChanges = new StateChangeSummary();
+        Set<String> listedIds = apply(readable, stateChanges);
+        if (readable.complete()) {
+            removeUnlisted(listedIds, list.unreadableIds(), stateChanges);
+        }
+        List<String> logMessages =
+                stateChanges.describe(readable.generation()).stream().toList();
+        if (readable.endpoints().isEmpty() && logMessages.isEmpty()) {
+            return EndpointChange.NONE;
+        }
+        return new EndpointChange(true, usableEndpoints(), logMessages);
     }
 
     /** The endpoint as the balancer gets it; one that has just been removed is passed on as it was listed. */
--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryListFormat.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryListFormat.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import loadbalancer.balancing.Balancer;
 import loadbalancer.balancing.Balancer.Uncertainty;
 import loadbalancer.balancing.Balancer.Upstream;
@@ -51,11 +52,37 @@
         for (JsonObject instance : json.objects(INSTANCES)) {
             endpoints.add(readEndpoint(instance));
         }
-        return new EndpointList(source, json.integer(GENERATION), json.flag(RESET), asOfMicros, endpoints);
+        return new EndpointList(source, generation(json), isComplete(json), asOfMicros, endpoints);
     }
 
-    private static Endpoint readEndpoint(JsonObject instance) {
-        UpstreamState state = readState(instance.string(LIFECYCLE));
+    static long generation(JsonObject json) {
+        return json.integer(GENERATION);
+    }
+
+    static boolean isComplete(JsonObject json) {
+        return json.flag(RESET);
+    }
+
+    /** The entries of a list, each empty if it is not an object. */
+    static List<Optional<JsonObject>> instances(JsonObject json) {
+        return json.objectsOrEmpty(INSTANCES);
+    }
+
+    static String id(JsonObject instance) {
+        return instance.string(INSTANCE_ID);
+    }
+
+    static UpstreamState state(JsonObject instance) {
+        return readState(instance.string(LIFECYCLE));
+    }
+
+    /** An endpoint of which only the id is known, and that it is gone. */
+    static Endpoint goneEndpoint(String id) {
+        return new Endpoint(new Upstream(id, "", "", -1, 0, 1, UpstreamState.GONE), "");
+    }
+
+    static Endpoint readEndpoint(JsonObject instance) {
+        UpstreamState state = state(instance);
         String address = instance.string(HOST_PORT);
         Addresses.parse(address);
         String grpcAddress = null;
@@ -64,7 +91,7 @@
             Addresses.parse(grpcAddress);
         }
         Upstream upstream = new Upstream(
-                instance.string(INSTANCE_ID),
+                id(instance),
                 instance.stringOr(ZONE, ""),
                 instance.stringOr(MACHINE_TYPE, ""),
                 (int) instance.integerOr(CELL, -1),
--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
@@ -5,9 +5,8 @@
 import loadbalancer.core.Clock;
 import loadbalancer.core.Log;
 import loadbalancer.core.Timers;
-import loadbalancer.json.JsonObject;
 import loadbalancer.membership.EndpointList;
-import loadbalancer.membership.ListSource;
+import loadbalancer.membership.PartialEndpointList;
 
 /**
  * Watches discovery with long polls, one call after another, from the balancer's first poll on. A call that gets no
@@ -86,6 +85,9 @@
          */
         void onList(EndpointList list, boolean answersPoll);
 
+        /** Called with what a list says that can't be used as a whole; a failure of its call follows. */
+        void onPartialList(PartialEndpointList list);
+
         /**
          * Called when a call has failed.
          *
@@ -286,13 +288,22 @@
             onCallFailure(currentCall, status == 0 ? "the response is not HTTP" : "status " + status);
             return;
         }
-        EndpointList list;
+        DiscoveryListReader.Reading reading;
         try {
-            list = readList(body);
+            reading = DiscoveryListReader.read(body, clock.nowMicros());
         } catch (RuntimeException exception) {
             // No exception that a malformed response causes may end the watch.
-            completeListNeeded = true;
-            onCallFailure(currentCall, "the response is not a usable endpoint list: " + exception.getMessage());
+            onUnusableList(exception.getMessage());
+            return;
+        }
+        EndpointList list = reading.list();
+        boolean follows = !completeListNeeded && list.generation() >= generation;
+        if (!list.complete() && !follows) {
+            onPartialList(reading.withdrawals(), describeMisplaced(list));
+            return;
+        }
+        if (reading.error().isPresent()) {
+            onPartialList(reading.partial(), reading.error().get());
             return;
         }
         endCall();
@@ -308,15 +319,23 @@
         }
     }
 
-    private EndpointList readList(byte[] body) {
-        EndpointList list = DiscoveryListFormat.read(JsonObject.parse(body), ListSource.DISCOVERY, clock.nowMicros());
-        boolean follows = !completeListNeeded && list.generation() >= generation;
-        if (!list.complete() && !follows) {
-            throw new IllegalArgumentException("expected a complete list, or requested changes from version "
-                    + generation + " on; received changes of version " + list.generation() + " with "
-                    + list.endpoints().size() + " endpoints");
+    private String describeMisplaced(EndpointList list) {
+        return "expected a complete list, or requested changes from version " + generation
+                + " on; received changes of version " + list.generation() + " with "
+                + list.endpoints().size() + " endpoints";
+    }
+
+    /** Passes on what a list says that can't be used as a whole, and requests the complete list after a backoff. */
+    private void onPartialList(PartialEndpointList partial, String reason) {
+        if (!partial.isEmpty()) {
+            listener.onPartialList(partial);
         }
-        return list;
+        onUnusableList(reason);
+    }
+
+    private void onUnusableList(String reason) {
+        completeListNeeded = true;
+        onCallFailure(currentCall, "the response is not a usable endpoint list: " + reason);
     }
 
     private void accept(EndpointList list) {
--- a/src/main/java/loadbalancer/sidecar/EndpointService.java
+++ b/src/main/java/loadbalancer/sidecar/EndpointService.java
@@ -25,6 +25,7 @@
 import loadbalancer.membership.ListSource;
 import loadbalancer.membership.Membership;
 import loadbalancer.membership.OutOfServiceUpstreams;
+import loadbalancer.membership.PartialEndpointList;
 import loadbalancer.membership.discovery.DiscoveryWatch;
 import loadbalancer.subset.Subset;
 
@@ -281,6 +282,12 @@
         writeList(!change.isEmpty());
     }
 
+    /** Published as a list that is not from discovery, because the balancer's poll is still to be answered. */
+    @Override
+    public void onPartialList(PartialEndpointList list) {
+        publish(membership.onPartialList(list), EndpointListKind.CACHED);
+    }
+
     /** Stores a changed list at once, and an unchanged one at intervals, so that its recorded age is right. */
     private void writeList(boolean changed) {
         long nowMicros = clock.nowMicros();
--- a/src/test/java/loadbalancer/membership/MembershipTest.java
+++ b/src/test/java/loadbalancer/membership/MembershipTest.java
@@ -15,6 +15,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
 import loadbalancer.balancing.Balancer.Uncertainty;
 import loadbalancer.balancing.Balancer.UpstreamState;
 import org.junit.jupiter.api.Test;
@@ -234,6 +236,42 @@
         assertEquals(1, membership.size());
     }
 
+    @Test
+    void appliesAPartialListButKeepsWhatItCannotRead() {
+        Membership membership = membership();
+        membership.start(NOW, List.of(stored(41, SECOND, ready(1), ready(2), ready(3))));
+        EndpointList readable =
+                discovered(60, true, endpoint("u1", "10.0.0.1:80", 0, UpstreamState.DRAINING), ready(4));
+        EndpointChange change = membership.onPartialList(new PartialEndpointList(readable, Set.of("u2")));
+        assertTrue(change.complete());
+        assertEquals(List.of("u1", "u2", "u4"), ids(change));
+        assertEquals(
+                UpstreamState.DRAINING, change.endpoints().get(0).upstream().state());
+        assertEquals(41, membership.generation(), "the version of a partial list is not reached");
+        assertFalse(membership.isConfirmedByDiscovery());
+    }
+
+    @Test
+    void partialChangesRemoveOnlyWhatTheyName() {
+        Membership membership = membership();
+        membership.start(NOW, List.of(stored(41, SECOND, ready(1), ready(2))));
+        EndpointList withdrawal = discovered(60, false, endpoint("u1", "", 0, UpstreamState.GONE));
+        assertEquals(List.of("u2"), ids(membership.onPartialList(new PartialEndpointList(withdrawal, Set.of()))));
+    }
+
+    /** The result of the check must not count against the limit on checks in flight either. */
+    @Test
+    void forgetsTheCheckOfAnEndpointThatAPartialListRemoves() {
+        Membership membership = membership();
+        Endpoint[] stale =
+                IntStream.rangeClosed(1, 9).mapToObj(EndpointFixtures::ready).toArray(Endpoint[]::new);
+        membership.start(NOW, List.of(stored(41, 7 * DAY, stale)));
+        assertEquals(8, membership.beginChecks(NOW).size());
+        membership.onPartialList(new PartialEndpointList(discovered(60, true, ready(9)), Set.of()));
+        assertEquals(1, membership.beginChecks(NOW + 10 * SECOND).size());
+        assertEquals(EndpointChange.NONE, membership.onCheckResult(NOW, "u1", EndpointEvidence.RESPONDS_AS_UPSTREAM));
+    }
+
     /** A discovery service that was restored from a backup continues from an earlier generation. */
     @Test
     void appliesAnOlderListFromDiscoveryAndLogsIt() {
--- a/src/test/java/loadbalancer/membership/discovery/WatchHarness.java
+++ b/src/test/java/loadbalancer/membership/discovery/WatchHarness.java
@@ -9,6 +9,7 @@
 import loadbalancer.core.Clock;
 import loadbalancer.core.Timers;
 import loadbalancer.membership.EndpointList;
+import loadbalancer.membership.PartialEndpointList;
 
 /** Simulates discovery, the event loop and the balancer around a watch, on virtual time. */
 final class WatchHarness implements DiscoveryClient, DiscoveryWatch.Listener, Timers {
@@ -30,6 +31,7 @@
     final PriorityQueue<ScheduledTask> tasks = new PriorityQueue<>(Comparator.comparingLong(task -> task.atMicros));
     final List<DiscoveryCall> calls = new ArrayList<>();
     final List<Long> failedMillis = new ArrayList<>();
+    final List<PartialEndpointList> partialLists = new ArrayList<>();
     final DiscoveryWatch watch;
     long currentMicros;
     int disconnectCount;
@@ -88,6 +90,11 @@
     @Override
     public void onList(EndpointList list, boolean answersPoll) {}
 
+    @Override
+    public void onPartialList(PartialEndpointList list) {
+        partialLists.add(list);
+    }
+
     @Override
     public void onFailure(Runnable retry) {
         failedMillis.add(currentMicros / 1000);
--- a/src/test/java/loadbalancer/sidecar/DiscoveryTest.java
+++ b/src/test/java/loadbalancer/sidecar/DiscoveryTest.java
@@ -102,6 +102,48 @@
         }
     }
 
+    /** A list that can't be used as a whole withdraws upstreams all the same, before it is requested again. */
+    @Test
+    void unusableListWithdrawsUpstreamsAtOnce() throws Exception {
+        String draining = UP.replace("Ready", "Terminating");
+        String unreadable = SidecarHarness.entry("u1", "nowhere", "Ready", 0);
+        String[] unusable = {
+            SidecarHarness.list(50, false, unreadable, draining),
+            SidecarHarness.list(50, true, draining, unreadable),
+            SidecarHarness.list(50, true, draining, "7"),
+            SidecarHarness.list(50, false, draining.replace("127.0.0.1:9", "nowhere")),
+            SidecarHarness.list(40, false, draining)
+        };
+        for (String discovery : new String[] {"on_request", "pushed"}) {
+            for (String answer : unusable) {
+                AtomicInteger calls = new AtomicInteger();
+                try (SidecarHarness harness = new SidecarHarness((m, connection) -> {
+                    switch (calls.incrementAndGet()) {
+                        case 1 -> connection.respond("200 OK", "", answer);
+                        case 2 -> connection.respond("200 OK", "", SidecarHarness.list(60, true, UP));
+                        default -> {}
+                    }
+                })) {
+                    harness.settings = harness.settings.replace("on_request", discovery);
+                    harness.pollsDiscovery = discovery.equals("on_request");
+                    harness.addUpstream((m, connection) -> {});
+                    harness.start();
+                    assertEquals("list CACHED u0=READY", harness.await("list"));
+                    String withdrawn = harness.await("list");
+                    assertTrue(
+                            withdrawn.equals("list CACHED u0=DRAINING") || withdrawn.equals("list CACHED "),
+                            answer + ": " + withdrawn);
+                    if (harness.pollsDiscovery) {
+                        assertEquals("list FAILED ", harness.await("list"), answer);
+                    }
+                    assertEquals("list FULL u0=READY", harness.await("list"), answer);
+                    harness.discovery.next();
+                    assertEquals("/registry/instances", harness.discovery.next().path(), answer);
+                }
+            }
+        }
+    }
+
     @Test
     void reportsFailedCallsAndKeepsGeneration() throws Exception {
         AtomicInteger calls = new AtomicInteger();
--- a/src/test/java/loadbalancer/simulation/DiscoveryDelayTest.java
+++ b/src/test/java/loadbalancer/simulation/DiscoveryDelayTest.java
@@ -22,6 +22,7 @@
 import loadbalancer.core.Clock;
 import loadbalancer.core.Log;
 import loadbalancer.membership.EndpointList;
+import loadbalancer.membership.PartialEndpointList;
 import loadbalancer.membership.discovery.DiscoveryClient;
 import loadbalancer.membership.discovery.DiscoveryWatch;
 import org.junit.jupiter.api.AfterEach;
@@ -215,6 +216,11 @@
             outNumber = 0;
         }
 
+        @Override
+        public void onPartialList(PartialEndpointList list) {
+            throw new AssertionError("this discovery sends no list of which only a part can be used");
+        }
+
         @Override
         public void onList(EndpointList list, boolean answersAsk) {
             if (toldUs < 0 && list.generation() >= 42) {
