Keep the slow-start budget of an upstream that is removed and listed again

Cause: UpstreamDirectory forgot a removed upstream at once, and with it the work already sent in the current slot of its budget; listed again, it got the whole slot anew.

Change: an upstream that was sent requests in slow start is kept for the window of the budget after the last of them; the next list forgets it. A removal leaves its last description as it was, since an entry that says gone may have no other field.

--- a/src/main/java/loadbalancer/balancing/HaloBalancer.java
+++ b/src/main/java/loadbalancer/balancing/HaloBalancer.java
@@ -95,7 +95,7 @@
         if (listKind == EndpointListKind.FAILED) {
             return;
         }
-        directory.apply(listKind, entries);
+        directory.apply(nowMicros, listKind, entries);
         split.invalidate(nowMicros);
         dispatcher.dispatchQueue(nowMicros, false);
     }
@@ -128,7 +128,7 @@
         }
         attempt.end(nowMicros, outcome);
         connections.closeIfDraining(attempt.upstream);
-        directory.forgetIfDone(attempt.upstream);
+        directory.forgetIfDone(nowMicros, attempt.upstream);
         feedback.apply(nowMicros, attempt, outcome, latencyMicros);
         dispatcher.onAttemptEnd(nowMicros, request, outcome, requestAnswered);
         dispatcher.dispatchQueue(nowMicros, false);
--- a/src/main/java/loadbalancer/balancing/SlowStart.java
+++ b/src/main/java/loadbalancer/balancing/SlowStart.java
@@ -82,6 +82,9 @@
         long slot = slot(upstream, nowMicros);
         upstream.warmupSlotWorkMicros = workMicros + (slot == upstream.warmupSlot ? upstream.warmupSlotWorkMicros : 0);
         upstream.warmupSlot = slot;
+        if (warmupFactor(upstream.endpoint.latestStartMicros(), nowMicros) < 1) {
+            upstream.warmupSentMicros = nowMicros;
+        }
     }
 
     private long slot(TrackedUpstream upstream, long nowMicros) {
--- a/src/main/java/loadbalancer/balancing/TrackedUpstream.java
+++ b/src/main/java/loadbalancer/balancing/TrackedUpstream.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import loadbalancer.balancing.Balancer.Upstream;
 
-/** State of one upstream, from its first listing until it is removed and has no requests in flight. */
+/** State of one upstream, from its first listing until it is removed and {@link UpstreamDirectory} forgets it. */
 final class TrackedUpstream {
     private static final long NEVER_MICROS = Long.MIN_VALUE / 2;
 
@@ -19,7 +19,7 @@
     Upstream endpoint;
 
     boolean ready;
-    /** Whether it is no longer listed; the directory keeps it until it has no requests in flight. */
+    /** Whether it is no longer listed. */
     boolean removed;
     /** Weight in the draw: p_i / k_i of Eq. (4) times the constraints' weight and the peers' trust factor. */
     double selectionWeight;
@@ -61,6 +61,8 @@
     long warmupSlot;
     /** Work that this sidecar sent in that slot, microseconds. */
     double warmupSlotWorkMicros;
+    /** Time of the last send in slow start, microseconds. */
+    long warmupSentMicros = NEVER_MICROS;
 
     TrackedUpstream(Upstream endpoint, MachineType machineType, int zoneIndex, int subsetOrder) {
         id = endpoint.id();
--- a/src/main/java/loadbalancer/balancing/UpstreamDirectory.java
+++ b/src/main/java/loadbalancer/balancing/UpstreamDirectory.java
@@ -35,7 +35,7 @@
     }
 
     /** Applies an endpoint list, either the complete list or the changed entries. */
-    void apply(EndpointListKind listKind, List<Upstream> entries) {
+    void apply(long nowMicros, EndpointListKind listKind, List<Upstream> entries) {
         Set<String> listedIds = new HashSet<>();
         for (Upstream listed : entries) {
             listedIds.add(listed.id());
@@ -43,18 +43,19 @@
         }
         for (TrackedUpstream upstream : upstreams.values()) {
             if (listKind != EndpointListKind.DELTA && !listedIds.contains(upstream.id)) {
-                upstream.ready = false;
-                upstream.removed = true;
-                connections.closeIfDraining(upstream);
+                remove(upstream);
             }
         }
-        upstreams.values().removeIf(UpstreamDirectory::canForget);
+        upstreams.values().removeIf(upstream -> canForget(nowMicros, upstream));
         collectReady();
     }
 
     private void update(Upstream listed) {
         TrackedUpstream upstream = upstreams.get(listed.id());
-        if (upstream == null && listed.state() == UpstreamState.GONE) {
+        if (listed.state() == UpstreamState.GONE) {
+            if (upstream != null) {
+                remove(upstream);
+            }
             return;
         }
         if (upstream == null) {
@@ -69,7 +70,13 @@
         }
         upstream.endpoint = listed;
         upstream.ready = listed.state() == UpstreamState.READY;
-        upstream.removed = listed.state() == UpstreamState.GONE;
+        upstream.removed = false;
+        connections.closeIfDraining(upstream);
+    }
+
+    private void remove(TrackedUpstream upstream) {
+        upstream.ready = false;
+        upstream.removed = true;
         connections.closeIfDraining(upstream);
     }
 
@@ -91,15 +98,18 @@
 
     /**
      * Returns whether the upstream is removed and has no requests in flight, apart from streams, so that it
-     * can be forgotten. Replaced upstreams get new ids, so keeping all of them would leak memory.
+     * can be forgotten. Replaced upstreams get new ids, so keeping all of them would leak memory. One that was
+     * sent requests in slow start is kept for the window of its budget, as it may be listed again.
      */
-    private static boolean canForget(TrackedUpstream upstream) {
-        return upstream.removed && upstream.inFlight == 0;
+    private boolean canForget(long nowMicros, TrackedUpstream upstream) {
+        long windowMicros = context.settings.rules().overloadWindowMicros();
+        boolean budgetInUse = nowMicros - upstream.warmupSentMicros < windowMicros;
+        return upstream.removed && upstream.inFlight == 0 && !budgetInUse;
     }
 
     /** Forgets the upstream if it is removed and has no requests in flight. */
-    void forgetIfDone(TrackedUpstream upstream) {
-        if (canForget(upstream)) {
+    void forgetIfDone(long nowMicros, TrackedUpstream upstream) {
+        if (canForget(nowMicros, upstream)) {
             upstreams.remove(upstream.id, upstream);
         }
     }
--- a/src/test/java/loadbalancer/balancing/SlowStartTest.java
+++ b/src/test/java/loadbalancer/balancing/SlowStartTest.java
@@ -18,18 +18,37 @@
 class SlowStartTest {
     @Test
     void staysWithinThisSidecarsShareOfTheBudget() {
+        assertWithinShare(sentInSlowStart(false));
+    }
+
+    /** A list that leaves the upstream out and one that lists it again do not give it another budget. */
+    @Test
+    void staysWithinItsShareOfTheBudgetOfAnUpstreamThatIsRemovedAndListedAgain() {
+        assertWithinShare(sentInSlowStart(true));
+    }
+
+    /** Number of requests of 10 ms that a sidecar sends in the first 1.1 s of an upstream's slow start. */
+    private static long sentInSlowStart(boolean listedAgain) {
         BalancerHarness harness = new BalancerHarness();
         harness.latencyObjectiveMicros = 40_000;
         harness.start();
-        harness.endpointList(new Upstream("a", "za", "k", 1, harness.nowMicros, 1, UpstreamState.READY));
+        Upstream upstream = new Upstream("a", "za", "k", 1, harness.nowMicros, 1, UpstreamState.READY);
+        harness.endpointList(upstream);
         long sent = 0;
         for (int i = 0; i < 100; i++) {
+            if (listedAgain) {
+                harness.endpointList().endpointList(upstream);
+            }
             harness.advance(10_000).request("r" + i);
             if (harness.sentTo("r" + i, 0) != null) {
                 sent++;
                 harness.advance(1_000).outcome("r" + i, 0, "a", Outcome.OK, 10_000);
             }
         }
+        return sent;
+    }
+
+    private static void assertWithinShare(long sent) {
         // Requests take 10 ms each. In 1.1 s the budget is 3 x at most 0.17 of the capacity, initially
         // estimated as two cores, and half of it is this sidecar's.
         assertTrue(
