Keep the slow start after a refused connection when its upstream is listed again

What callers would see: full load on a server that was restarted, if discovery removed it and lists it again before it has noticed the new process.

Cause: Membership kept the time of a found process exit in the entry, which a removal (by a change or a complete list, an empty one included) discarded; the entry made when the upstream is listed again had no slow start.

Change: exits of removed endpoints are kept for an hour, at most as many as there may be endpoints, and belong to the entry when it is listed again.

Measured: MembershipTest.removalDoesNotEndTheSlowStartAfterARefusedConnection failed before (start of slow start 0 instead of the time of the exit) for both kinds of removal and passes.

--- a/src/main/java/loadbalancer/membership/Membership.java
+++ b/src/main/java/loadbalancer/membership/Membership.java
@@ -36,11 +36,19 @@
      * times agree on when its slow start begins.
      */
     private static final long RESTART_GRID_MICROS = 500_000;
+    /** Exits of removed endpoints are forgotten after this time, which is longer than any slow start. */
+    private static final long EXIT_EXPIRY_MICROS = 3_600_000_000L;
 
     private final StalenessPolicy stalenessPolicy;
     private final EndpointChecks checks;
     private final OutOfServiceUpstreams outOfService = new OutOfServiceUpstreams();
     private final Map<String, EndpointEntry> entries = new LinkedHashMap<>();
+    /**
+     * When the processes of removed endpoints were last found to have exited, by id: discovery may list an endpoint again
+     * before it has noticed.
+     */
+    private final Map<String, Long> exitMicrosOfRemoved = new HashMap<>();
+
     private long generation;
     private boolean confirmed;
     /** Whether the last call to discovery succeeded, so that discovery is expected to report restarts. */
@@ -207,6 +215,7 @@
         confirmed = true;
         discoveryResponding = true;
         outOfService.onEndpointList(nowMicros, entries.keySet());
+        exitMicrosOfRemoved.values().removeIf(exitMicros -> nowMicros - exitMicros > EXIT_EXPIRY_MICROS);
         return list.complete() || firstConfirmation
                 ? new EndpointChange(true, usableEndpoints(), logMessages)
                 : new EndpointChange(
@@ -227,9 +236,7 @@
             if (endpoint.upstream().state() == UpstreamState.GONE) {
                 remove(endpoint.id());
             } else if (entries.containsKey(endpoint.id()) || entries.size() < MAX_ENDPOINTS) {
-                entries.computeIfAbsent(
-                                endpoint.id(), id -> new EndpointEntry(endpoint, EndpointEntry.State.CONFIRMED, 0))
-                        .update(endpoint);
+                entries.computeIfAbsent(endpoint.id(), id -> newEntry(endpoint)).update(endpoint);
             }
         }
         return listedIds;
@@ -252,9 +259,22 @@
 
     private void remove(String id) {
         EndpointEntry removed = entries.remove(id);
-        if (removed != null) {
-            checks.abandon(removed);
+        if (removed == null) {
+            return;
+        }
+        checks.abandon(removed);
+        if (removed.processExitMicros() > 0 && exitMicrosOfRemoved.size() < MAX_ENDPOINTS) {
+            exitMicrosOfRemoved.put(id, removed.processExitMicros());
+        }
+    }
+
+    private EndpointEntry newEntry(Endpoint endpoint) {
+        EndpointEntry entry = new EndpointEntry(endpoint, EndpointEntry.State.CONFIRMED, 0);
+        Long exitMicros = exitMicrosOfRemoved.remove(endpoint.id());
+        if (exitMicros != null) {
+            entry.processExited(exitMicros);
         }
+        return entry;
     }
 
     /**
--- a/src/test/java/loadbalancer/membership/MembershipTest.java
+++ b/src/test/java/loadbalancer/membership/MembershipTest.java
@@ -236,6 +236,25 @@
         assertEquals(1, membership.size());
     }
 
+    /** Discovery may list the upstream again before it has noticed that its process was restarted. */
+    @Test
+    void removalDoesNotEndTheSlowStartAfterARefusedConnection() {
+        for (boolean byCompleteList : new boolean[] {true, false}) {
+            Membership membership = membership();
+            membership.start(NOW, List.of(stored(41, SECOND, ready(1))));
+            membership.onDiscoveryList(NOW, discovered(42, true, ready(1)));
+            membership.onConnectFailure(NOW + SECOND, "u1", true);
+            long slowStartMicros = Membership.nextGridMicros(NOW + SECOND);
+            membership.onDiscoveryList(
+                    NOW + 2 * SECOND,
+                    byCompleteList
+                            ? discovered(43, true)
+                            : discovered(43, false, endpoint("u1", "10.0.0.1:80", 0, UpstreamState.GONE)));
+            EndpointChange change = membership.onDiscoveryList(NOW + 3 * SECOND, discovered(44, false, ready(1)));
+            assertEquals(slowStartMicros, change.endpoints().get(0).upstream().latestStartMicros());
+        }
+    }
+
     @Test
     void appliesAPartialListButKeepsWhatItCannotRead() {
         Membership membership = membership();
