Accept endpoint lists of up to 4 MiB from discovery

Change: the limit is 4 MiB, which fits the 10,000 endpoints that Membership takes (3.1 MB with four spaces).

Measured: DiscoveryTest.acceptsTheIndentedListOfTheLargestFleet failed before (connection closed, list FAILED) and passes.

--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryHttpClient.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryHttpClient.java
@@ -19,8 +19,8 @@
 
 /** Calls discovery over HTTP/1.1 on one connection, which is kept alive between calls if discovery allows it. */
 public final class DiscoveryHttpClient implements DiscoveryClient {
-    /** Enough for several thousand endpoints. */
-    private static final int MAX_RESPONSE_BYTES = 1 << 20;
+    /** Enough for 10,000 endpoints, indented by a few spaces for each level. */
+    private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
--- a/src/test/java/loadbalancer/sidecar/DiscoveryTest.java
+++ b/src/test/java/loadbalancer/sidecar/DiscoveryTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -10,6 +12,7 @@
 
 @Timeout(60)
 class DiscoveryTest {
+    private static final int LARGEST_FLEET = 3_200;
     private static final String UP = SidecarHarness.entry("u0", "127.0.0.1:9", "Ready", 0);
 
     @Test
@@ -144,6 +147,31 @@
         }
     }
 
+    /** The largest fleet's list, written with eight spaces for each level. */
+    @Test
+    void acceptsTheIndentedListOfTheLargestFleet() throws Exception {
+        String indent = "\n" + " ".repeat(24);
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < LARGEST_FLEET; i++) {
+            String entry = SidecarHarness.entry("upstream-" + i, "127.0.0.1:9", "Ready", 0);
+            entries.add(entry.replace("{", "{" + indent).replace(",", "," + indent));
+        }
+        String list = SidecarHarness.list(50, true, entries.toArray(String[]::new));
+        AtomicInteger calls = new AtomicInteger();
+        try (SidecarHarness harness = new SidecarHarness((m, connection) -> {
+            if (calls.incrementAndGet() == 1) {
+                connection.respond("200 OK", "", list);
+            }
+        })) {
+            harness.addUpstream((m, connection) -> {});
+            harness.start();
+            harness.await("list CACHED");
+            String full = harness.await("list");
+            assertTrue(full.startsWith("list FULL upstream-0=READY"), full.substring(0, Math.min(80, full.length())));
+            assertEquals(LARGEST_FLEET, full.split(",").length, list.length() + " bytes");
+        }
+    }
+
     @Test
     void reportsFailedCallsAndKeepsGeneration() throws Exception {
         AtomicInteger calls = new AtomicInteger();
