Request the complete list after discovery rejects a call for changes

Only a malformed response led to a call for the complete list.

Change: a status from 400 to 499, apart from 408 and 429, which say nothing about the call itself, does too. The protocol names only 503 and resets as failures, so no call of the platform changes.

Measured: DiscoveryWatchTest.requestsTheCompleteListAfterItsVersionIsRejected failed before at status 400 and passes for 8 states, both kinds of discovery.

--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
@@ -1,5 +1,10 @@
 package loadbalancer.membership.discovery;
 
+import static java.net.HttpURLConnection.HTTP_BAD_REQUEST;
+import static java.net.HttpURLConnection.HTTP_CLIENT_TIMEOUT;
+import static java.net.HttpURLConnection.HTTP_INTERNAL_ERROR;
+import static java.net.HttpURLConnection.HTTP_OK;
+
 import java.util.SplittableRandom;
 import loadbalancer.core.Backoff;
 import loadbalancer.core.Clock;
@@ -18,6 +23,7 @@
  */
 public final class DiscoveryWatch {
     private static final String PATH = "/registry/instances";
+    private static final int HTTP_TOO_MANY_REQUESTS = 429;
     /**
      * Backoff after a failed call to an agent on the same machine. Short, because its changes may count as notified at
      * once.
@@ -284,7 +290,8 @@
     }
 
     private void onResponse(int status, byte[] body, boolean keepAlive) {
-        if (status != 200) {
+        if (status != HTTP_OK) {
+            completeListNeeded |= isRejection(status);
             onCallFailure(currentCall, status == 0 ? "the response is not HTTP" : "status " + status);
             return;
         }
@@ -319,6 +326,14 @@
         }
     }
 
+    /** Whether the call was rejected for what it asks, such as changes from a version that discovery does not know. */
+    private static boolean isRejection(int status) {
+        return status >= HTTP_BAD_REQUEST
+                && status < HTTP_INTERNAL_ERROR
+                && status != HTTP_CLIENT_TIMEOUT
+                && status != HTTP_TOO_MANY_REQUESTS;
+    }
+
     private String describeMisplaced(EndpointList list) {
         return "expected a complete list, or requested changes from version " + generation
                 + " on; received changes of version " + list.generation() + " with "
--- a/src/test/java/loadbalancer/membership/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/membership/discovery/DiscoveryWatchTest.java
@@ -141,6 +141,25 @@
         assertEquals(List.of(3_000L), harness.failedMillis);
     }
 
+    /** A discovery service that was restored from a backup may not know the version that the watch continues from. */
+    @Test
+    void requestsTheCompleteListAfterItsVersionIsRejected() {
+        for (boolean selfPolling : new boolean[] {false, true}) {
+            for (int status : new int[] {400, 404, 410, 416, 408, 429, 500, 503}) {
+                WatchHarness harness = new WatchHarness(selfPolling, 10_000_000, 3);
+                harness.awaitCall(1).listener().onResponse(200, NO_CHANGE, true);
+                harness.awaitCall(2).listener().onResponse(status, new byte[0], true);
+                if (!selfPolling) {
+                    harness.watch.poll();
+                }
+                boolean rejected = status < 500 && status != 408 && status != 429;
+                String context =
+                        "status " + status + ": " + harness.awaitCall(3).uri();
+                assertEquals(rejected, harness.awaitCall(3).uri().equals("/registry/instances"), context);
+            }
+        }
+    }
+
     @Test
     void drawsDifferentWaitsForDifferentSeeds() {
         Set<Long> waits = new HashSet<>();
