Word the discovery stand-in by the field's terms; build its entries in one place

Change: names and comments only, apart from the entries, which Testbed.Listed writes now, and the unused delay of responses, which is gone. StageTest and EmptyEndpointListTest passed.

--- a/src/main/java/loadbalancer/benchmark/ChainRun.java
+++ b/src/main/java/loadbalancer/benchmark/ChainRun.java
@@ -47,7 +47,7 @@
             for (int i = 0; i < depth; i++) {
                 hops.add(new ChainHop());
             }
-            world.registry().seen((sidecar, node) -> text(hops.get(Integer.parseInt(sidecar.substring(1)))));
+            world.registry().listAddresses((sidecar, node) -> text(hops.get(Integer.parseInt(sidecar.substring(1)))));
             for (ChainHop hop : hops) {
                 sidecars.add(startSidecar(hop).address());
             }
--- a/src/main/java/loadbalancer/testbed/StandInDiscovery.java
+++ b/src/main/java/loadbalancer/testbed/StandInDiscovery.java
@@ -33,32 +33,38 @@
 import loadbalancer.json.JsonObject;
 
 /**
- * A stand-in discovery service: the complete list and a watch on its changes. It can be down, late, list nothing, or lose
+ * A stand-in discovery service: the complete list and a watch on its changes. It can be down, list nothing, or lose
  * its versions. All on the stage's loop; methods may be called from any thread.
  */
 public final class StandInDiscovery implements AutoCloseable {
-    /** Changes before this version are not remembered. */
-    private static final int BASE = 40;
+    /** Changes up to this version are not stored. */
+    private static final int INITIAL_VERSION = 40;
 
-    private record Line(StandInUpstream node, String lifecycle, long version) {}
+    private static final String READY = "Ready";
+    private static final String GONE = "Gone";
 
-    private record Watch(ChannelHandlerContext from, long index) {}
+    private record Registration(StandInUpstream node, String lifecycle, long version) {
+        private boolean isGone() {
+            return lifecycle.equals(GONE);
+        }
+    }
+
+    private record Watch(ChannelHandlerContext context, long version) {}
 
     private static final AttributeKey<String> SIDECAR = AttributeKey.valueOf(StandInDiscovery.class, "sidecar");
 
     private final EventLoop loop;
     private final Clock clock;
     private final Referee referee;
-    private final Map<String, Line> lines = new LinkedHashMap<>();
+    private final Map<String, Registration> registrations = new LinkedHashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Set<Channel> connections = new HashSet<>();
     private final List<Channel> listeners = new CopyOnWriteArrayList<>();
-    private long version = BASE;
+    private long version = INITIAL_VERSION;
     private volatile boolean down;
     private volatile boolean empty;
-    private volatile long lateMs;
     private volatile int calls;
-    private volatile BiFunction<String, StandInUpstream, String> seen = (sidecar, node) -> node.address();
+    private volatile BiFunction<String, StandInUpstream, String> addressBySidecar = (sidecar, node) -> node.address();
     private final Map<Long, Integer> callsInSecond = new LinkedHashMap<>();
 
     StandInDiscovery(EventLoop loop, Clock clock, Referee referee) {
@@ -67,7 +73,7 @@
         this.referee = referee;
     }
 
-    /** An address for this sidecar alone: whoever calls there is told in its name. */
+    /** Listens on another address for this sidecar, so that calls of several sidecars can be told apart. */
     public String addressFor(String sidecar) throws InterruptedException {
         Channel listener = new ServerBootstrap()
                 .group(loop)
@@ -80,7 +86,7 @@
                         channel.attr(SIDECAR).set(sidecar);
                         channel.closeFuture().addListener(f -> {
                             connections.remove(channel);
-                            watches.removeIf(w -> w.from.channel() == channel);
+                            watches.removeIf(w -> w.context.channel() == channel);
                         });
                         channel.pipeline()
                                 .addLast(new HttpServerCodec(), new HttpObjectAggregator(4096), new Handler());
@@ -93,10 +99,10 @@
         return "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
-    /** The node is listed as {@code Ready}, {@code Terminating} or {@code Gone}, and all that watch are told. */
+    /** Lists the node as {@code Ready}, {@code Terminating} or {@code Gone}, and answers all watches. */
     public void list(StandInUpstream node, String lifecycle) {
         loop.execute(() -> {
-            lines.put(node.id(), new Line(node, lifecycle, ++version));
+            registrations.put(node.id(), new Registration(node, lifecycle, ++version));
             answerWatches();
         });
     }
@@ -104,11 +110,11 @@
     private void answerWatches() {
         for (Watch watch : List.copyOf(watches)) {
             watches.remove(watch);
-            tell(watch.from, watch.index, false);
+            respond(watch.context, watch.version, false);
         }
     }
 
-    /** While it is down its connections are reset and calls end with 503. */
+    /** Takes the service down or up: while down it closes all connections and answers calls with 503. */
     public void down(boolean now) {
         down = now;
         if (now) {
@@ -119,9 +125,9 @@
         }
     }
 
-    /** Where each sidecar, by its name, is told that a node is: the way there may be its own. */
-    public void seen(BiFunction<String, StandInUpstream, String> address) {
-        seen = address;
+    /** Sets the address that lists contain, by the name of the sidecar that gets the list and the node. */
+    public void listAddresses(BiFunction<String, StandInUpstream, String> address) {
+        addressBySidecar = address;
     }
 
     /** From now on a new version withdraws all nodes by an empty complete list, or lists them again. */
@@ -129,30 +135,27 @@
         loop.execute(() -> {
             empty = now;
             version++;
-            lines.replaceAll((id, line) -> new Line(line.node, line.lifecycle, version));
+            registrations.replaceAll(
+                    (id, registration) -> new Registration(registration.node, registration.lifecycle, version));
             answerWatches();
         });
     }
 
-    /** Starts its versions again from below those it had, as one restored from an old copy. */
-    public void forgetVersions() {
+    /** Continues from the lowest version, as a service that was restored from a backup does. */
+    public void resetVersions() {
         loop.execute(() -> {
             version = 1;
-            lines.replaceAll((id, l) -> new Line(l.node, l.lifecycle, 1));
+            registrations.replaceAll(
+                    (id, registration) -> new Registration(registration.node, registration.lifecycle, 1));
         });
     }
 
-    /** Each answer comes so much later. */
-    public void late(long ms) {
-        lateMs = ms;
-    }
-
-    /** Calls it has had, those that failed among them. */
+    /** Number of calls, including those that failed. */
     public int calls() {
         return calls;
     }
 
-    /** The most calls in any one second from that one on, in Unix time. */
+    /** Largest number of calls in one second, from {@code second} in Unix time on. */
     public int callsPeakSince(long second) {
         return loop.submit(() -> callsInSecond.entrySet().stream()
                         .filter(e -> e.getKey() >= second)
@@ -163,90 +166,79 @@
                 .getNow();
     }
 
-    private void call(ChannelHandlerContext ctx, String uri) {
+    private void call(ChannelHandlerContext context, String uri) {
         calls++;
         callsInSecond.merge(clock.nowMicros() / 1_000_000, 1, Integer::sum);
         if (down) {
-            answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
+            send(context, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
             return;
         }
         QueryStringDecoder query = new QueryStringDecoder(uri);
         if (!query.parameters().containsKey("index")) {
-            tell(ctx, 0, true);
+            respond(context, 0, true);
             return;
         }
-        long index = Long.parseLong(query.parameters().get("index").get(0));
-        long waitMs = Long.parseLong(
+        long sinceVersion = Long.parseLong(query.parameters().get("index").get(0));
+        long waitMillis = Long.parseLong(
                 query.parameters().getOrDefault("wait", List.of("0")).get(0));
-        if (index != version) {
-            // What was missed goes back further than is remembered, or it is of another history: all of it.
-            tell(ctx, index, index > version || index < BASE);
+        if (sinceVersion != version) {
+            // Changes are stored only from the initial version on, and a later version is of another history.
+            respond(context, sinceVersion, sinceVersion > version || sinceVersion < INITIAL_VERSION);
             return;
         }
-        Watch watch = new Watch(ctx, index);
+        Watch watch = new Watch(context, sinceVersion);
         watches.add(watch);
         loop.schedule(
                 () -> {
                     if (watches.remove(watch)) {
-                        tell(ctx, index, false);
+                        respond(context, sinceVersion, false);
                     }
                 },
-                waitMs,
+                waitMillis,
                 TimeUnit.MILLISECONDS);
     }
 
-    private void tell(ChannelHandlerContext ctx, long index, boolean whole) {
-        if (lateMs > 0) {
-            loop.schedule(() -> write(ctx, index, whole), lateMs, TimeUnit.MILLISECONDS);
-        } else {
-            write(ctx, index, whole);
-        }
-    }
-
-    private void write(ChannelHandlerContext ctx, long index, boolean whole) {
-        List<Object> instances = new ArrayList<>();
-        List<Line> told = new ArrayList<>();
-        for (Line l : lines.values()) {
-            boolean gone = l.lifecycle.equals("Gone");
-            if (empty || whole && gone) {
-                // A complete list that does not contain the node withdraws it.
-                told.add(l);
-            } else if (whole || l.version > index) {
-                Map<String, Object> e = new LinkedHashMap<>();
-                e.put("instanceId", l.node.id());
-                e.put("hostPort", seen.apply(ctx.channel().attr(SIDECAR).get(), l.node));
-                e.put("zone", l.node.zone());
-                e.put("machineType", "stand-in");
-                e.put("cell", 0);
-                e.put("lifecycle", l.lifecycle);
-                e.put("weight", 1.0);
-                e.put("startedAtMs", l.node.startedMs());
-                if (l.node.grpcPort() > 0) {
-                    e.put("grpcPort", l.node.grpcPort());
-                }
-                instances.add(e);
-                told.add(l);
-            }
-        }
+    /** Responds with the complete list, or with the changes since {@code sinceVersion}; an empty list is complete. */
+    private void respond(ChannelHandlerContext context, long sinceVersion, boolean complete) {
+        boolean listsAll = complete || empty;
+        List<Registration> listed = registrations.values().stream()
+                .filter(registration -> !empty)
+                .filter(registration -> listsAll ? !registration.isGone() : registration.version > sinceVersion)
+                .toList();
+        String sidecar = context.channel().attr(SIDECAR).get();
         Map<String, Object> list = new LinkedHashMap<>();
         list.put("generation", version);
-        list.put("reset", whole || empty);
-        list.put("instances", instances);
-        answer(ctx, HttpResponseStatus.OK, JsonObject.write(list));
-        for (Line l : told) {
-            referee.told(
-                    clock.nowMicros(),
-                    ctx.channel().attr(SIDECAR).get(),
-                    l.node.id(),
-                    !empty && l.lifecycle.equals("Ready"));
+        list.put("reset", listsAll);
+        list.put(
+                "instances",
+                listed.stream()
+                        .map(registration -> entry(sidecar, registration))
+                        .toList());
+        send(context, HttpResponseStatus.OK, JsonObject.write(list));
+        recordNotified(sidecar, listed, listsAll);
+    }
+
+    private Map<String, Object> entry(String sidecar, Registration registration) {
+        String address = addressBySidecar.apply(sidecar, registration.node);
+        Map<String, Object> entry =
+                Testbed.Listed.of(registration.node, address).json();
+        entry.put("lifecycle", registration.lifecycle);
+        return entry;
+    }
+
+    /** Tells the referee what a response says; a complete list withdraws the nodes that it does not contain. */
+    private void recordNotified(String sidecar, List<Registration> listed, boolean complete) {
+        for (Registration registration : complete ? registrations.values() : listed) {
+            boolean usable = listed.contains(registration) && registration.lifecycle.equals(READY);
+            referee.told(clock.nowMicros(), sidecar, registration.node.id(), usable);
         }
     }
 
-    private static void answer(ChannelHandlerContext ctx, HttpResponseStatus status, byte[] body) {
+    private static void send(ChannelHandlerContext context, HttpResponseStatus status, byte[] body) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        ctx.writeAndFlush(response);
+        context.writeAndFlush(response);
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/src/main/java/loadbalancer/testbed/fleet/FleetProcesses.java
+++ b/src/main/java/loadbalancer/testbed/fleet/FleetProcesses.java
@@ -201,7 +201,7 @@
         int count = scenario.fleet().sidecars();
         int told = Math.max(scenario.fleet().told(), count);
         if (pipes != null) {
-            world.registry().seen((name, node) -> found(Integer.parseInt(name.substring(1)), node));
+            world.registry().listAddresses((name, node) -> found(Integer.parseInt(name.substring(1)), node));
         }
         for (int from = 0; from < count; from += AT_ONCE) {
             List<SidecarProcess> batch = new ArrayList<>();
--- a/src/test/java/loadbalancer/testbed/StageTest.java
+++ b/src/test/java/loadbalancer/testbed/StageTest.java
@@ -112,7 +112,7 @@
             assertFalse(ask(address, call.formatted("")).contains("\"n0\""), "what is gone is in a whole list");
             String old = ask(address, call.formatted("?index=7&wait=0"));
             assertTrue(old.contains("\"reset\":true"), "changes were told that nobody remembers");
-            world.registry().forgetVersions();
+            world.registry().resetVersions();
             assertTrue(ask(address, call.formatted("?index=43&wait=0")).contains("\"generation\":1,\"reset\":true"));
             world.registry().empty(true);
             assertTrue(ask(address, call.formatted("")).contains("\"reset\":true,\"instances\":[]"));
