Report ready once discovery has responded, even if it lists no upstream

While all upstreams drain it was not ready before either.

Cause: readiness asked for an upstream that takes requests, although the sidecar can reject rightly without one.

Change: it is ready if an upstream takes requests or discovery has responded. Without a response of discovery and without an upstream it is not ready, as before.

--- a/src/main/java/loadbalancer/http1/HttpServer.java
+++ b/src/main/java/loadbalancer/http1/HttpServer.java
@@ -70,7 +70,7 @@
     /**
      * Creates a server that doesn't listen yet.
      *
-     * @param canServe       whether there are upstreams that accept requests
+     * @param canServe       whether requests can be forwarded, or rejected because discovery lists no upstream
      * @param maxConnections limit on open connections; further clients wait in the kernel's backlog
      */
     public HttpServer(
--- a/src/main/java/loadbalancer/sidecar/EndpointService.java
+++ b/src/main/java/loadbalancer/sidecar/EndpointService.java
@@ -136,6 +136,11 @@
         return membership.generation();
     }
 
+    /** Whether discovery has responded, so that requests are rejected rightly while no upstream is listed. */
+    public boolean isConfirmedByDiscovery() {
+        return membership.isConfirmedByDiscovery();
+    }
+
     public void stop() {
         stopped = true;
     }
--- a/src/main/java/loadbalancer/sidecar/Sidecar.java
+++ b/src/main/java/loadbalancer/sidecar/Sidecar.java
@@ -101,7 +101,13 @@
         network.connect(peers, replicas);
         GrpcServer grpc = operator.grpc() == null ? null : grpcServer(operator, classes);
         httpServer = new HttpServer(
-                loop, clock, engine.requests(), upstreams, classes, upstreams::anyReady, maxClientConnections);
+                loop,
+                clock,
+                engine.requests(),
+                upstreams,
+                classes,
+                () -> upstreams.anyReady() || engine.endpoints().isConfirmedByDiscovery(),
+                maxClientConnections);
         listeners = new Listeners(loop, config, httpServer, grpc, peers, replicas, handover != null);
         tracing = new TracingSwitch(loop, clock, engine.requests(), config.name(), config.seed());
         persistence = new EndpointListPersistence(loop, clock, engine.endpoints());
--- a/src/test/java/loadbalancer/testbed/EmptyEndpointListTest.java
+++ b/src/test/java/loadbalancer/testbed/EmptyEndpointListTest.java
@@ -16,6 +16,8 @@
 @Timeout(120)
 class EmptyEndpointListTest {
     private static final int REQUESTS_PER_SECOND = 20;
+    /** Time within which a restarted sidecar must be ready. */
+    private static final long READY_SECONDS = 10;
     /** The grace period of a removed upstream and the slack on sockets, and the service times of the last requests. */
     private static final long GRACE_MILLIS = 500 + 50 + 150;
 
@@ -127,6 +129,25 @@
         }
     }
 
+    /** A sidecar that starts while nothing is listed must not hold up its application: it rejects until one is. */
+    @Test
+    void isReadyWhileDiscoveryListsNoUpstream() throws Exception {
+        try (Testbed world = Setup.DEFAULT.testbed()) {
+            world.registry().empty(true);
+            SidecarProcess sidecar = Setup.DEFAULT.sidecar(world);
+            sidecar.awaitLog("3 removed (");
+            world.ready(sidecar.address()).get(READY_SECONDS, TimeUnit.SECONDS);
+            Setup.DEFAULT.startClients(world, sidecar);
+            world.play(500);
+            assertEquals(0, Setup.DEFAULT.served(world), sidecar.log().toString());
+
+            world.registry().empty(false);
+            world.play(2_000);
+            assertTrue(Setup.DEFAULT.served(world) > 0, sidecar.log().toString());
+            assertEquals(List.of(), world.verdict().first());
+        }
+    }
+
     /** Requests that waited while nothing was listed must not rush the upstreams that come back cold. */
     @Test
     void sparesColdUpstreamsThatAreListedAgainAfterAnEmptyList() throws Exception {
