--- a/src/main/java/loadbalancer/testbed/StandInDiscovery.java
+++ b/src/main/java/loadbalancer/testbed/StandInDiscovery.java
@@ -63,6 +63,7 @@
     private long version = INITIAL_VERSION;
     private volatile boolean down;
     private volatile boolean empty;
+    private volatile boolean unreadableEntry;
     private volatile int calls;
     private volatile BiFunction<String, StandInUpstream, String> addressBySidecar = (sidecar, node) -> node.address();
     private final Map<Long, Integer> callsInSecond = new LinkedHashMap<>();
@@ -141,6 +142,11 @@
         });
     }
 
+    /** Adds an entry that can't be read to each list from now on, or no longer. */
+    public void listUnreadableEntry(boolean now) {
+        unreadableEntry = now;
+    }
+
     /** Continues from the lowest version, as a service that was restored from a backup does. */
     public void resetVersions() {
         loop.execute(() -> {
@@ -209,15 +215,20 @@
         Map<String, Object> list = new LinkedHashMap<>();
         list.put("generation", version);
         list.put("reset", listsAll);
-        list.put(
-                "instances",
-                listed.stream()
-                        .map(registration -> entry(sidecar, registration))
-                        .toList());
+        list.put("instances", entries(sidecar, listed));
         send(context, HttpResponseStatus.OK, JsonObject.write(list));
         recordNotified(sidecar, listed, listsAll);
     }
 
+    private List<Map<String, Object>> entries(String sidecar, List<Registration> listed) {
+        List<Map<String, Object>> entries = new ArrayList<>();
+        if (unreadableEntry) {
+            entries.add(Map.of("instanceId", "unreadable", "hostPort", "", "lifecycle", READY));
+        }
+        listed.forEach(registration -> entries.add(entry(sidecar, registration)));
+        return entries;
+    }
+
     private Map<String, Object> entry(String sidecar, Registration registration) {
         String address = addressBySidecar.apply(sidecar, registration.node);
         Map<String, Object> entry =
