Go on with the watch of discovery after a list that could not be applied

What callers would see: after one exception while a list is applied, requests to upstreams that discovery withdraws later, until the process ends. No list is known that causes one.

Change: the exception is logged as a fault, the call counts as failed, and the complete list is requested after the usual backoff.

Measured: DiscoveryWatchTest.goesOnAfterAListThatCouldNotBeApplied failed before (the exception left the watch without a call) and passes for both kinds of discovery; DiscoveryTest and WithdrawalPropertyTest passed.

--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryWatch.java
@@ -256,6 +256,10 @@
             failureLogged = true;
             logFailure(number, reason);
         }
+        retryAfterFailure();
+    }
+
+    private void retryAfterFailure() {
         if (selfPolling) {
             scheduleRetry();
         } else {
@@ -317,7 +321,15 @@
         if (!keepAlive) {
             client.disconnect();
         }
-        accept(list);
+        try {
+            accept(list);
+        } catch (RuntimeException exception) {
+            // A watch that ended here would leave the former list in use without a limit of time.
+            Log.fault("applying an endpoint list failed", exception);
+            completeListNeeded = true;
+            retryAfterFailure();
+            return;
+        }
         long pauseMillis = MIN_CALL_INTERVAL_MILLIS - (clock.nowMicros() - callStartedMicros) / 1000;
         if (pauseMillis <= 0) {
             startCallIfIdle();
--- a/src/test/java/loadbalancer/membership/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/membership/discovery/DiscoveryWatchTest.java
@@ -160,6 +160,26 @@
         }
     }
 
+    /** A watch that ended would leave the former list in use without a limit of time. */
+    @Test
+    void goesOnAfterAListThatCouldNotBeApplied() {
+        for (boolean selfPolling : new boolean[] {false, true}) {
+            WatchHarness harness = new WatchHarness(selfPolling, 10_000_000, 3);
+            harness.awaitCall(1).listener().onResponse(200, NO_CHANGE, true);
+            harness.listError = new IllegalStateException("thrown by the test");
+            harness.awaitCall(2).listener().onResponse(200, NO_CHANGE, true);
+            harness.listError = null;
+            if (!selfPolling) {
+                assertEquals(1, harness.failedMillis.size(), "the balancer must poll again after its backoff");
+                harness.watch.poll();
+            }
+            assertEquals("/registry/instances", harness.awaitCall(3).uri());
+            assertTrue(
+                    harness.calls.get(2).atMillis() - harness.calls.get(1).atMillis() >= (selfPolling ? 50 : 0),
+                    "a list that fails each time must not be requested without a pause");
+        }
+    }
+
     @Test
     void drawsDifferentWaitsForDifferentSeeds() {
         Set<Long> waits = new HashSet<>();
--- a/src/test/java/loadbalancer/membership/discovery/WatchHarness.java
+++ b/src/test/java/loadbalancer/membership/discovery/WatchHarness.java
@@ -35,6 +35,8 @@
     final DiscoveryWatch watch;
     long currentMicros;
     int disconnectCount;
+    /** Thrown when a list is applied; null if lists are applied. */
+    RuntimeException listError;
 
     WatchHarness(boolean selfPolling, long pollIntervalMicros, long seed) {
         Clock clock = new Clock() {
@@ -88,7 +90,11 @@
     }
 
     @Override
-    public void onList(EndpointList list, boolean answersPoll) {}
+    public void onList(EndpointList list, boolean answersPoll) {
+        if (listError != null) {
+            throw listError;
+        }
+    }
 
     @Override
     public void onPartialList(PartialEndpointList list) {
