Judge a renewed watch by the connection that it uses, not by their number

Traced: with lists pushed, a call without a response within 250 ms is restarted on a new connection by design, so a discovery stand-in that is slow by that much under load adds connections. With the first two responses delayed by 600 ms the test fails in the same way, 4 in place of 2, with one event 'discovery watch restarted' and the list applied.

--- a/src/test/java/loadbalancer/sidecar/DiscoveryTest.java
+++ b/src/test/java/loadbalancer/sidecar/DiscoveryTest.java
@@ -1,10 +1,12 @@
 package loadbalancer.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -254,12 +256,12 @@
     @Test
     void renewsSilentWatchBeforeDrainAtOnce() throws Exception {
         for (String discovery : new String[] {"on_request", "pushed"}) {
-            AtomicInteger calls = new AtomicInteger();
+            List<ScriptedServer.Connection> connections = new CopyOnWriteArrayList<>();
             try (SidecarHarness harness = new SidecarHarness((m, connection) -> {
-                int number = calls.incrementAndGet();
-                if (number == 1) {
+                connections.add(connection);
+                if (connections.size() == 1) {
                     connection.respond("200 OK", "", SidecarHarness.list(41, false));
-                } else if (number > 2 && m.path().endsWith("&wait=0")) {
+                } else if (connections.size() > 2 && m.path().endsWith("&wait=0")) {
                     connection.respond(
                             "200 OK", "", SidecarHarness.list(42, false, UP.replace("Ready", "Terminating")));
                 }
@@ -275,7 +277,12 @@
                     assertEquals("list DELTA ", harness.await("list"));
                 }
                 assertEquals("list DELTA u0=DRAINING", harness.await("list"), discovery);
-                assertEquals(2, harness.discovery.accepted.size(), "the second call used the silent connection");
+                ScriptedServer.Connection silent = connections.get(1);
+                assertEquals(connections.get(0), silent, "the connection was not kept for the second call");
+                assertTrue(connections.size() > 2);
+                assertFalse(
+                        connections.subList(2, connections.size()).contains(silent),
+                        "a call used the silent connection again");
             }
         }
     }
