--- a/src/main/java/loadbalancer/balancing/UpstreamDirectory.java
+++ b/src/main/java/loadbalancer/balancing/UpstreamDirectory.java
@@ -107,7 +107,7 @@
         return upstream.removed && upstream.inFlight == 0 && !budgetInUse;
     }
 
-    /** Forgets the upstream if it is removed and has no requests in flight. */
+    /** Forgets the upstream if nothing about it is needed any longer. */
     void forgetIfDone(long nowMicros, TrackedUpstream upstream) {
         if (canForget(nowMicros, upstream)) {
             upstreams.remove(upstream.id, upstream);
--- a/src/main/java/loadbalancer/json/JsonObject.java
+++ b/src/main/java/loadbalancer/json/JsonObject.java
@@ -169,7 +169,7 @@
     }
 
     /** Returns the elements of an array field, each empty if it is not an object. */
-    public List<Optional<JsonObject>> objectsOrEmpty(String name) {
+    public List<Optional<JsonObject>> elementsAsObjects(String name) {
         return list(name).stream()
                 .map(element -> element instanceof Map<?, ?> map
                         ? Optional.of(new JsonObject(map))
--- a/src/main/java/loadbalancer/membership/Membership.java
+++ b/src/main/java/loadbalancer/membership/Membership.java
@@ -36,8 +36,8 @@
      * times agree on when its slow start begins.
      */
     private static final long RESTART_GRID_MICROS = 500_000;
-    /** Exits of removed endpoints are forgotten after this time, which is longer than any slow start. */
-    private static final long EXIT_EXPIRY_MICROS = 3_600_000_000L;
+    /** Restarts that a list may not show yet are forgotten after this time, which is longer than any slow start. */
+    static final long RESTART_EXPIRY_MICROS = 3_600_000_000L;
 
     private final StalenessPolicy stalenessPolicy;
     private final EndpointChecks checks;
@@ -215,7 +215,7 @@
         confirmed = true;
         discoveryResponding = true;
         outOfService.onEndpointList(nowMicros, entries.keySet());
-        exitMicrosOfRemoved.values().removeIf(exitMicros -> nowMicros - exitMicros > EXIT_EXPIRY_MICROS);
+        exitMicrosOfRemoved.values().removeIf(exitMicros -> nowMicros - exitMicros > RESTART_EXPIRY_MICROS);
         return list.complete() || firstConfirmation
                 ? new EndpointChange(true, usableEndpoints(), logMessages)
                 : new EndpointChange(
--- a/src/main/java/loadbalancer/membership/OutOfServiceUpstreams.java
+++ b/src/main/java/loadbalancer/membership/OutOfServiceUpstreams.java
@@ -15,8 +15,6 @@
      * forgotten.
      */
     static final long EXPIRY_MICROS = 24 * 3_600_000_000L;
-    /** Returns are forgotten after this time, which is longer than any slow start. */
-    static final long RETURN_EXPIRY_MICROS = 3_600_000_000L;
 
     static final int MAX_UPSTREAMS = Membership.MAX_ENDPOINTS;
 
@@ -63,7 +61,7 @@
             return false;
         }
         long slowStartFromMicros = Membership.nextGridMicros(nowMicros);
-        returned.values().removeIf(atMicros -> slowStartFromMicros - atMicros > RETURN_EXPIRY_MICROS);
+        returned.values().removeIf(atMicros -> slowStartFromMicros - atMicros > Membership.RESTART_EXPIRY_MICROS);
         returned.put(id, slowStartFromMicros);
         return true;
     }
--- a/src/main/java/loadbalancer/membership/discovery/DiscoveryListFormat.java
+++ b/src/main/java/loadbalancer/membership/discovery/DiscoveryListFormat.java
@@ -65,7 +65,7 @@
 
     /** The entries of a list, each empty if it is not an object. */
     static List<Optional<JsonObject>> instances(JsonObject json) {
-        return json.objectsOrEmpty(INSTANCES);
+        return json.elementsAsObjects(INSTANCES);
     }
 
     static String id(JsonObject instance) {
--- a/src/test/java/loadbalancer/testbed/StartTest.java
+++ b/src/test/java/loadbalancer/testbed/StartTest.java
@@ -257,10 +257,7 @@
                 world.play(200);
             }
             world.registry().down(false);
-            kept(world.verdict());
-            LoadClients.Tally t = world.tally(0, 99);
-            assertEquals(0, t.refused() + t.failed() + t.unreachable(), t + " " + sidecar.log());
-            assertTrue(world.registry().calls() <= 40, world.registry().calls() + " calls");
+            assertAllServedWithFewCalls(world, sidecar);
         }
     }
 
@@ -281,13 +278,17 @@
             world.registry().empty(false);
             sidecar.awaitLog("3 removed (");
             sidecar.awaitLog("3 ready (");
-            kept(world.verdict());
-            LoadClients.Tally t = world.tally(0, 99);
-            assertEquals(0, t.refused() + t.failed() + t.unreachable(), t + " " + sidecar.log());
-            assertTrue(world.registry().calls() <= 40, world.registry().calls() + " calls");
+            assertAllServedWithFewCalls(world, sidecar);
         }
     }
 
+    private static void assertAllServedWithFewCalls(Testbed world, SidecarProcess sidecar) {
+        kept(world.verdict());
+        LoadClients.Tally t = world.tally(0, 99);
+        assertEquals(0, t.refused() + t.failed() + t.unreachable(), t + " " + sidecar.log());
+        assertTrue(world.registry().calls() <= 40, world.registry().calls() + " calls");
+    }
+
     /** A sidecar whose list on disk has all nodes, with clients that have begun to send. */
     private static SidecarProcess startFromDisk(Testbed world) throws Exception {
         Path folder = world.folder().resolve("kept");
