--- a/review/standins/Grpc.java
+++ b/review/standins/Grpc.java
@@ -42,7 +42,11 @@
         /** Whether the bytes are no sequence of messages. */
         boolean broken;
 
+        /** All bytes so far. */
+        int received;
+
         void add(ByteBuf data) {
+            received += data.readableBytes();
             bytes.writeBytes(data);
             while (!broken && bytes.readableBytes() >= 5) {
                 int length = bytes.getInt(bytes.readerIndex() + 1);
@@ -192,7 +196,15 @@
                             channel.pipeline()
                                     .addLast(
                                             Http2FrameCodecBuilder.forClient().build(),
-                                            new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()));
+                                            new Http2MultiplexHandler(new ChannelInboundHandlerAdapter()),
+                                            new ChannelInboundHandlerAdapter() {
+                                                @Override
+                                                public void exceptionCaught(
+                                                        ChannelHandlerContext context, Throwable cause) {
+                                                    // A reset: the calls learn of the end of the connection.
+                                                    context.close();
+                                                }
+                                            });
                         }
                     })
                     .connect(Rig.HOST, port)
@@ -245,6 +257,10 @@
             }
         }
 
+        int receivedBytes() {
+            return answer.received;
+        }
+
         boolean isOver() {
             return end.isDone();
         }
--- /dev/null
+++ b/review/standins/LargeAnswerAtStop.java
@@ -0,0 +1,132 @@
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Planned restarts while a gRPC call is in progress whose answer is large. The rule is broken if the sidecar ends before
+ * the client has the whole answer.
+ */
+final class LargeAnswerAtStop {
+    private static final int UPSTREAMS = 3;
+    private static final int RESTARTS = 14;
+    private static final long DEADLINE_MILLIS = 830;
+    private static final int ANSWER_BYTES = 500_000;
+    /** Time from the call to the upstream's answer. */
+    private static final long SERVICE_MILLIS = 450;
+    /** Time from SIGTERM to the client's new connection and its call. */
+    private static final double CALL_AFTER_MILLIS = 200;
+
+    private static final double KILL_AFTER_SECONDS = (DEADLINE_MILLIS + 700 + 50) / 1000.0;
+    private static final String PATH = "/zahnplan.Slots/Export";
+
+    private final Rig rig;
+
+    private LargeAnswerAtStop(Rig rig) {
+        this.rig = rig;
+    }
+
+    public static void main(String[] arguments) throws Exception {
+        new LargeAnswerAtStop(new Rig(Path.of(arguments[0]), Path.of(arguments[1]))).run();
+    }
+
+    private final class Export extends Grpc.Call {
+        private final String upstream;
+        private String id;
+
+        Export(String upstream) {
+            this.upstream = upstream;
+        }
+
+        @Override
+        void begin() {
+            id = head.get("x-txn").toString();
+            rig.note(upstream + " begins " + id);
+        }
+
+        @Override
+        void whole() {
+            stream.eventLoop()
+                    .schedule(
+                            () -> {
+                                if (!over) {
+                                    rig.note(upstream + " answers " + id);
+                                    reply(id + ".".repeat(ANSWER_BYTES - id.length()));
+                                }
+                            },
+                            SERVICE_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        void left() {
+            rig.note(upstream + ": the sidecar gave up " + id);
+        }
+    }
+
+    private void run() throws Exception {
+        List<Rig.Upstream> upstreams = new ArrayList<>();
+        for (int i = 0; i < UPSTREAMS; i++) {
+            String name = "u" + i;
+            Rig.Upstream upstream = new Rig.Upstream(
+                    name,
+                    Rig.ZONES.get(i % Rig.ZONES.size()),
+                    (u, request, connection) -> connection.out().write(Rig.response(200, "", "unused")));
+            upstream.grpcPort = Grpc.serve(() -> new Export(name));
+            upstreams.add(upstream);
+        }
+        Rig.Discovery discovery = new Rig.Discovery(upstreams);
+        int port = Rig.freePort();
+        int grpcPort = Rig.freePort();
+        Path config = rig.temporary.resolve("config.json");
+        List<Rig.Profile> profiles = List.of(new Rig.Profile("slot-export", "unsafe", "all", 4000, 800, DEADLINE_MILLIS));
+        Files.writeString(config, Rig.config("n1", port, discovery, profiles, 4, ""));
+        Path operator = rig.temporary.resolve("operator.toml");
+        Files.writeString(
+                operator,
+                "[grpc]\nlisten = \"" + Rig.HOST + ":" + grpcPort + "\"\n[[grpc.method]]\nname = \"zahnplan.Slots/Export\"\n"
+                        + "class = \"slot-export\"\n[grpc.other]\nclass = \"slot-export\"\n");
+        int served = 0;
+        int lost = 0;
+        int others = 0;
+        for (int round = 0; round < RESTARTS; round++) {
+            Process sidecar = rig.sidecar(
+                    "n1", config, port, discovery, rig.temporary.resolve("tmp" + round), " --operator " + operator, "n1");
+            if (!rig.awaitReady(port, 30)) {
+                rig.finish(2, "the sidecar was not ready within 30 s");
+            }
+            String id = String.format("%016x", 0x5d0f6e1a00000000L + round);
+            if (rig.trouble) {
+                rig.signal(sidecar, "TERM");
+            }
+            double stopped = rig.seconds();
+            Rig.sleep(CALL_AFTER_MILLIS);
+            rig.note("client connects and begins " + id);
+            Grpc.ClientCall call = new Grpc.Client(grpcPort).call(PATH, id, null);
+            call.send("export", true);
+            String result = call.await(3);
+            double ended = rig.seconds() - stopped;
+            result = result.length() > 60 ? result.substring(0, 60) + "..." : result;
+            rig.note("client got " + result + " to " + id + String.format(", %.3f s after ", ended)
+                    + (rig.trouble ? "SIGTERM" : "the start of the round") + "; " + call.receivedBytes()
+                    + " bytes of the answer");
+            if (result.startsWith("status 0")) {
+                served++;
+            } else if (!result.startsWith("status") && ended < KILL_AFTER_SECONDS) {
+                lost++;
+                rig.note("BROKEN: " + id + " has no whole answer");
+            } else {
+                others++;
+            }
+            if (!rig.trouble) {
+                rig.signal(sidecar, "TERM");
+            }
+            if (!sidecar.waitFor(5, TimeUnit.SECONDS)) {
+                rig.signal(sidecar, "KILL");
+            }
+        }
+        String counts = served + " calls answered whole, " + lost + " ended without a whole answer, " + others + " failed";
+        rig.finish(lost > 0 ? 1 : served > 0 ? 0 : 2, counts);
+    }
+}
