--- a/review/standins/LargeAnswerAtStop.java
+++ b/review/standins/LargeAnswerAtStop.java
@@ -122,8 +122,11 @@
             if (!rig.trouble) {
                 rig.signal(sidecar, "TERM");
             }
-            if (!sidecar.waitFor(5, TimeUnit.SECONDS)) {
+            if (sidecar.waitFor(5, TimeUnit.SECONDS)) {
+                rig.note("the sidecar has ended with code " + sidecar.exitValue());
+            } else {
                 rig.signal(sidecar, "KILL");
+                sidecar.waitFor();
             }
         }
         String counts = served + " calls answered whole, " + lost + " ended without a whole answer, " + others + " failed";
