--- a/review/standins/RefusedUpload.java
+++ b/review/standins/RefusedUpload.java
@@ -32,7 +32,12 @@
     }
 
     public static void main(String[] arguments) throws Exception {
-        new RefusedUpload(new Rig(Path.of(arguments[0]), Path.of(arguments[1]))).run();
+        Rig rig = new Rig(Path.of(arguments[0]), Path.of(arguments[1]));
+        try {
+            new RefusedUpload(rig).run();
+        } catch (Exception exception) {
+            rig.finish(2, "the case could not run: " + exception);
+        }
     }
 
     private final class Import extends Grpc.Call {
