Hold a streaming call's messages that arrive between two attempts

Cause: GrpcStream took an attempt that had ended, and had begun before, for the receiver of the request. Messages that arrived while the call waited for its next attempt were forwarded to nobody, reading was not paused, and once 64 KiB were exceeded what was kept was dropped and the next attempt had nothing to replay. When the next attempt existed but its connection did not, the same arrival failed the call as RESOURCE_EXHAUSTED although it could be served: what was in transit did not fit.

Change: GrpcRequestBody holds the messages and knows the one attempt that receives them; the end of an attempt ends that. Between attempts everything is held and the client is paused. A held message is not overtaken by one that is read during the replay. GrpcStream's part of it is gone (as RequestBodyForwarder does for HTTP/1.1, read for the same cause: it detaches from an ended attempt and refuses to start when a part is gone).

--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http2.Http2ResetFrame;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,10 +36,10 @@
 import loadbalancer.trace.Tracer;
 
 /**
- * One call of a client: its request is kept until no other attempt can need it, its answer is one status, told once.
+ * One call of a client: its request is held until no other attempt can need it, its answer is one status, told once.
  *
  * <p>A unary call is taken when its last byte has come, and answered whole. A streaming one is taken with its head; it may be
- * tried again until the first byte of an answer has gone to the client, or more of it has come than is kept. Its class's
+ * tried again until the first byte of an answer has gone to the client, or more of it was forwarded than is held. Its class's
  * deadline is for that first byte; after it the client's own time alone ends it, if it has set any.
  */
 final class GrpcStream extends ChannelInboundHandlerAdapter implements GrpcAttempt.Caller {
@@ -78,15 +77,9 @@
     private long deadlineUs;
 
     private Future<?> end;
-    /** What has come of the request, as long as another attempt may need it. */
-    private final ArrayDeque<ByteBuf> kept = new ArrayDeque<>();
-
-    private int keptBytes;
-    private boolean whole;
+    private final GrpcRequestBody body = new GrpcRequestBody();
     /** To be taken at the end of the reading. */
     private boolean due;
-    /** Too much has come to be sent again: the attempt that has it is the last. */
-    private boolean overflowed;
 
     private int attempts;
     private GrpcAttempt current;
@@ -176,8 +169,8 @@
         }
         server.begun(this);
         setDeadlines(timeoutUs, bounded);
-        whole = frame.isEndStream();
-        due = whole || route.streams();
+        body.add(Unpooled.EMPTY_BUFFER, frame.isEndStream());
+        due = body.isComplete() || route.streams();
     }
 
     /** Nobody waits longer for the first byte of a response than the class allows; a stream ends at the client's own time. */
@@ -220,64 +213,24 @@
     }
 
     private void data(ByteBuf content, boolean last) {
-        whole |= last;
-        if (!route.streams()) {
-            if (keptBytes + content.readableBytes() > GrpcServer.MAX_REQUEST) {
-                status(
-                        GrpcStatus.RESOURCE_EXHAUSTED,
-                        "a message of more than " + GrpcServer.MAX_REQUEST + " bytes",
-                        0,
-                        null);
-                return;
-            }
-            keep(content);
-            due |= last && exchange == null;
-            return;
-        }
-        if (headersSent || overflowed) {
-            pass(content, last);
-        } else if (keptBytes + content.readableBytes() <= GrpcServer.MAX_REQUEST) {
-            keep(content);
-            if (current != null && current.begun()) {
-                current.send(content.retain(), last);
-            }
-        } else if (current != null && current.begun()) {
-            overflowed = true;
-            dropKept();
-            pass(content, last);
+        boolean held = body.add(content, last);
+        if (!route.streams() && body.heldBytes() > GrpcServer.MAX_REQUEST) {
+            tooLarge("a message of more than " + GrpcServer.MAX_REQUEST + " bytes");
+        } else if (!held) {
+            tooLarge("more came than is held while no upstream receives it");
         } else {
-            status(GrpcStatus.RESOURCE_EXHAUSTED, "more came than is kept while no node had begun", 0, null);
-        }
-        backPressure();
-    }
-
-    private void pass(ByteBuf content, boolean last) {
-        if (current != null && !current.hasEnded()) {
-            current.send(content.retain(), last);
-        }
-    }
-
-    private void keep(ByteBuf content) {
-        keptBytes += content.readableBytes();
-        if (content.isReadable()) {
-            kept.add(content.retain());
+            due |= last && exchange == null;
+            updateAutoRead();
         }
     }
 
-    private void dropKept() {
-        for (ByteBuf b; (b = kept.poll()) != null; ) {
-            b.release();
-        }
+    private void tooLarge(String message) {
+        endHere(GrpcStatus.RESOURCE_EXHAUSTED, message);
     }
 
-    /** A node that takes no more stops its client: what is kept in between is bounded. */
-    private void backPressure() {
-        // No node has begun to take it: what is kept meanwhile must leave room for all that is on its way.
-        boolean full = !headersSent
-                && !overflowed
-                && keptBytes >= GrpcServer.MAX_REQUEST / 4
-                && (current == null || !current.begun());
-        client.config().setAutoRead(!full && (current == null || current.writable()));
+    /** Stops reading a streaming client while its messages can neither be forwarded nor held; all others are read. */
+    private void updateAutoRead() {
+        client.config().setAutoRead(over || !route.streams() || body.wantsMore());
     }
 
     private void take() {
@@ -331,19 +284,21 @@
                 this,
                 new Attempt.Listener() {
                     @Override
-                    public void onEnd(Attempt a, Outcome outcome, Balancer.LoadReport report, ByteBuf body) {
+                    public void onEnd(Attempt a, Outcome outcome, Balancer.LoadReport report, ByteBuf response) {
                         GrpcAttempt of = (GrpcAttempt) a;
+                        body.attemptEnded(of);
+                        updateAutoRead();
                         lastEnding = of.ending();
                         lastTrailers = of.trailers();
                         if (outcome == Outcome.OK) {
                             winner = of;
                         }
-                        if (overflowed && !over && outcome != Outcome.OK) {
+                        if (!body.canStart() && !over && outcome != Outcome.OK) {
                             // Nobody could be sent it all again.
                             finish(lastEnding.code(), lastEnding.message(), lastTrailers);
                             server.requests().failedByFrontEnd(exchange);
                         }
-                        result.onEnd(a, outcome, report, body);
+                        result.onEnd(a, outcome, report, response);
                     }
 
                     @Override
@@ -393,25 +348,19 @@
 
     @Override
     public void replay(GrpcAttempt to) {
-        if (over) {
-            // A second copy whose stream came up after the answer: nothing of the call goes out any more.
+        if (over || !body.canStart()) {
+            // Nothing of the call goes out any more, or not all of it could: it is answered, or bound to an attempt.
             to.cancel();
             return;
         }
-        to.sendHead(whole && kept.isEmpty());
-        int left = kept.size();
-        for (ByteBuf b : kept) {
-            to.send(b.retainedDuplicate(), --left == 0 && whole);
-        }
-        if (route.streams()) {
-            backPressure();
-        }
+        body.start(to);
+        updateAutoRead();
     }
 
     @Override
     public void headers(GrpcAttempt from, Http2Headers headers) {
         headersSent = true;
-        dropKept();
+        body.release();
         current = from;
         client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(headers, "200"), false));
     }
@@ -449,30 +398,28 @@
 
     @Override
     public void writable(GrpcAttempt to, boolean is) {
-        if (to == current) {
-            client.config().setAutoRead(is);
-        }
+        updateAutoRead();
     }
 
     // ---- to the client ---------------------------------------------------------------------------
 
     private final class Final implements Exchange.Responder {
         @Override
-        public void serve(ByteBuf body) {
+        public void serve(ByteBuf response) {
             if (over) {
-                body.release();
+                response.release();
                 return;
             }
             over();
-            dropKept();
+            body.release();
             if (winner.headers() == null) {
                 // A stream that ended well before it said anything: head and trailers in one.
-                body.release();
+                response.release();
                 client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(winner.trailers(), "200"), true));
                 return;
             }
             client.write(new DefaultHttp2HeadersFrame(copy(winner.headers(), "200"), false));
-            client.write(new DefaultHttp2DataFrame(body, false));
+            client.write(new DefaultHttp2DataFrame(response, false));
             client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(winner.trailers(), null), true));
         }
 
@@ -499,6 +446,7 @@
     /** Nothing more goes to the client after what is written next. */
     private void over() {
         over = true;
+        updateAutoRead();
         server.over(this);
         if (end != null) {
             end.cancel(false);
@@ -536,12 +484,12 @@
             h.set("grpc-retry-pushback-ms", String.valueOf((retryAfterUs + 999) / 1000));
         }
         client.writeAndFlush(new DefaultHttp2HeadersFrame(h, true)).addListener(f -> {
-            if (!whole && client.isActive()) {
+            if (!body.isComplete() && client.isActive()) {
                 // What the client still sends is for nobody (RFC 9113, section 8.1).
                 client.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.NO_ERROR));
             }
         });
-        dropKept();
+        body.release();
     }
 
     /** Without what belongs to one hop; {@code status} is null for trailers. */
@@ -585,11 +533,11 @@
 
     private void left() {
         if (over) {
-            dropKept();
+            body.release();
             return;
         }
         over();
-        dropKept();
+        body.release();
         if (exchange != null) {
             server.requests().clientLeft(exchange);
             if (current != null) {
--- a/src/main/java/loadbalancer/sidecar/Listeners.java
+++ b/src/main/java/loadbalancer/sidecar/Listeners.java
@@ -25,6 +25,7 @@
     private final boolean shared;
 
     private InetSocketAddress httpAddress;
+    private InetSocketAddress grpcAddress;
 
     Listeners(
             EventLoop loop,
@@ -59,8 +60,8 @@
 
     void listenForGrpc() throws InterruptedException {
         if (grpc != null) {
-            InetSocketAddress address = grpc.listen(shared);
-            Log.event("grpc.serves", "takes gRPC on " + address, "address", address);
+            grpcAddress = grpc.listen(shared);
+            Log.event("grpc.serves", "takes gRPC on " + grpcAddress, "address", grpcAddress);
         }
     }
 
@@ -69,6 +70,11 @@
         return httpAddress;
     }
 
+    /** Null before {@link #listenForGrpc}, and where gRPC is off. */
+    InetSocketAddress grpcAddress() {
+        return grpcAddress;
+    }
+
     /**
      * Stops both protocols gracefully; requests in progress are answered. HTTP still accepts connections for as long as
      * clients may open them, unless another process has taken over. Event loop only.
--- a/src/main/java/loadbalancer/sidecar/Sidecar.java
+++ b/src/main/java/loadbalancer/sidecar/Sidecar.java
@@ -220,6 +220,11 @@
         return listeners.httpAddress();
     }
 
+    /** Null before the start, and where gRPC is off. */
+    InetSocketAddress grpcAddress() {
+        return listeners.grpcAddress();
+    }
+
     void logListenAddress() {
         Log.event(
                 "serves",
--- /dev/null
+++ b/src/test/java/loadbalancer/sidecar/GrpcStreamRetryTest.java
@@ -0,0 +1,137 @@
+package loadbalancer.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.MethodDescriptor;
+import io.grpc.MethodDescriptor.MethodType;
+import io.grpc.ServerCall;
+import io.grpc.Status;
+import java.util.List;
+import loadbalancer.balancing.Balancer.Outcome;
+import loadbalancer.testbed.GrpcRig;
+import loadbalancer.testbed.GrpcRig.Call;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Streaming gRPC calls that an upstream rejects while their client goes on sending. */
+@Timeout(60)
+class GrpcStreamRetryTest {
+    private static final MethodDescriptor<String, String> ECHO =
+            GrpcRig.method("stage.Booking/Echo", MethodType.BIDI_STREAMING);
+    private static final int MESSAGES = 40;
+    /** All messages together exceed what the sidecar holds of a call, 64 KiB, and HTTP/2's windows. */
+    private static final String MESSAGE = "m".repeat(4_000);
+
+    /** Counts the messages of a call, and rejects it, unexecuted, when it has {@code messagesBeforeRejection}. */
+    private static final class Upstream extends ServerCall.Listener<String> {
+        private final ServerCall<String, String> call;
+        private final int messagesBeforeRejection;
+        private int messages;
+
+        private Upstream(ServerCall<String, String> call, int messagesBeforeRejection) {
+            this.call = call;
+            this.messagesBeforeRejection = messagesBeforeRejection;
+            call.request(MESSAGES + 1);
+        }
+
+        /** Starts a server. */
+        static io.grpc.Server start(int messagesBeforeRejection) throws Exception {
+            return GrpcRig.node(List.of(ECHO), (call, head) -> new Upstream(call, messagesBeforeRejection));
+        }
+
+        @Override
+        public void onMessage(String message) {
+            messages++;
+            if (messages == messagesBeforeRejection) {
+                Metadata trailers = new Metadata();
+                trailers.put(Metadata.Key.of("x-turned-away", Metadata.ASCII_STRING_MARSHALLER), "1");
+                call.close(Status.UNAVAILABLE.withDescription("queue full"), trailers);
+            }
+        }
+
+        @Override
+        public void onHalfClose() {
+            call.sendHeaders(new Metadata());
+            call.sendMessage(messages + " messages");
+            call.close(Status.OK, new Metadata());
+        }
+    }
+
+    /** A sidecar whose balancer sends all calls to u0, and two upstreams of which u0 rejects. */
+    private static final class Setup implements AutoCloseable {
+        final SidecarHarness harness = new SidecarHarness().withGrpc();
+        final ManagedChannel channel;
+        private final io.grpc.Server rejecting;
+        private final io.grpc.Server serving = Upstream.start(Integer.MAX_VALUE);
+
+        Setup(int messagesBeforeRejection, SidecarHarness.OutcomeHandler onRejection) throws Exception {
+            rejecting = Upstream.start(messagesBeforeRejection);
+            harness.addGrpcUpstream(rejecting.getPort());
+            harness.addGrpcUpstream(serving.getPort());
+            harness.onOutcome = (id, outcome, done, out) -> {
+                if (!outcome.mayHaveRun) {
+                    onRejection.handle(id, outcome, done, out);
+                } else if (!done) {
+                    out.fail(id);
+                }
+            };
+            harness.start();
+            channel = GrpcRig.channel(harness.sidecar.grpcAddress());
+        }
+
+        @Override
+        public void close() throws Exception {
+            channel.shutdownNow();
+            harness.close();
+            rejecting.shutdownNow();
+            serving.shutdownNow();
+        }
+    }
+
+    private static Call open(ManagedChannel channel, String id) {
+        Metadata head = new Metadata();
+        head.put(Metadata.Key.of("x-txn", Metadata.ASCII_STRING_MARSHALLER), id);
+        return new Call(channel, ECHO, head, 20_000, 2);
+    }
+
+    private static void send(Call call, int messages) {
+        for (int i = 0; i < messages; i++) {
+            call.call.sendMessage(MESSAGE);
+        }
+    }
+
+    /**
+     * Guards against messages that arrive between two attempts being dropped, and the call served without them. The
+     * rejected attempt got a part, or nearly all, of what the sidecar holds.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 16})
+    void retriesRejectedStreamWithMessagesReceivedBetweenAttempts(int messagesBeforeRejection) throws Exception {
+        try (Setup setup = new Setup(messagesBeforeRejection, (id, outcome, done, out) -> {})) {
+            setup.harness.onRequest = (nowMicros, request, out) -> {
+                if (request.id().equals("retry")) {
+                    out.send("upload", "u1", 0);
+                    out.reject("retry", 0);
+                } else {
+                    out.send(request.id(), "u0", 0);
+                }
+            };
+            Call upload = open(setup.channel, "upload");
+            send(upload, messagesBeforeRejection);
+            setup.harness.await("outcome upload 0 REJECTED");
+            send(upload, MESSAGES - messagesBeforeRejection);
+            upload.call.halfClose();
+            // On the same connection, so behind as many of the messages as HTTP/2's windows allow.
+            open(setup.channel, "retry").status();
+            assertServedWith(MESSAGES, upload);
+        }
+    }
+
+    private static void assertServedWith(int messages, Call call) throws InterruptedException {
+        assertEquals(Status.Code.OK, call.status().getCode(), call.status().toString());
+        assertEquals(messages + " messages", call.next());
+    }
+}
--- a/src/test/java/loadbalancer/sidecar/SidecarHarness.java
+++ b/src/test/java/loadbalancer/sidecar/SidecarHarness.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -13,6 +14,9 @@
 import java.util.concurrent.locks.LockSupport;
 import loadbalancer.balancing.Balancer;
 import loadbalancer.operator.OperatorConfiguration;
+import loadbalancer.operator.OperatorFile;
+import loadbalancer.toml.ConfigurationException;
+import loadbalancer.toml.ConfigurationTable;
 
 /** A sidecar in this process, whose balancer acts as the test specifies and records each event. */
 final class SidecarHarness implements AutoCloseable {
@@ -29,6 +33,18 @@
              "load_info":{"how":"inline","fields":["busy_reqs","pending","cpu_share"]},
              "something_new":{"a":[{"b":null}]}}""";
 
+    private static final String GRPC_TABLE =
+            """
+            [grpc]
+            listen = "127.0.0.1:0"
+            [[grpc.method]]
+            name = "stage.Booking/Echo"
+            class = "c"
+            streams = true
+            [grpc.other]
+            class = "c"
+            """;
+
     /** The balancer's action on a request. */
     interface RequestHandler {
         void handle(long nowMicros, Balancer.Request request, Balancer.Actions out);
@@ -80,6 +96,20 @@
         return p;
     }
 
+    private final Map<Integer, Integer> grpcPorts = new HashMap<>();
+
+    /** Adds an upstream that serves gRPC on this port, and leaves requests over HTTP without a response. */
+    void addGrpcUpstream(int grpcPort) throws IOException {
+        grpcPorts.put(upstreams.size(), grpcPort);
+        addUpstream((m, connection) -> {});
+    }
+
+    /** Turns gRPC on, on any free port; all methods have class {@code c}, and {@code Echo} streams. */
+    SidecarHarness withGrpc() throws ConfigurationException {
+        operator = OperatorFile.read(ConfigurationTable.parse("operator", GRPC_TABLE, Map.of()));
+        return this;
+    }
+
     private final List<String> unscriptedUpstreams = new ArrayList<>();
 
     /** Adds an upstream, listed after the scripted ones, at an address that the test itself serves. */
@@ -100,7 +130,9 @@
     String knownEndpoints() {
         List<String> entries = new ArrayList<>();
         for (int i = 0; i < upstreams.size(); i++) {
-            entries.add(entry("u" + i, upstreams.get(i).address(), "Ready", 0));
+            String entry = entry("u" + i, upstreams.get(i).address(), "Ready", 0);
+            Integer grpcPort = grpcPorts.get(i);
+            entries.add(grpcPort == null ? entry : entry.replace("}", ",\"grpcPort\":" + grpcPort + "}"));
         }
         for (int i = 0; i < unscriptedUpstreams.size(); i++) {
             entries.add(entry("u" + (upstreams.size() + i), unscriptedUpstreams.get(i), "Ready", 0));
--- a/src/test/java/loadbalancer/testbed/GrpcRig.java
+++ b/src/test/java/loadbalancer/testbed/GrpcRig.java
@@ -20,7 +20,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The real grpc-java as the peer, with messages that are texts: nothing here understands only itself. */
-final class GrpcRig {
+public final class GrpcRig {
     private GrpcRig() {}
 
     private static final MethodDescriptor.Marshaller<String> TEXT = new MethodDescriptor.Marshaller<>() {
@@ -39,25 +39,30 @@
         }
     };
 
-    static MethodDescriptor<String, String> method(String name, MethodDescriptor.MethodType type) {
+    public static MethodDescriptor<String, String> method(String name, MethodDescriptor.MethodType type) {
         return MethodDescriptor.<String, String>newBuilder(TEXT, TEXT)
                 .setType(type)
                 .setFullMethodName(name)
                 .build();
     }
 
-    static ManagedChannel channel(InetSocketAddress to) {
+    public static ManagedChannel channel(InetSocketAddress to) {
         return NettyChannelBuilder.forAddress(to).usePlaintext().disableRetry().build();
     }
 
     /** One call and what its client is told, in order. */
-    static final class Call {
-        final ClientCall<String, String> call;
+    public static final class Call {
+        public final ClientCall<String, String> call;
         final BlockingQueue<String> messages = new LinkedBlockingQueue<>();
         private final BlockingQueue<Object[]> closed = new LinkedBlockingQueue<>();
         final List<Metadata> heads = new ArrayList<>();
 
-        Call(ManagedChannel channel, MethodDescriptor<String, String> method, Metadata head, long deadlineMs, int ask) {
+        public Call(
+                ManagedChannel channel,
+                MethodDescriptor<String, String> method,
+                Metadata head,
+                long deadlineMs,
+                int ask) {
             call = channel.newCall(
                     method,
                     deadlineMs == 0
@@ -84,7 +89,7 @@
             call.request(ask);
         }
 
-        static Call unary(ManagedChannel channel, String name, String key, String message, long deadlineMs) {
+        public static Call unary(ManagedChannel channel, String name, String key, String message, long deadlineMs) {
             Metadata head = new Metadata();
             if (key != null) {
                 head.put(Metadata.Key.of("idempotency-key", Metadata.ASCII_STRING_MARSHALLER), key);
@@ -97,7 +102,7 @@
 
         private Object[] end;
 
-        Status status() throws InterruptedException {
+        public Status status() throws InterruptedException {
             end = end == null ? closed.poll(20, TimeUnit.SECONDS) : end;
             if (end == null) {
                 throw new AssertionError("the call never ended");
@@ -105,12 +110,12 @@
             return (Status) end[0];
         }
 
-        String trailer(String name) throws InterruptedException {
+        public String trailer(String name) throws InterruptedException {
             status();
             return ((Metadata) end[1]).get(Metadata.Key.of(name, Metadata.ASCII_STRING_MARSHALLER));
         }
 
-        String next() throws InterruptedException {
+        public String next() throws InterruptedException {
             String m = messages.poll(20, TimeUnit.SECONDS);
             if (m == null) {
                 Object[] ended = closed.peek();
@@ -122,7 +127,7 @@
     }
 
     /** A node of grpc-java's own. */
-    static io.grpc.Server node(
+    public static io.grpc.Server node(
             List<MethodDescriptor<String, String>> methods, ServerCallHandler<String, String> handler)
             throws IOException {
         io.grpc.ServerServiceDefinition.Builder service = io.grpc.ServerServiceDefinition.builder("stage.Booking");
