Forward a duplicate of each held gRPC message, not the buffer that is held

A streaming call that was turned away came to the next upstream without the messages that the ended attempts had been sent as they arrived: 37 of 40, the first ones or some in the middle missing, answered with OK.

Cause: GrpcStream kept and forwarded the same buffer. Writing it moves its reader index, so the copy kept for the next attempt was empty. Only messages that had arrived before an attempt began were replayed, from duplicates.

GrpcStreamRetryTest.retriesRejectedStreamWithMessagesThatWereForwarded: 1 of 3 messages before, 3 of 3 now.

Why it works: a duplicate has its own reader index and shares the bytes and their reference count, as in the replay. HTTP/1.1 read for the same: RequestBodyForwarder replays duplicates and holds nothing that it forwards later, OutgoingRequest wraps an array anew for each attempt.

--- a/src/main/java/loadbalancer/grpc/GrpcRequestBody.java
+++ b/src/main/java/loadbalancer/grpc/GrpcRequestBody.java
@@ -37,7 +37,8 @@
             hold(content);
         }
         if (receiver != null) {
-            receiver.send(content.retain(), last);
+            // A duplicate, as writing it consumes the bytes.
+            receiver.send(content.retainedDuplicate(), last);
         }
         return true;
     }
--- a/src/test/java/loadbalancer/sidecar/GrpcStreamRetryTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcStreamRetryTest.java
@@ -1,6 +1,7 @@
 package loadbalancer.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.grpc.ManagedChannel;
 import io.grpc.Metadata;
@@ -9,9 +10,11 @@
 import io.grpc.ServerCall;
 import io.grpc.Status;
 import java.util.List;
-import loadbalancer.balancing.Balancer.Outcome;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.testbed.GrpcRig;
 import loadbalancer.testbed.GrpcRig.Call;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -29,22 +32,25 @@
     private static final class Upstream extends ServerCall.Listener<String> {
         private final ServerCall<String, String> call;
         private final int messagesBeforeRejection;
+        private final Semaphore received;
         private int messages;
 
-        private Upstream(ServerCall<String, String> call, int messagesBeforeRejection) {
+        private Upstream(ServerCall<String, String> call, int messagesBeforeRejection, Semaphore received) {
             this.call = call;
             this.messagesBeforeRejection = messagesBeforeRejection;
+            this.received = received;
             call.request(MESSAGES + 1);
         }
 
-        /** Starts a server. */
-        static io.grpc.Server start(int messagesBeforeRejection) throws Exception {
-            return GrpcRig.node(List.of(ECHO), (call, head) -> new Upstream(call, messagesBeforeRejection));
+        /** Starts a server; {@code received} gets a permit for each message. */
+        static io.grpc.Server start(int messagesBeforeRejection, Semaphore received) throws Exception {
+            return GrpcRig.node(List.of(ECHO), (call, head) -> new Upstream(call, messagesBeforeRejection, received));
         }
 
         @Override
         public void onMessage(String message) {
             messages++;
+            received.release();
             if (messages == messagesBeforeRejection) {
                 Metadata trailers = new Metadata();
                 trailers.put(Metadata.Key.of("x-turned-away", Metadata.ASCII_STRING_MARSHALLER), "1");
@@ -65,10 +71,11 @@
         final SidecarHarness harness = new SidecarHarness().withGrpc();
         final ManagedChannel channel;
         private final io.grpc.Server rejecting;
-        private final io.grpc.Server serving = Upstream.start(Integer.MAX_VALUE);
+        private final io.grpc.Server serving = Upstream.start(Integer.MAX_VALUE, new Semaphore(0));
+        private final Semaphore receivedByRejecting = new Semaphore(0);
 
         Setup(int messagesBeforeRejection, SidecarHarness.OutcomeHandler onRejection) throws Exception {
-            rejecting = Upstream.start(messagesBeforeRejection);
+            rejecting = Upstream.start(messagesBeforeRejection, receivedByRejecting);
             harness.addGrpcUpstream(rejecting.getPort());
             harness.addGrpcUpstream(serving.getPort());
             harness.onOutcome = (id, outcome, done, out) -> {
@@ -82,6 +89,11 @@
             channel = GrpcRig.channel(harness.sidecar.grpcAddress());
         }
 
+        /** Waits until u0 has got this many more messages. */
+        void awaitReceived(int messages) throws InterruptedException {
+            assertTrue(receivedByRejecting.tryAcquire(messages, 20, TimeUnit.SECONDS), "messages that did not arrive");
+        }
+
         @Override
         public void close() throws Exception {
             channel.shutdownNow();
@@ -130,6 +142,20 @@
         }
     }
 
+    /** Guards against messages that were forwarded as they arrived missing from the next attempt. */
+    @Test
+    void retriesRejectedStreamWithMessagesThatWereForwarded() throws Exception {
+        try (Setup setup = new Setup(3, (id, outcome, done, out) -> out.send(id, "u1", 0))) {
+            Call upload = open(setup.channel, "upload");
+            for (int i = 0; i < 3; i++) {
+                send(upload, 1);
+                setup.awaitReceived(1);
+            }
+            upload.call.halfClose();
+            assertServedWith(3, upload);
+        }
+    }
+
     private static void assertServedWith(int messages, Call call) throws InterruptedException {
         assertEquals(Status.Code.OK, call.status().getCode(), call.status().toString());
         assertEquals(messages + " messages", call.next());
