Count a gRPC call as held until its whole response is with the kernel

Cause: GrpcStream took its call off GrpcServer's list when the response was handed to the HTTP/2 codec. What flow control or the socket held back did not count, so 0.6 s after SIGTERM the list was empty, the connections were closed and the process halted. HTTP/1.1 waits for the write (ClientConnection.responseWrite).

Change: GrpcClientConnection knows the calls of its connection, each until the write of its last frame has ended, and the stop ends when all connections are closed, not when it has asked for that. A client that takes nothing for 10 s is given up, as over HTTP/1.1. The last frame is written in one place, so a stream whose client has not ended its request is reset after it in all cases (RFC 9113, 8.1); an open one would keep the connection.

Why it works: the codec completes that write only after all flow-controlled bytes before it were written to the socket.

Measured: GrpcShutdownTest.waitsForResponseThatClientHasNotReadYet failed before ("stopped before the client had its response") and passes; clientThatNeverReadsDoesNotPreventStop passes.

Tests: the hand-written frames of GrpcAbuseTest are RawHttp2Client now, which GrpcShutdownTest uses too; the stall before a check of the shutdown moved from ShutdownRaceTest to SidecarHarness, unchanged.

--- /dev/null
+++ b/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
@@ -0,0 +1,115 @@
+package loadbalancer.grpc;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2Exception;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import loadbalancer.core.Clock;
+import loadbalancer.core.Log;
+
+/**
+ * One connection of a gRPC client: its calls, and its end in a graceful stop. As the last handler of the channel's
+ * pipeline it gets the frames of the connection itself.
+ */
+final class GrpcClientConnection extends ChannelInboundHandlerAdapter {
+    /** A response that the client does not read on for this long will never be read. */
+    private static final long UNREAD_RESPONSE_MICROS = 10_000_000;
+
+    private static final int ANY_STREAM = Integer.MAX_VALUE;
+
+    private final Channel channel;
+    private final Clock clock;
+    /** Calls that are open, or whose response is not with the kernel yet. */
+    private final Set<GrpcStream> calls = new HashSet<>();
+    /** Time at which something was last received, or a response was passed to the kernel. */
+    private long lastActiveMicros;
+    /** Whether the client knows which calls are the last that are served. */
+    private boolean lastStreamAnnounced;
+
+    GrpcClientConnection(Channel channel, Clock clock) {
+        this.channel = channel;
+        this.clock = clock;
+        lastActiveMicros = clock.nowMicros();
+    }
+
+    /** The handler before the codec, which records that bytes arrive. */
+    ChannelInboundHandler byteHandler() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                lastActiveMicros = clock.nowMicros();
+                context.fireChannelRead(bytes);
+            }
+        };
+    }
+
+    void callBegun(GrpcStream call) {
+        calls.add(call);
+    }
+
+    /** The last frame of the call's response is with the kernel, or can't be sent any more. */
+    void callEnded(GrpcStream call) {
+        calls.remove(call);
+        lastActiveMicros = clock.nowMicros();
+    }
+
+    /** Warns the client of a stop, without a last stream: calls in transit are still served (RFC 9113, section 6.8). */
+    void announceStop() {
+        goAway(ANY_STREAM);
+    }
+
+    /** Ends all open calls with a status. */
+    void cutCallsShort() {
+        List.copyOf(calls).forEach(GrpcStream::cutShort);
+    }
+
+    /** Announces the last stream, and closes once no call is left, or its client does not read any more. */
+    void closeIfIdle(long nowMicros) {
+        if (!lastStreamAnnounced) {
+            lastStreamAnnounced = true;
+            goAway(0);
+        }
+        if (calls.isEmpty()) {
+            channel.close();
+        } else if (!hasOpenCalls() && nowMicros - lastActiveMicros > UNREAD_RESPONSE_MICROS) {
+            // Not through the codec, which would wait for the unsent responses.
+            channel.unsafe().close(channel.voidPromise());
+        }
+    }
+
+    private boolean hasOpenCalls() {
+        return calls.stream().anyMatch(call -> !call.isOver());
+    }
+
+    private void goAway(int extraStreams) {
+        DefaultHttp2GoAwayFrame frame = new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR, Unpooled.EMPTY_BUFFER);
+        frame.setExtraStreamIds(extraStreams);
+        channel.writeAndFlush(frame);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object frame) {
+        ReferenceCountUtil.release(frame);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof Http2Exception) {
+            // The codec sends GOAWAY with the proper code, and closes.
+            return;
+        }
+        if (!(cause instanceof IOException)) {
+            Log.fault("a gRPC client's connection failed", cause);
+        }
+        context.close();
+    }
+}
--- a/src/main/java/loadbalancer/grpc/GrpcServer.java
+++ b/src/main/java/loadbalancer/grpc/GrpcServer.java
@@ -1,22 +1,14 @@
 package loadbalancer.grpc;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
-import io.netty.handler.codec.http2.Http2Error;
-import io.netty.handler.codec.http2.Http2Exception;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2Settings;
-import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -29,7 +21,6 @@
 import loadbalancer.core.DisconnectCheck;
 import loadbalancer.core.EventLoops;
 import loadbalancer.core.ListenSocket;
-import loadbalancer.core.Log;
 import loadbalancer.core.RequestClasses;
 import loadbalancer.core.Requests;
 import loadbalancer.membership.Endpoint;
@@ -51,8 +42,6 @@
     /** After the stop new calls are taken for so long: a client hears of it in its own time. */
     private static final long SERVE_ON_MS = 600, LOOK_MS = 20;
 
-    private static final int ANY_STREAM = Integer.MAX_VALUE;
-
     /** Kept, or the level is forgotten with it. What a client does to a connection is no line of the log, however often. */
     private static final Logger CODEC = Logger.getLogger("io.netty.handler.codec.http2");
 
@@ -62,13 +51,11 @@
     private final GrpcUpstreams upstreams;
     private final GrpcOptions options;
     private final RequestClasses classes;
-    private final Set<Channel> connections = new HashSet<>();
-    private final Set<GrpcStream> calls = new HashSet<>();
+    private final Set<GrpcClientConnection> connections = new HashSet<>();
     private Channel listener;
     private long numbers;
     private final String name;
     private long stopAtUs;
-    private boolean lastWord;
 
     /** {@code name} is this sidecar's: the ids that calls without one get begin with it. */
     public GrpcServer(
@@ -109,11 +96,12 @@
 
     private void accepted(Channel channel) {
         ChannelConfig accepting = channel.parent().config();
-        connections.add(channel);
+        GrpcClientConnection connection = new GrpcClientConnection(channel, clock);
+        connections.add(connection);
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
         accepting.setAutoRead(connections.size() < options.maxConnections());
         channel.closeFuture().addListener(f -> {
-            connections.remove(channel);
+            connections.remove(connection);
             accepting.setAutoRead(connections.size() < options.maxConnections());
         });
         Http2Settings settings = new Http2Settings()
@@ -126,6 +114,7 @@
         channel.pipeline()
                 .addLast(
                         new DisconnectCheck(() -> true),
+                        connection.byteHandler(),
                         Http2FrameCodecBuilder.forServer()
                                 .initialSettings(settings)
                                 .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_S)
@@ -136,30 +125,10 @@
                         new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel stream) {
-                                stream.pipeline().addLast(new GrpcStream(GrpcServer.this, stream));
+                                stream.pipeline().addLast(new GrpcStream(GrpcServer.this, connection, stream));
                             }
                         }),
-                        new Connection());
-    }
-
-    /** Frames of the connection itself that nobody else wants; what the codec threw has ended it with its code. */
-    private static final class Connection extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object frame) {
-            ReferenceCountUtil.release(frame);
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof Http2Exception) {
-                // The codec says goodbye with the proper code, and closes.
-                return;
-            }
-            if (!(cause instanceof IOException)) {
-                Log.fault("a gRPC client's connection failed", cause);
-            }
-            ctx.close();
-        }
+                        connection);
     }
 
     /** Whether the client whose call this is has left, be it unseen so far. */
@@ -197,19 +166,6 @@
         return loop.schedule(end, us - clock.nowMicros(), TimeUnit.MICROSECONDS);
     }
 
-    void begun(GrpcStream call) {
-        calls.add(call);
-    }
-
-    void over(GrpcStream call) {
-        calls.remove(call);
-    }
-
-    /** How many calls are held. */
-    public int calls() {
-        return calls.size();
-    }
-
     /** Connections to nodes that are open or coming up. */
     public int upstreamConnections() {
         return upstreams.connections();
@@ -221,32 +177,29 @@
      */
     public void stop(Runnable stopped) {
         stopAtUs = clock.nowMicros();
-        connections.forEach(c -> goAway(c, ANY_STREAM));
+        connections.forEach(GrpcClientConnection::announceStop);
         look(stopped);
     }
 
-    private static void goAway(Channel connection, int extra) {
-        DefaultHttp2GoAwayFrame frame = new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR, Unpooled.EMPTY_BUFFER);
-        frame.setExtraStreamIds(extra);
-        connection.writeAndFlush(frame);
-    }
-
     private void look(Runnable stopped) {
         long now = clock.nowMicros();
-        boolean late = now - stopAtUs >= SERVE_ON_MS * 1000;
-        if (late && !lastWord) {
-            lastWord = true;
+        if (now - stopAtUs >= SERVE_ON_MS * 1000) {
             listener.close();
-            connections.forEach(c -> goAway(c, 0));
-        }
-        if (late && now - stopAtUs >= options.streamDrainMicros()) {
-            List.copyOf(calls).forEach(GrpcStream::cutShort);
+            closeIdleConnections(now);
+            if (connections.isEmpty()) {
+                stopped.run();
+                return;
+            }
         }
-        if (late && calls.isEmpty()) {
-            List.copyOf(connections).forEach(Channel::close);
-            stopped.run();
-        } else {
-            loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIdleConnections(long nowMicros) {
+        for (GrpcClientConnection connection : List.copyOf(connections)) {
+            if (nowMicros - stopAtUs >= options.streamDrainMicros()) {
+                connection.cutCallsShort();
+            }
+            connection.closeIfIdle(nowMicros);
         }
     }
 }
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -61,6 +61,7 @@
             "upgrade");
 
     private final GrpcServer server;
+    private final GrpcClientConnection connection;
     private final Channel client;
     private final long sentUs;
     private final long unreadUs;
@@ -89,8 +90,9 @@
     private boolean headersSent;
     private boolean over;
 
-    GrpcStream(GrpcServer server, Channel client) {
+    GrpcStream(GrpcServer server, GrpcClientConnection connection, Channel client) {
         this.server = server;
+        this.connection = connection;
         this.client = client;
         sentUs = server.clock().nowMicros();
         unreadUs = server.requests().maxUnreadMicros();
@@ -123,17 +125,18 @@
             return;
         }
         head = frame.headers();
+        connection.callBegun(this);
         CharSequence type = head.get("content-type");
         if (head.method() == null
                 || !"POST".contentEquals(head.method())
                 || type == null
                 || !type.toString().startsWith("application/grpc")) {
-            over = true;
+            over();
             Http2Headers h = new DefaultHttp2Headers()
                     .status("415")
                     .set("grpc-status", "" + GrpcStatus.INTERNAL.number())
                     .set("grpc-message", "no gRPC");
-            client.writeAndFlush(new DefaultHttp2HeadersFrame(h, true));
+            writeLast(h);
             return;
         }
         route = server.options().route(head.path());
@@ -167,7 +170,6 @@
             status(GrpcStatus.DEADLINE_EXCEEDED, "no time is left", 0, null);
             return;
         }
-        server.begun(this);
         setDeadlines(timeoutUs, bounded);
         body.add(Unpooled.EMPTY_BUFFER, frame.isEndStream());
         due = body.isComplete() || route.streams();
@@ -393,7 +395,7 @@
                 : new DefaultHttp2Headers()
                         .set("grpc-status", "" + failure(ending.code()).number())
                         .set("grpc-message", text(ending.message()));
-        client.writeAndFlush(new DefaultHttp2HeadersFrame(h, true));
+        writeLast(h);
     }
 
     @Override
@@ -415,12 +417,12 @@
             if (winner.headers() == null) {
                 // A stream that ended well before it said anything: head and trailers in one.
                 response.release();
-                client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(winner.trailers(), "200"), true));
+                writeLast(copy(winner.trailers(), "200"));
                 return;
             }
             client.write(new DefaultHttp2HeadersFrame(copy(winner.headers(), "200"), false));
             client.write(new DefaultHttp2DataFrame(response, false));
-            client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(winner.trailers(), null), true));
+            writeLast(copy(winner.trailers(), null));
         }
 
         @Override
@@ -443,11 +445,26 @@
         }
     }
 
+    /** Writes the last frame of the response; flow control may hold it back, behind the message, until the client reads. */
+    private void writeLast(Http2Headers headers) {
+        client.writeAndFlush(new DefaultHttp2HeadersFrame(headers, true)).addListener(f -> {
+            if (!body.isComplete() && client.isActive()) {
+                // What the client still sends is for nobody (RFC 9113, section 8.1).
+                client.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.NO_ERROR));
+            }
+            connection.callEnded(this);
+        });
+    }
+
+    /** Whether the response is decided, if not yet sent, or no client waits for it any more. */
+    boolean isOver() {
+        return over;
+    }
+
     /** Nothing more goes to the client after what is written next. */
     private void over() {
         over = true;
         updateAutoRead();
-        server.over(this);
         if (end != null) {
             end.cancel(false);
         }
@@ -483,12 +500,7 @@
         if (retryAfterUs > 0) {
             h.set("grpc-retry-pushback-ms", String.valueOf((retryAfterUs + 999) / 1000));
         }
-        client.writeAndFlush(new DefaultHttp2HeadersFrame(h, true)).addListener(f -> {
-            if (!body.isComplete() && client.isActive()) {
-                // What the client still sends is for nobody (RFC 9113, section 8.1).
-                client.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.NO_ERROR));
-            }
-        });
+        writeLast(h);
         body.release();
     }
 
@@ -532,12 +544,12 @@
     }
 
     private void left() {
+        connection.callEnded(this);
+        body.release();
         if (over) {
-            body.release();
             return;
         }
         over();
-        body.release();
         if (exchange != null) {
             server.requests().clientLeft(exchange);
             if (current != null) {
--- /dev/null
+++ b/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
@@ -0,0 +1,106 @@
+package loadbalancer.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.grpc.Metadata;
+import io.grpc.MethodDescriptor.MethodType;
+import io.grpc.ServerCall;
+import io.grpc.Status;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.testbed.GrpcRig;
+import loadbalancer.testbed.RawHttp2Client;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Graceful shutdown while gRPC clients have not read their responses, or have sent what is still unread. */
+@Timeout(60)
+class GrpcShutdownTest {
+    private static final String METHOD = "stage.Booking/Lookup";
+    private static final String PATH = "/" + METHOD;
+    /** More than HTTP/2's default windows, so that a response waits in the sidecar until its client reads. */
+    private static final int RESPONSE_BYTES = 500_000;
+    /** Flag and length before each message. */
+    private static final int FRAMING_BYTES = 5;
+    /** Longer than clients are still served and idle connections are kept during a shutdown. */
+    private static final long SERVE_ON_MILLIS = 1_500;
+    /** The sidecar gives up clients that read nothing for 10 s. */
+    private static final long MAX_STOP_SECONDS = 20;
+
+    private SidecarHarness harness;
+    private CountDownLatch stopped;
+    private io.grpc.Server upstream;
+
+    @BeforeEach
+    void start() throws Exception {
+        upstream = GrpcRig.node(List.of(GrpcRig.method(METHOD, MethodType.UNARY)), (call, head) -> {
+            call.request(2);
+            return new ServerCall.Listener<>() {
+                @Override
+                public void onHalfClose() {
+                    call.sendHeaders(new Metadata());
+                    call.sendMessage("r".repeat(RESPONSE_BYTES));
+                    call.close(Status.OK, new Metadata());
+                }
+            };
+        });
+        stopped = new CountDownLatch(1);
+        harness = new SidecarHarness().withGrpc();
+        harness.addGrpcUpstream(upstream.getPort());
+        harness.start();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        harness.close();
+        upstream.shutdownNow();
+    }
+
+    private RawHttp2Client client() throws IOException {
+        return new RawHttp2Client(harness.sidecar.grpcAddress());
+    }
+
+    private static void assertWholeResponse(RawHttp2Client client, int stream) throws IOException {
+        assertEquals(FRAMING_BYTES + RESPONSE_BYTES, client.response(stream).length);
+    }
+
+    private void assertStopped() throws InterruptedException {
+        assertTrue(stopped.await(MAX_STOP_SECONDS, TimeUnit.SECONDS), "the shutdown did not end");
+    }
+
+    private void assertStillServing() throws InterruptedException {
+        assertFalse(
+                stopped.await(SERVE_ON_MILLIS, TimeUnit.MILLISECONDS), "stopped before the client had its response");
+    }
+
+    /** Guards against a shutdown that ends while HTTP/2's flow control still holds back a part of a response. */
+    @Test
+    void waitsForResponseThatClientHasNotReadYet() throws Exception {
+        try (RawHttp2Client client = client()) {
+            client.call(1, PATH);
+            harness.await("outcome n0-g1 0 OK");
+            harness.sidecar.stop(stopped::countDown);
+            assertStillServing();
+            client.openWindows(2 * RESPONSE_BYTES);
+            client.flush();
+            assertWholeResponse(client, 1);
+            assertStopped();
+        }
+    }
+
+    @Test
+    void clientThatNeverReadsDoesNotPreventStop() throws Exception {
+        try (RawHttp2Client client = client()) {
+            client.call(1, PATH);
+            harness.await("outcome n0-g1 0 OK");
+            harness.sidecar.stop(stopped::countDown);
+            assertStopped();
+        }
+    }
+}
--- a/src/test/java/loadbalancer/sidecar/ShutdownRaceTest.java
+++ b/src/test/java/loadbalancer/sidecar/ShutdownRaceTest.java
@@ -3,17 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoop;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -22,13 +17,6 @@
  */
 @Timeout(60)
 class ShutdownRaceTest {
-    /**
-     * Longer than clients are still served and idle connections are kept during a shutdown, with the checks after that.
-     */
-    private static final long STALL_MS = 900;
-    /** Lower bound on the time between two checks of a shutdown. */
-    private static final long MIN_CHECK_INTERVAL_MS = 15;
-
     /**
      * All requests that were pipelined before the shutdown are answered; the connection is not closed after the first.
      */
@@ -63,40 +51,6 @@
         }
     }
 
-    /**
-     * Begins the shutdown and blocks the event loop until all that the shutdown waits for has passed. {@code action}
-     * runs after that, right before the next check of the shutdown in the same iteration of the loop, so that what it
-     * sends can't be read in between. False if the loop was too slow for that order.
-     */
-    private static boolean runBeforeNextCheck(SidecarHarness harness, Runnable stopped, Action action)
-            throws InterruptedException {
-        EventLoop loop = harness.sidecar.loop();
-        CountDownLatch done = new CountDownLatch(1);
-        AtomicBoolean inOrder = new AtomicBoolean();
-        loop.execute(() -> {
-            long stopNanos = System.nanoTime();
-            harness.sidecar.stop(stopped);
-            loop.execute(() -> {
-                loop.schedule(
-                        () -> {
-                            try {
-                                action.run();
-                            } catch (IOException exception) {
-                                throw new UncheckedIOException(exception);
-                            } finally {
-                                done.countDown();
-                            }
-                        },
-                        0,
-                        TimeUnit.NANOSECONDS);
-                inOrder.set(System.nanoTime() - stopNanos < TimeUnit.MILLISECONDS.toNanos(MIN_CHECK_INTERVAL_MS));
-                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STALL_MS));
-            });
-        });
-        assertTrue(done.await(30, TimeUnit.SECONDS), "the event loop did not run the action within 30 s");
-        return inOrder.get();
-    }
-
     /**
      * An idle connection is closed by a check that follows the client's next request in the same iteration of the event
      * loop.
@@ -114,8 +68,8 @@
                             client.send(SidecarHarness.get("a0", 30_000))
                                     .response()
                                     .body());
-                    inOrder = runBeforeNextCheck(
-                            harness, stopped::countDown, () -> client.send(SidecarHarness.get("a1", 30_000)));
+                    inOrder = harness.stopAndRunBeforeNextCheck(
+                            stopped::countDown, () -> client.send(SidecarHarness.get("a1", 30_000)));
                     if (inOrder) {
                         ScriptedServer.Message m = client.response();
                         assertEquals("a1", m == null ? "end of connection" : m.body());
@@ -137,7 +91,7 @@
                 harness.start();
                 CountDownLatch stopped = new CountDownLatch(1);
                 List<ScriptedServer.Client> late = new ArrayList<>();
-                inOrder = runBeforeNextCheck(harness, stopped::countDown, () -> {
+                inOrder = harness.stopAndRunBeforeNextCheck(stopped::countDown, () -> {
                     for (int i = 0; i < 5; i++) {
                         late.add(harness.client().send(SidecarHarness.get("a" + i, 30_000)));
                     }
@@ -173,8 +127,4 @@
             assertTrue(stopped.await(20, TimeUnit.SECONDS));
         }
     }
-
-    private interface Action {
-        void run() throws IOException;
-    }
 }
--- a/src/test/java/loadbalancer/sidecar/SidecarHarness.java
+++ b/src/test/java/loadbalancer/sidecar/SidecarHarness.java
@@ -1,6 +1,8 @@
 package loadbalancer.sidecar;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,8 +11,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import loadbalancer.balancing.Balancer;
 import loadbalancer.operator.OperatorConfiguration;
@@ -41,10 +45,25 @@
             name = "stage.Booking/Echo"
             class = "c"
             streams = true
+            [[grpc.method]]
+            name = "stage.Booking/Lookup"
+            class = "c"
             [grpc.other]
             class = "c"
             """;
 
+    /**
+     * Longer than clients are still served and idle connections are kept during a shutdown, with the checks after that.
+     */
+    private static final long STALL_MS = 900;
+    /** Lower bound on the time between two checks of a shutdown. */
+    private static final long MIN_CHECK_INTERVAL_MS = 15;
+
+    /** What a test does at a given moment. */
+    interface Action {
+        void run() throws IOException;
+    }
+
     /** The balancer's action on a request. */
     interface RequestHandler {
         void handle(long nowMicros, Balancer.Request request, Balancer.Actions out);
@@ -104,7 +123,7 @@
         addUpstream((m, connection) -> {});
     }
 
-    /** Turns gRPC on, on any free port; all methods have class {@code c}, and {@code Echo} streams. */
+    /** Turns gRPC on, on any free port; all methods have class {@code c}; {@code Lookup} is unary, others stream. */
     SidecarHarness withGrpc() throws ConfigurationException {
         operator = OperatorFile.read(ConfigurationTable.parse("operator", GRPC_TABLE, Map.of()));
         return this;
@@ -230,6 +249,41 @@
         }
     }
 
+    /**
+     * Begins the shutdown and blocks the event loop until all that the shutdown waits for has passed. {@code action}
+     * runs after that, right before the next check of the shutdown in the same iteration of the loop, so that what it
+     * sends can't be read in between. False if the loop was too slow for that order.
+     */
+    boolean stopAndRunBeforeNextCheck(Runnable stopped, Action action) throws InterruptedException {
+        EventLoop loop = sidecar.loop();
+        CountDownLatch done = new CountDownLatch(1);
+        AtomicBoolean inOrder = new AtomicBoolean();
+        loop.execute(() -> {
+            long stopNanos = System.nanoTime();
+            sidecar.stop(stopped);
+            loop.execute(() -> {
+                loop.schedule(
+                        () -> {
+                            try {
+                                action.run();
+                            } catch (IOException exception) {
+                                throw new UncheckedIOException(exception);
+                            } finally {
+                                done.countDown();
+                            }
+                        },
+                        0,
+                        TimeUnit.NANOSECONDS);
+                inOrder.set(System.nanoTime() - stopNanos < TimeUnit.MILLISECONDS.toNanos(MIN_CHECK_INTERVAL_MS));
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STALL_MS));
+            });
+        });
+        if (!done.await(30, TimeUnit.SECONDS)) {
+            throw new AssertionError("the event loop did not run the action within 30 s");
+        }
+        return inOrder.get();
+    }
+
     /** Waits until the balancer has got an event that starts with this text, and returns it. */
     String await(String start) throws InterruptedException {
         for (String line; (line = balancerEvents.poll(20, TimeUnit.SECONDS)) != null; ) {
--- a/src/test/java/loadbalancer/testbed/GrpcAbuseTest.java
+++ b/src/test/java/loadbalancer/testbed/GrpcAbuseTest.java
@@ -1,17 +1,20 @@
 package loadbalancer.testbed;
 
+import static loadbalancer.testbed.RawHttp2Client.CONTINUATION;
+import static loadbalancer.testbed.RawHttp2Client.DATA;
+import static loadbalancer.testbed.RawHttp2Client.GOAWAY;
+import static loadbalancer.testbed.RawHttp2Client.HEADERS;
+import static loadbalancer.testbed.RawHttp2Client.PING;
+import static loadbalancer.testbed.RawHttp2Client.RST_STREAM;
+import static loadbalancer.testbed.RawHttp2Client.WINDOW_UPDATE;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
-import java.io.ByteArrayOutputStream;
-import java.io.DataInputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -23,111 +26,37 @@
 /** Frames that a well-meaning client never sends: each ends its own connection, and nobody else's calls. */
 @Timeout(120)
 class GrpcAbuseTest {
-    private static final int HEADERS = 1,
-            RST_STREAM = 3,
-            SETTINGS = 4,
-            PING = 6,
-            WINDOW_UPDATE = 8,
-            CONTINUATION = 9,
-            DATA = 0;
-    private static final int GOAWAY = 7;
+    private static final String NOTE = "/stage.Booking/Note";
     private static final int ENHANCE_YOUR_CALM = 11;
 
-    /** Frames by hand: no library sends these. */
-    private static final class Attacker implements AutoCloseable {
-        private final Socket socket;
-        private final DataOutputStream out;
-
-        Attacker(InetSocketAddress to) throws IOException {
-            socket = new Socket(to.getAddress(), to.getPort());
-            socket.setSoTimeout(20_000);
-            out = new DataOutputStream(new java.io.BufferedOutputStream(socket.getOutputStream(), 1 << 16));
-            out.write("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-            frame(SETTINGS, 0, 0);
-        }
-
-        void frame(int type, int flags, int stream, int... payload) throws IOException {
-            out.write(new byte[] {
-                (byte) (payload.length >> 16),
-                (byte) (payload.length >> 8),
-                (byte) payload.length,
-                (byte) type,
-                (byte) flags
-            });
-            out.writeInt(stream);
-            for (int b : payload) {
-                out.write(b);
-            }
-        }
-
-        /** POST /stage.Booking/Note with what gRPC needs, in literals without an index. */
-        int[] head() {
-            return head("/stage.Booking/Note");
-        }
-
-        int[] head(String path) {
-            ByteArrayOutputStream block = new ByteArrayOutputStream();
-            block.write(0x83);
-            block.write(0x86);
-            literal(block, ":path", path);
-            literal(block, ":authority", "a");
-            literal(block, "content-type", "application/grpc");
-            literal(block, "te", "trailers");
-            byte[] bytes = block.toByteArray();
-            int[] ints = new int[bytes.length];
-            for (int i = 0; i < bytes.length; i++) {
-                ints[i] = bytes[i] & 0xff;
-            }
-            return ints;
-        }
-
-        private static void literal(ByteArrayOutputStream block, String name, String value) {
-            block.write(0);
-            for (String s : new String[] {name, value}) {
-                block.write(s.length());
-                block.writeBytes(s.getBytes(StandardCharsets.US_ASCII));
-            }
+    /** Reads to the end of the connection; the error code of the GOAWAY that came, -1 without one. */
+    private static int end(RawHttp2Client client) throws IOException {
+        int code = -1;
+        try {
+            client.flush();
+        } catch (IOException exception) {
+            // Hung up on in the middle of it: what was said before is still there to be read.
         }
-
-        /** Reads to the end of the connection; the error code of the GOAWAY that came, -1 without one. */
-        int end() throws IOException {
-            int code = -1;
-            try {
-                out.flush();
-            } catch (IOException exception) {
-                // Hung up on in the middle of it: what was said before is still there to be read.
-            }
-            try {
-                DataInputStream in = new DataInputStream(socket.getInputStream());
-                while (true) {
-                    int length = in.readUnsignedByte() << 16 | in.readUnsignedShort();
-                    int type = in.readUnsignedByte();
-                    in.readUnsignedByte();
-                    in.readInt();
-                    byte[] payload = in.readNBytes(length);
-                    if (type == GOAWAY && payload.length >= 8) {
-                        // A second one, as the connection closes, names no error any more.
-                        code = Math.max(code, payload[7] & 0xff);
-                    }
+        try {
+            while (true) {
+                RawHttp2Client.Frame frame = client.read();
+                if (frame.type() == GOAWAY && frame.payload().length >= 8) {
+                    // A second one, as the connection closes, names no error any more.
+                    code = Math.max(code, frame.payload()[7] & 0xff);
                 }
-            } catch (java.net.SocketTimeoutException e) {
-                throw new AssertionError("the connection was left open");
-            } catch (IOException exception) {
-                return code;
             }
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
+        } catch (SocketTimeoutException e) {
+            throw new AssertionError("the connection was left open");
+        } catch (IOException exception) {
+            return code;
         }
     }
 
     interface Attack {
-        void on(Attacker a) throws IOException;
+        void on(RawHttp2Client a) throws IOException;
     }
 
-    private static void floods(Attacker a, int times, Attack one) throws IOException {
+    private static void floods(RawHttp2Client a, int times, Attack one) throws IOException {
         try {
             for (int i = 0; i < times; i++) {
                 one.on(a);
@@ -166,9 +95,9 @@
                         Call.unary(good, "stage.Booking/Lookup", null, "{}", 0)
                                 .status()
                                 .getCode());
-                try (Attacker known = new Attacker(sidecar.grpcAddress())) {
+                try (RawHttp2Client known = new RawHttp2Client(sidecar.grpcAddress())) {
                     sidecar.pause();
-                    known.frame(HEADERS, 4, 1, known.head("/stage.Booking/Lookup"));
+                    known.frame(HEADERS, 4, 1, RawHttp2Client.head("/stage.Booking/Lookup"));
                     known.frame(DATA, 1, 1, 0, 0, 0, 0, 0);
                     known.out.flush();
                     way.on(known);
@@ -199,7 +128,7 @@
                 a -> {
                     int[] stream = {1};
                     floods(a, 2_000, x -> {
-                        x.frame(HEADERS, 4, stream[0], x.head());
+                        x.frame(HEADERS, 4, stream[0], RawHttp2Client.head(NOTE));
                         x.frame(RST_STREAM, 0, stream[0], 0, 0, 0, 8);
                         stream[0] += 2;
                     });
@@ -211,7 +140,7 @@
                 },
                 // Frames of data without data.
                 a -> {
-                    a.frame(HEADERS, 4, 1, a.head());
+                    a.frame(HEADERS, 4, 1, RawHttp2Client.head(NOTE));
                     floods(a, 10_000, x -> x.frame(DATA, 0, 1));
                 },
                 // Pings whose answers nobody reads.
@@ -221,7 +150,7 @@
                 // Metadata without end in one frame.
                 a -> {
                     int[] block = new int[16_000];
-                    a.frame(HEADERS, 0, 1, a.head());
+                    a.frame(HEADERS, 0, 1, RawHttp2Client.head(NOTE));
                     for (int i = 0; i < 40; i++) {
                         for (int at = 0; at + 20 <= block.length; at += 20) {
                             block[at] = 0;
@@ -237,7 +166,7 @@
                 },
             };
             for (Attack attack : attacks) {
-                try (Attacker a = new Attacker(to)) {
+                try (RawHttp2Client a = new RawHttp2Client(to)) {
                     try {
                         attack.on(a);
                     } catch (IOException exception) {
@@ -247,7 +176,7 @@
                         // Too large a head ends its own stream; the connection may go on.
                         codes.add(0);
                     } else {
-                        codes.add(a.end());
+                        codes.add(end(a));
                     }
                 }
                 Call call = Call.unary(good, "stage.Booking/Lookup", null, "{}", 2_000);
