Serve gRPC calls that arrive while a stop closes connections and the listener

What callers saw: after an event loop that stood still, or simply late, a stop closed gRPC connections with calls that lay unread, and reset clients that the kernel had connected but that were not accepted yet. Their calls were lost.

HTTP/1.1 looks: it drains the accept queue, waits until none has connected for 150 ms, and reads once more before a close.

Change: what HttpServer did is core.GracefulStop, for both front ends, with DrainingListener beside it. A gRPC connection is read before its last stream is announced, and a connection younger than 150 ms waits; it closes in a later turn, when its calls are answered.

--- a/src/main/java/loadbalancer/http1/DrainingListener.java
+++ b/src/main/java/loadbalancer/core/DrainingListener.java
@@ -1,4 +1,4 @@
-package loadbalancer.http1;
+package loadbalancer.core;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.util.ArrayList;
@@ -12,13 +12,13 @@
  * and clients that connect meanwhile are lost. Therefore the channel is deregistered first, then the queue is accepted,
  * then the channel is closed.
  */
-final class DrainingListener extends NioServerSocketChannel {
+public final class DrainingListener extends NioServerSocketChannel {
     private static final long RECHECK_MILLIS = 1;
 
     private boolean draining;
 
     /** Accepts all queued connections and closes; loses only clients that connect in the microseconds in between. */
-    void drainAndClose() {
+    public void drainAndClose() {
         if (!draining && isOpen()) {
             draining = true;
             deregister().addListener(f -> acceptQueuedAndClose());
--- /dev/null
+++ b/src/main/java/loadbalancer/core/GracefulStop.java
@@ -0,0 +1,88 @@
+package loadbalancer.core;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stops a front end without losing calls that its clients have sent: it serves on while clients may still connect, then
+ * closes the listener once none has connected for a while, and connections as they become idle. Must be used on the
+ * event loop only.
+ */
+public final class GracefulStop {
+    /** A connection that was active within this time may have a request in transit and is not closed. */
+    public static final long QUIET_PERIOD_MICROS = 150_000;
+    /** Time after a stop request during which clients may still open connections. */
+    public static final long GRACE_MICROS = 600_000;
+
+    /**
+     * Time beyond {@link #GRACE_MICROS} after which the listener is closed even if connections still arrive, because a
+     * client that still opens connections does not know of the stop.
+     */
+    private static final long MAX_LISTEN_OVERRUN_MICROS = 1_000_000;
+
+    private static final long CHECK_MILLIS = 20;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final FrontEnd frontEnd;
+    /** Time until which new connections are expected; 0 before the start. */
+    private long graceEndMicros;
+
+    /** Creates a stop that has not begun. */
+    public GracefulStop(EventLoop loop, Clock clock, FrontEnd frontEnd) {
+        this.loop = loop;
+        this.clock = clock;
+        this.frontEnd = frontEnd;
+    }
+
+    /** The sockets of a front end. */
+    public interface FrontEnd {
+        /** The listen socket; null if there is none yet. */
+        DrainingListener listener();
+
+        /** Time at which a client last connected. */
+        long lastAcceptMicros();
+
+        /** Whether any connection of a client is open. */
+        boolean hasConnections();
+
+        /** Closes the connections that no call needs any more. Called again and again once the grace time is over. */
+        void closeIdleConnections(long nowMicros);
+    }
+
+    /** Begins; {@code onStopped} runs when the listener and all connections are closed. */
+    public void start(Runnable onStopped) {
+        graceEndMicros = clock.nowMicros() + GRACE_MICROS;
+        proceed(onStopped);
+    }
+
+    /** Whether the stop has begun. */
+    public boolean isStarted() {
+        return graceEndMicros > 0;
+    }
+
+    private void proceed(Runnable onStopped) {
+        long nowMicros = clock.nowMicros();
+        if (nowMicros >= graceEndMicros) {
+            if (isListening() && mayCloseListener(nowMicros)) {
+                frontEnd.listener().drainAndClose();
+            }
+            frontEnd.closeIdleConnections(nowMicros);
+            if (!frontEnd.hasConnections() && !isListening()) {
+                onStopped.run();
+                return;
+            }
+        }
+        loop.schedule(() -> proceed(onStopped), CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isListening() {
+        return frontEnd.listener() != null && frontEnd.listener().isOpen();
+    }
+
+    /** Closing the listener resets clients that are connecting, so none may have connected for a while. */
+    private boolean mayCloseListener(long nowMicros) {
+        return nowMicros - frontEnd.lastAcceptMicros() >= QUIET_PERIOD_MICROS
+                || nowMicros >= graceEndMicros + MAX_LISTEN_OVERRUN_MICROS;
+    }
+}
--- a/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
+++ b/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
@@ -14,6 +14,8 @@
 import java.util.List;
 import java.util.Set;
 import loadbalancer.core.Clock;
+import loadbalancer.core.DisconnectCheck;
+import loadbalancer.core.GracefulStop;
 import loadbalancer.core.Log;
 
 /**
@@ -28,6 +30,8 @@
 
     private final Channel channel;
     private final Clock clock;
+    private final DisconnectCheck disconnectCheck = new DisconnectCheck(() -> true);
+    private final long openedMicros;
     /** Calls that are open, or whose response is not with the kernel yet. */
     private final Set<GrpcStream> calls = new HashSet<>();
     /** Time at which something was last received, or a response was passed to the kernel. */
@@ -38,7 +42,13 @@
     GrpcClientConnection(Channel channel, Clock clock) {
         this.channel = channel;
         this.clock = clock;
-        lastActiveMicros = clock.nowMicros();
+        openedMicros = clock.nowMicros();
+        lastActiveMicros = openedMicros;
+    }
+
+    /** The first handler of the channel's pipeline. */
+    DisconnectCheck disconnectCheck() {
+        return disconnectCheck;
     }
 
     /** The handler before the codec, which records that bytes arrive. */
@@ -75,10 +85,8 @@
     /** Announces the last stream, and closes once no call is left, or its client does not read any more. */
     void closeIfIdle(long nowMicros) {
         if (!lastStreamAnnounced) {
-            lastStreamAnnounced = true;
-            goAway(0);
-        }
-        if (calls.isEmpty()) {
+            announceLastStream(nowMicros);
+        } else if (calls.isEmpty()) {
             channel.close();
         } else if (!hasOpenCalls() && nowMicros - lastActiveMicros > UNREAD_RESPONSE_MICROS) {
             // Not through the codec, which would wait for the unsent responses.
@@ -86,6 +94,14 @@
         }
     }
 
+    /** Announces it behind all calls that have arrived; the first call of a new connection may still be in transit. */
+    private void announceLastStream(long nowMicros) {
+        if (nowMicros - openedMicros >= GracefulStop.QUIET_PERIOD_MICROS && !disconnectCheck.isClientGone()) {
+            lastStreamAnnounced = true;
+            goAway(0);
+        }
+    }
+
     private boolean hasOpenCalls() {
         return calls.stream().anyMatch(call -> !call.isOver());
     }
--- a/src/main/java/loadbalancer/grpc/GrpcServer.java
+++ b/src/main/java/loadbalancer/grpc/GrpcServer.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2Settings;
@@ -19,7 +18,9 @@
 import loadbalancer.balancing.Balancer.RequestClass;
 import loadbalancer.core.Clock;
 import loadbalancer.core.DisconnectCheck;
+import loadbalancer.core.DrainingListener;
 import loadbalancer.core.EventLoops;
+import loadbalancer.core.GracefulStop;
 import loadbalancer.core.ListenSocket;
 import loadbalancer.core.RequestClasses;
 import loadbalancer.core.Requests;
@@ -39,9 +40,6 @@
     private static final int WINDOW = 64 * 1024;
     /** Streams that a client may reset in so many seconds, and control frames that may wait for it to read them. */
     private static final int RESETS = 200, RESETS_S = 30, CONTROL_FRAMES = 1_000;
-    /** After the stop new calls are taken for so long: a client hears of it in its own time. */
-    private static final long SERVE_ON_MS = 600, LOOK_MS = 20;
-
     /** Kept, or the level is forgotten with it. What a client does to a connection is no line of the log, however often. */
     private static final Logger CODEC = Logger.getLogger("io.netty.handler.codec.http2");
 
@@ -52,7 +50,9 @@
     private final GrpcOptions options;
     private final RequestClasses classes;
     private final Set<GrpcClientConnection> connections = new HashSet<>();
-    private Channel listener;
+    private final GracefulStop gracefulStop;
+    private DrainingListener listener;
+    private long lastAcceptMicros;
     private long numbers;
     private final String name;
     private long stopAtUs;
@@ -74,6 +74,7 @@
         this.options = options;
         this.classes = classes;
         this.name = name;
+        gracefulStop = new GracefulStop(loop, clock, new Sockets());
         upstreams = new GrpcUpstreams(loop, clock, connIdleUs, dialTimeoutUs, options);
         options.routes().forEach(route -> {
             if (classes.latest(route.requestClass()) == null) {
@@ -85,9 +86,9 @@
 
     /** {@code shared}: another process of this sidecar may listen there too. */
     public InetSocketAddress listen(boolean shared) throws InterruptedException {
-        listener =
-                ListenSocket.bindTcp(loop, NioServerSocketChannel::new, 256, shared, options.listen(), this::accepted);
-        return (InetSocketAddress) listener.localAddress();
+        listener = (DrainingListener)
+                ListenSocket.bindTcp(loop, DrainingListener::new, 256, shared, options.listen(), this::accepted);
+        return listener.localAddress();
     }
 
     public void update(boolean whole, List<Endpoint> members) {
@@ -96,6 +97,7 @@
 
     private void accepted(Channel channel) {
         ChannelConfig accepting = channel.parent().config();
+        lastAcceptMicros = clock.nowMicros();
         GrpcClientConnection connection = new GrpcClientConnection(channel, clock);
         connections.add(connection);
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
@@ -113,7 +115,7 @@
         }
         channel.pipeline()
                 .addLast(
-                        new DisconnectCheck(() -> true),
+                        connection.disconnectCheck(),
                         connection.byteHandler(),
                         Http2FrameCodecBuilder.forServer()
                                 .initialSettings(settings)
@@ -178,28 +180,34 @@
     public void stop(Runnable stopped) {
         stopAtUs = clock.nowMicros();
         connections.forEach(GrpcClientConnection::announceStop);
-        look(stopped);
+        gracefulStop.start(stopped);
     }
 
-    private void look(Runnable stopped) {
-        long now = clock.nowMicros();
-        if (now - stopAtUs >= SERVE_ON_MS * 1000) {
-            listener.close();
-            closeIdleConnections(now);
-            if (connections.isEmpty()) {
-                stopped.run();
-                return;
-            }
+    /** The sockets that a graceful stop closes. */
+    private final class Sockets implements GracefulStop.FrontEnd {
+        @Override
+        public DrainingListener listener() {
+            return listener;
+        }
+
+        @Override
+        public long lastAcceptMicros() {
+            return lastAcceptMicros;
+        }
+
+        @Override
+        public boolean hasConnections() {
+            return !connections.isEmpty();
         }
-        loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
-    }
 
-    private void closeIdleConnections(long nowMicros) {
-        for (GrpcClientConnection connection : List.copyOf(connections)) {
-            if (nowMicros - stopAtUs >= options.streamDrainMicros()) {
-                connection.cutCallsShort();
+        @Override
+        public void closeIdleConnections(long nowMicros) {
+            for (GrpcClientConnection connection : List.copyOf(connections)) {
+                if (nowMicros - stopAtUs >= options.streamDrainMicros()) {
+                    connection.cutCallsShort();
+                }
+                connection.closeIfIdle(nowMicros);
             }
-            connection.closeIfIdle(nowMicros);
         }
     }
 }
--- a/src/main/java/loadbalancer/http1/HttpServer.java
+++ b/src/main/java/loadbalancer/http1/HttpServer.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import loadbalancer.core.Clock;
+import loadbalancer.core.DrainingListener;
+import loadbalancer.core.GracefulStop;
 import loadbalancer.core.ListenSocket;
 import loadbalancer.core.RequestClasses;
 import loadbalancer.core.Requests;
@@ -22,17 +24,6 @@
  * requests that clients have sent.
  */
 public final class HttpServer {
-    /** Time after a stop request during which the application may still open connections. */
-    private static final long STOP_GRACE_MILLIS = 600;
-    /**
-     * Time beyond {@link #STOP_GRACE_MILLIS} after which the listener is closed even if connections still arrive,
-     * because an application that still opens connections does not know of the stop.
-     */
-    private static final long MAX_LISTEN_OVERRUN_MILLIS = 1_000;
-    /** A connection that was active within this time may have a request in transit and is not closed. */
-    private static final long QUIET_PERIOD_MILLIS = 150;
-
-    private static final long STOP_CHECK_MILLIS = 20;
     private static final long SWEEP_MILLIS = 100;
     private static final int BACKLOG = 256;
     /**
@@ -54,6 +45,7 @@
     private final RequestAdmission admission;
     private final BufferBudget budget = new BufferBudget();
     private final Set<ClientConnection> connections = new HashSet<>();
+    private final GracefulStop gracefulStop;
     /** Null until {@link #listen}, which the new process of an upgrade calls only after its warm-up. */
     private DrainingListener listener;
     /** Null except during the warm-up. */
@@ -62,8 +54,6 @@
     private long lastAcceptMicros;
     /** Time at which the server was taken out of service; 0 while it is in service. */
     private long outOfServiceSinceMicros;
-    /** Time until which a stopping server expects new connections; 0 if it is not stopping. */
-    private long stopAtMicros;
     /** Moving average of the fraction of requests that were not the first on their connection. */
     private double reuseFraction = 1;
 
@@ -88,6 +78,7 @@
         this.canServe = canServe;
         this.maxConnections = maxConnections;
         admission = new RequestAdmission(clock, requests, upstreams, classes);
+        gracefulStop = new GracefulStop(loop, clock, new Sockets());
     }
 
     /**
@@ -120,7 +111,7 @@
 
     /** Whether {@link #stop} or {@link #handOver} was called. */
     public boolean isStopping() {
-        return stopAtMicros > 0;
+        return gracefulStop.isStarted();
     }
 
     /**
@@ -141,8 +132,7 @@
      * connections, then runs {@code onStopped}.
      */
     public void stop(Runnable onStopped) {
-        stopAtMicros = clock.nowMicros() + STOP_GRACE_MILLIS * 1000;
-        continueStop(onStopped);
+        gracefulStop.start(onStopped);
     }
 
     /**
@@ -228,7 +218,7 @@
         if (connections.size() >= maxConnections) {
             closeLongestIdle(nowMicros);
         }
-        if (outOfServiceSinceMicros > 0 && nowMicros - outOfServiceSinceMicros >= STOP_GRACE_MILLIS * 1000) {
+        if (outOfServiceSinceMicros > 0 && nowMicros - outOfServiceSinceMicros >= GracefulStop.GRACE_MICROS) {
             closeIdleConnections(nowMicros);
         }
     }
@@ -238,30 +228,31 @@
             connection
                     .timeouts()
                     .closeIfIdle(
-                            nowMicros - QUIET_PERIOD_MILLIS * 1000,
+                            nowMicros - GracefulStop.QUIET_PERIOD_MICROS,
                             nowMicros - classes.longestDeadlineMicros(nowMicros));
         }
     }
 
-    private boolean isListening() {
-        return listener != null && listener.isOpen();
-    }
+    /** The sockets that a graceful stop closes. */
+    private final class Sockets implements GracefulStop.FrontEnd {
+        @Override
+        public DrainingListener listener() {
+            return listener;
+        }
 
-    private void continueStop(Runnable onStopped) {
-        long nowMicros = clock.nowMicros();
-        if (nowMicros >= stopAtMicros) {
-            // Closing the listener resets clients that are connecting: wait until none has connected for a while.
-            if (isListening()
-                    && (nowMicros - lastAcceptMicros >= QUIET_PERIOD_MILLIS * 1000
-                            || nowMicros >= stopAtMicros + MAX_LISTEN_OVERRUN_MILLIS * 1000)) {
-                listener.drainAndClose();
-            }
-            closeIdleConnections(nowMicros);
-            if (connections.isEmpty() && !isListening()) {
-                onStopped.run();
-                return;
-            }
+        @Override
+        public long lastAcceptMicros() {
+            return lastAcceptMicros;
+        }
+
+        @Override
+        public boolean hasConnections() {
+            return !connections.isEmpty();
+        }
+
+        @Override
+        public void closeIdleConnections(long nowMicros) {
+            HttpServer.this.closeIdleConnections(nowMicros);
         }
-        loop.schedule(() -> continueStop(onStopped), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
@@ -9,6 +9,7 @@
 import io.grpc.ServerCall;
 import io.grpc.Status;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -62,6 +63,11 @@
         upstream.shutdownNow();
     }
 
+    private void restart() throws Exception {
+        close();
+        start();
+    }
+
     private RawHttp2Client client() throws IOException {
         return new RawHttp2Client(harness.sidecar.grpcAddress());
     }
@@ -103,4 +109,45 @@
             assertStopped();
         }
     }
+
+    /** Guards against a call being lost that arrives right before the check that closes its idle connection. */
+    @Test
+    void servesCallThatCrossesCloseOfIdleConnection() throws Exception {
+        for (boolean inOrder = false; !inOrder; ) {
+            restart();
+            try (RawHttp2Client client = client()) {
+                client.openWindows(4 * RESPONSE_BYTES);
+                client.call(1, PATH);
+                assertWholeResponse(client, 1);
+                inOrder = harness.stopAndRunBeforeNextCheck(stopped::countDown, () -> client.call(3, PATH));
+                if (inOrder) {
+                    assertWholeResponse(client, 3);
+                    assertStopped();
+                }
+            }
+        }
+    }
+
+    /** Guards against clients being reset that the kernel has connected, but that are not accepted yet. */
+    @Test
+    void servesClientsInBacklogWhenListenerCloses() throws Exception {
+        for (boolean inOrder = false; !inOrder; ) {
+            restart();
+            List<RawHttp2Client> late = new ArrayList<>();
+            inOrder = harness.stopAndRunBeforeNextCheck(stopped::countDown, () -> {
+                for (int i = 0; i < 3; i++) {
+                    RawHttp2Client client = client();
+                    client.openWindows(2 * RESPONSE_BYTES);
+                    late.add(client.call(1, PATH));
+                }
+            });
+            for (RawHttp2Client client : late) {
+                if (inOrder) {
+                    assertWholeResponse(client, 1);
+                }
+                client.close();
+            }
+            assertStopped();
+        }
+    }
 }
