Close a gRPC connection in a stop only when its client has read all of it

What callers could see: a client with large HTTP/2 windows that reads slowly lost the end of an answer in a planned restart, though the sidecar had passed it to the kernel. Any frame of the client's, a WINDOW_UPDATE or a PING, that met the closed socket reset the connection and dropped what the kernel still held.

Over HTTP/1.1 a client that reads an answer sends nothing meanwhile; over HTTP/2 it does.

Change: after the last stream is announced and all answers are written, a stop sends a PING and closes when it is acknowledged: frames are read in order, so the client has then read all before it. Without an acknowledgement it closes after 10 s, or 150 ms on a connection that never carried a call.

Measured: GrpcShutdownTest.waitsForResponseThatIsWithTheKernel failed before ("stopped before the client had its response") and passes. Grpc*Test, Shutdown*Test, UpgradeTest, MainTest and ArchitectureTest passed at load 13.

--- a/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
+++ b/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
@@ -6,8 +6,10 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
+import io.netty.handler.codec.http2.DefaultHttp2PingFrame;
 import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2Exception;
+import io.netty.handler.codec.http2.Http2PingFrame;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.HashSet;
@@ -26,6 +28,9 @@
     /** A response that the client does not read on for this long will never be read. */
     private static final long UNREAD_RESPONSE_MICROS = 10_000_000;
 
+    /** Content of the PING that follows the last response; its acknowledgement shows that the client has read all. */
+    private static final long DELIVERY_PING = 0x6c617374;
+
     private static final int ANY_STREAM = Integer.MAX_VALUE;
 
     private final Channel channel;
@@ -36,8 +41,14 @@
     private final Set<GrpcStream> calls = new HashSet<>();
     /** Time at which something was last received, or a response was passed to the kernel. */
     private long lastActiveMicros;
+
+    private boolean hasCarriedCalls;
     /** Whether the client knows which calls are the last that are served. */
     private boolean lastStreamAnnounced;
+    /** Time at which {@link #DELIVERY_PING} was sent; 0 before that. */
+    private long pingMicros;
+
+    private boolean pingAcknowledged;
 
     GrpcClientConnection(Channel channel, Clock clock) {
         this.channel = channel;
@@ -64,6 +75,7 @@
 
     void callBegun(GrpcStream call) {
         calls.add(call);
+        hasCarriedCalls = true;
     }
 
     /** The last frame of the call's response is with the kernel, or can't be sent any more. */
@@ -87,10 +99,27 @@
         if (!lastStreamAnnounced) {
             announceLastStream(nowMicros);
         } else if (calls.isEmpty()) {
-            channel.close();
+            closeOnceDelivered(nowMicros);
         } else if (!hasOpenCalls() && nowMicros - lastActiveMicros > UNREAD_RESPONSE_MICROS) {
-            // Not through the codec, which would wait for the unsent responses.
-            channel.unsafe().close(channel.voidPromise());
+            closeNow();
+        }
+    }
+
+    /**
+     * Closes when the client has acknowledged a PING behind the last response. A frame that the client sends while a part
+     * of the response is in the kernel only would reset a closed connection, and that part would be lost.
+     */
+    private void closeOnceDelivered(long nowMicros) {
+        if (pingMicros == 0) {
+            pingMicros = nowMicros;
+            channel.writeAndFlush(new DefaultHttp2PingFrame(DELIVERY_PING));
+            return;
+        }
+        long maxWaitMicros = hasCarriedCalls ? UNREAD_RESPONSE_MICROS : GracefulStop.QUIET_PERIOD_MICROS;
+        if (pingAcknowledged) {
+            channel.close();
+        } else if (nowMicros - pingMicros > maxWaitMicros) {
+            closeNow();
         }
     }
 
@@ -102,6 +131,11 @@
         }
     }
 
+    /** Closes not through the codec, which would wait until what is unsent is with the kernel. */
+    private void closeNow() {
+        channel.unsafe().close(channel.voidPromise());
+    }
+
     private boolean hasOpenCalls() {
         return calls.stream().anyMatch(call -> !call.isOver());
     }
@@ -114,6 +148,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object frame) {
+        if (frame instanceof Http2PingFrame ping && ping.ack() && ping.content() == DELIVERY_PING) {
+            pingAcknowledged = true;
+        }
         ReferenceCountUtil.release(frame);
     }
 
--- a/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
@@ -9,6 +9,7 @@
 import io.grpc.ServerCall;
 import io.grpc.Status;
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -100,6 +101,27 @@
         }
     }
 
+    /**
+     * Guards against a close while a part of a response is in the kernel only: the client's next frame would reset the
+     * connection, and lose it.
+     */
+    @Test
+    void waitsForResponseThatIsWithTheKernel() throws Exception {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4_096);
+        try (RawHttp2Client client = new RawHttp2Client(harness.sidecar.grpcAddress(), socket)) {
+            client.openWindows(2 * RESPONSE_BYTES);
+            client.call(1, PATH);
+            harness.await("outcome n0-g1 0 OK");
+            harness.sidecar.stop(stopped::countDown);
+            assertStillServing();
+            client.frame(RawHttp2Client.PING, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8);
+            client.flush();
+            assertWholeResponse(client, 1);
+            assertStopped();
+        }
+    }
+
     @Test
     void clientThatNeverReadsDoesNotPreventStop() throws Exception {
         try (RawHttp2Client client = client()) {
