Leave an HTTP/1.1 response that is still being sent to its own timeout in a stop

A response that the kernel does not take yet has no activity.

Change: closeIfIdle closes no connection that is writing a response. If the kernel takes nothing for 10 s, the existing check gives the response up and the connection is idle, also in a stop.

--- a/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
@@ -78,12 +78,14 @@
 
     /**
      * Closes a connection that has been idle since before {@code idleSinceMicros}, or has received no more of a partial
-     * request since before {@code partialSinceMicros}.
+     * request since before {@code partialSinceMicros}. A response that is being sent is left to {@link #check}.
      */
     void closeIfIdle(long idleSinceMicros, long partialSinceMicros) {
         if (connection.isIdle() && lastActiveMicros < idleSinceMicros) {
             closeIfStillIdle();
-        } else if (connection.hasNoPendingResponse() && lastActiveMicros < partialSinceMicros) {
+        } else if (connection.hasNoPendingResponse()
+                && !connection.isWritingResponse()
+                && lastActiveMicros < partialSinceMicros) {
             connection.channel().close();
         }
     }
--- a/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
+++ b/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
@@ -8,6 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** A slow client gets its whole response, however briefly idle connections are kept. */
@@ -19,6 +22,8 @@
 
     private static final int MIN_LENGTH = 8 * 1024 * 1024;
     private static final int LENGTH_STEP = 40_000;
+    /** Longest deadline of all classes, for which a shutdown waits for the rest of a request. */
+    private static final long DEADLINE_MILLIS = 2_000;
 
     private static final class SlowClient implements AutoCloseable {
         final Socket socket = new Socket();
@@ -58,50 +63,83 @@
         }
     }
 
+    private final List<SlowClient> clients = new ArrayList<>();
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    @AfterEach
+    void closeClients() throws IOException {
+        for (SlowClient client : clients) {
+            client.close();
+        }
+    }
+
+    private static void addUpstream(SidecarHarness harness) throws IOException {
+        harness.addUpstream((m, connection) -> {
+            int at = m.head().indexOf("X-Txn: long");
+            if (at < 0) {
+                connection.respond("200 OK", "", "done");
+            } else {
+                String number =
+                        m.head().substring(at + "X-Txn: long".length()).split("\\s", 2)[0];
+                answer(connection, MIN_LENGTH + Long.parseLong(number) * LENGTH_STEP);
+            }
+        });
+    }
+
+    /** Reads until the sidecar has got the whole responses; the rest is then in the sidecar or the kernel. */
+    private void startReading(SidecarHarness harness) throws IOException {
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(new SlowClient(harness, i));
+        }
+        while (clients.stream().anyMatch(c -> !c.responseComplete)) {
+            for (SlowClient c : clients) {
+                if (!c.responseComplete) {
+                    c.read();
+                    c.responseComplete = harness.balancerEvents.contains("outcome " + c.id + " 0 OK true -");
+                }
+            }
+        }
+    }
+
+    private void readToEnd() throws IOException {
+        for (SlowClient c : clients) {
+            while (c.read < c.length) {
+                c.read();
+            }
+        }
+    }
+
     @Test
     void sweepOfIdleConnectionsDoesNotTruncateLongResponse() throws Exception {
-        List<SlowClient> clients = new ArrayList<>();
         try (SidecarHarness harness = new SidecarHarness()) {
-            harness.addUpstream((m, connection) -> {
-                int at = m.head().indexOf("X-Txn: long");
-                if (at < 0) {
-                    connection.respond("200 OK", "", "done");
-                } else {
-                    String number =
-                            m.head().substring(at + "X-Txn: long".length()).split("\\s", 2)[0];
-                    answer(connection, MIN_LENGTH + Long.parseLong(number) * LENGTH_STEP);
-                }
-            });
+            addUpstream(harness);
             harness.start();
             // After connections that are not reused, idle ones are kept only briefly.
             harness.sendOnePerConnection(SINGLE_REQUEST_CONNECTIONS);
-            for (int i = 0; i < CLIENTS; i++) {
-                clients.add(new SlowClient(harness, i));
-            }
-            // Reads until the sidecar has got the whole response; the rest is then in the sidecar or the kernel.
-            while (clients.stream().anyMatch(c -> !c.responseComplete)) {
-                for (SlowClient c : clients) {
-                    if (!c.responseComplete) {
-                        c.read();
-                        c.responseComplete = harness.balancerEvents.contains("outcome " + c.id + " 0 OK true -");
-                    }
-                }
-            }
+            startReading(harness);
             // A silent connection is closed by a sweep that checks the slow ones too.
             for (int i = 0; i < 2; i++) {
                 try (ScriptedServer.Client silent = harness.client()) {
                     assertTrue(silent.awaitClose());
                 }
             }
-            for (SlowClient c : clients) {
-                while (c.read < c.length) {
-                    c.read();
-                }
-            }
-        } finally {
-            for (SlowClient c : clients) {
-                c.close();
-            }
+            readToEnd();
+        }
+    }
+
+    /** Guards against a shutdown that closes a connection whose response is still being sent. */
+    @Test
+    void shutdownDoesNotTruncateLongResponse() throws Exception {
+        try (SidecarHarness harness = new SidecarHarness()) {
+            harness.settings = SidecarHarness.SETTINGS.replace("60000000", "" + DEADLINE_MILLIS * 1000);
+            addUpstream(harness);
+            harness.start();
+            startReading(harness);
+            harness.sidecar.stop(stopped::countDown);
+            // The clients read nothing for a while.
+            stopped.await(2 * DEADLINE_MILLIS, TimeUnit.MILLISECONDS);
+            readToEnd();
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
         }
     }
 }
