Refuse a long streaming call that its upstream rejected, in place of failing it

What callers saw: a streaming call of which more had been forwarded than the sidecar holds (64 KiB), and which its upstream turned away unexecuted, ended with UNKNOWN, which says that it may have run. A client may not send an unsafe call again then. HTTP/1.1 answers such an upload with 503: the next attempt can't start, and the balancer refuses.

--- a/src/main/java/loadbalancer/grpc/GrpcAttempt.java
+++ b/src/main/java/loadbalancer/grpc/GrpcAttempt.java
@@ -32,6 +32,9 @@
 final class GrpcAttempt implements Attempt {
     /** Who made the call, and takes what a stream brings. */
     interface Caller {
+        /** Whether a new attempt would get the whole request. */
+        boolean canStart();
+
         /** The request's bytes so far, in order; the attempt writes what is there now and is handed the rest. */
         void replay(GrpcAttempt to);
 
@@ -137,6 +140,10 @@
 
     @Override
     public void start() {
+        if (!caller.canStart()) {
+            drop();
+            return;
+        }
         sentUs = clock.nowMicros();
         pool.start(this);
     }
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -295,8 +295,8 @@
                         if (outcome == Outcome.OK) {
                             winner = of;
                         }
-                        if (!body.canStart() && !over && outcome != Outcome.OK) {
-                            // Nobody could be sent it all again.
+                        if (!body.canStart() && !over && outcome != Outcome.OK && outcome.mayHaveRun) {
+                            // It can't be sent again. Where it surely has not run, the balancer refuses it.
                             finish(lastEnding.code(), lastEnding.message(), lastTrailers);
                             server.requests().failedByFrontEnd(exchange);
                         }
@@ -348,6 +348,11 @@
 
     // ---- from an attempt -------------------------------------------------------------------------
 
+    @Override
+    public boolean canStart() {
+        return body.canStart();
+    }
+
     @Override
     public void replay(GrpcAttempt to) {
         if (over || !body.canStart()) {
--- a/src/test/java/loadbalancer/sidecar/GrpcStreamRetryTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcStreamRetryTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.balancing.Balancer.Outcome;
 import loadbalancer.testbed.GrpcRig;
 import loadbalancer.testbed.GrpcRig.Call;
 import org.junit.jupiter.api.Test;
@@ -156,6 +157,26 @@
         }
     }
 
+    /** Guards against a call that surely did not run being told as one that may have: its client could not send it again. */
+    @Test
+    void refusesRejectedStreamThatIsTooLongToBeSentAgain() throws Exception {
+        SidecarHarness.OutcomeHandler retryOrRefuse = (id, outcome, done, out) -> {
+            if (outcome == Outcome.REJECTED) {
+                out.send(id, "u1", 0);
+            } else {
+                out.reject(id, 0);
+            }
+        };
+        try (Setup setup = new Setup(MESSAGES, retryOrRefuse)) {
+            Call upload = open(setup.channel, "upload");
+            send(upload, 1);
+            setup.awaitReceived(1);
+            send(upload, MESSAGES - 1);
+            assertEquals(Status.Code.UNAVAILABLE, upload.status().getCode(), upload.status().toString());
+            setup.harness.await("outcome upload 1 NOT_SENT");
+        }
+    }
+
     private static void assertServedWith(int messages, Call call) throws InterruptedException {
         assertEquals(Status.Code.OK, call.status().getCode(), call.status().toString());
         assertEquals(messages + " messages", call.next());
