Ask before a gRPC attempt begins whether its client is still there

What callers could see: after an event loop that stood still, a gRPC attempt that had waited for its connection began though its client had reset the call or closed before; HTTP/1.1 looks right before it writes. Attempts over gRPC were not counted in the metric of attempts written, either.

Cause: GrpcStream put a listener of its own before that of Requests and passed on only two of its four methods; isWanted and onWritten fell back to the interface's defaults, yes and nothing.

Change: GrpcStream.AttemptObserver passes all of them on.

--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -284,34 +284,53 @@
                 route.streams(),
                 left -> out(left, before, span),
                 this,
-                new Attempt.Listener() {
-                    @Override
-                    public void onEnd(Attempt a, Outcome outcome, Balancer.LoadReport report, ByteBuf response) {
-                        GrpcAttempt of = (GrpcAttempt) a;
-                        body.attemptEnded(of);
-                        updateAutoRead();
-                        lastEnding = of.ending();
-                        lastTrailers = of.trailers();
-                        if (outcome == Outcome.OK) {
-                            winner = of;
-                        }
-                        if (!body.canStart() && !over && outcome != Outcome.OK && outcome.mayHaveRun) {
-                            // It can't be sent again. Where it surely has not run, the balancer refuses it.
-                            finish(lastEnding.code(), lastEnding.message(), lastTrailers);
-                            server.requests().failedByFrontEnd(exchange);
-                        }
-                        result.onEnd(a, outcome, report, response);
-                    }
-
-                    @Override
-                    public boolean beginStreaming(Attempt a) {
-                        return result.beginStreaming(a);
-                    }
-                });
+                new AttemptObserver(result));
         current = made;
         return made;
     }
 
+    /** Listens to an attempt for this call, before the request's own listener. */
+    private final class AttemptObserver implements Attempt.Listener {
+        private final Attempt.Listener result;
+
+        AttemptObserver(Attempt.Listener result) {
+            this.result = result;
+        }
+
+        @Override
+        public void onEnd(Attempt attempt, Outcome outcome, Balancer.LoadReport report, ByteBuf response) {
+            GrpcAttempt ended = (GrpcAttempt) attempt;
+            body.attemptEnded(ended);
+            updateAutoRead();
+            lastEnding = ended.ending();
+            lastTrailers = ended.trailers();
+            if (outcome == Outcome.OK) {
+                winner = ended;
+            }
+            if (!body.canStart() && !over && outcome != Outcome.OK && outcome.mayHaveRun) {
+                // It can't be sent again. Where it surely has not run, the balancer refuses it.
+                finish(lastEnding.code(), lastEnding.message(), lastTrailers);
+                server.requests().failedByFrontEnd(exchange);
+            }
+            result.onEnd(attempt, outcome, report, response);
+        }
+
+        @Override
+        public boolean isWanted() {
+            return result.isWanted();
+        }
+
+        @Override
+        public void onWritten(Attempt attempt) {
+            result.onWritten(attempt);
+        }
+
+        @Override
+        public boolean beginStreaming(Attempt attempt) {
+            return result.beginStreaming(attempt);
+        }
+    }
+
     /** The head that a node gets: the client's, but for what belongs to a hop. */
     private Http2Headers out(long leftUs, int before, SpanContext span) {
         Http2Headers h = new DefaultHttp2Headers(false)
--- a/src/test/java/loadbalancer/sidecar/GrpcStreamRetryTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcStreamRetryTest.java
@@ -172,7 +172,10 @@
             send(upload, 1);
             setup.awaitReceived(1);
             send(upload, MESSAGES - 1);
-            assertEquals(Status.Code.UNAVAILABLE, upload.status().getCode(), upload.status().toString());
+            assertEquals(
+                    Status.Code.UNAVAILABLE,
+                    upload.status().getCode(),
+                    upload.status().toString());
             setup.harness.await("outcome upload 1 NOT_SENT");
         }
     }
--- a/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
+++ b/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
@@ -79,8 +79,7 @@
             if (at < 0) {
                 connection.respond("200 OK", "", "done");
             } else {
-                String number =
-                        m.head().substring(at + "X-Txn: long".length()).split("\\s", 2)[0];
+                String number = m.head().substring(at + "X-Txn: long".length()).split("\\s", 2)[0];
                 answer(connection, MIN_LENGTH + Long.parseLong(number) * LENGTH_STEP);
             }
         });
