--- a/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
+++ b/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
@@ -1,5 +1,6 @@
 package loadbalancer.sidecar;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -130,15 +131,33 @@
     @Test
     void shutdownDoesNotTruncateLongResponse() throws Exception {
         try (SidecarHarness harness = new SidecarHarness()) {
-            harness.settings = SidecarHarness.SETTINGS.replace("60000000", "" + DEADLINE_MILLIS * 1000);
-            addUpstream(harness);
-            harness.start();
-            startReading(harness);
-            harness.sidecar.stop(stopped::countDown);
-            // The clients read nothing for a while.
-            stopped.await(2 * DEADLINE_MILLIS, TimeUnit.MILLISECONDS);
-            readToEnd();
+            assertNotTruncatedBy(harness, () -> harness.sidecar.stop(stopped::countDown));
             assertTrue(stopped.await(20, TimeUnit.SECONDS));
         }
     }
+
+    /** Guards against the same when an operator takes the sidecar out of service. */
+    @Test
+    void outOfServiceDoesNotTruncateLongResponse() throws Exception {
+        try (SidecarHarness harness = new SidecarHarness()) {
+            harness.extraConfigFields = "\"admin\":\"127.0.0.1:0\",";
+            assertNotTruncatedBy(harness, () -> {
+                try (ScriptedServer.Client operator = new ScriptedServer.Client(harness.sidecar.adminAddress())) {
+                    operator.send("POST /control/out-of-service HTTP/1.1\r\nHost: a\r\n\r\n");
+                    assertEquals(200, operator.status());
+                }
+            });
+        }
+    }
+
+    private void assertNotTruncatedBy(SidecarHarness harness, SidecarHarness.Action action) throws Exception {
+        harness.settings = SidecarHarness.SETTINGS.replace("60000000", "" + DEADLINE_MILLIS * 1000);
+        addUpstream(harness);
+        harness.start();
+        startReading(harness);
+        action.run();
+        // The clients read nothing for a while.
+        stopped.await(2 * DEADLINE_MILLIS, TimeUnit.MILLISECONDS);
+        readToEnd();
+    }
 }
