Let the graceful stop know the listener and the last accept itself

Need: read again, both front ends had the same adapter of four methods for core.GracefulStop.

Change, behaviour as before: GracefulStop gets the listener once and is told of each accept; the front ends say only which connections are open and close the idle ones.

--- a/src/main/java/loadbalancer/core/GracefulStop.java
+++ b/src/main/java/loadbalancer/core/GracefulStop.java
@@ -24,30 +24,38 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final FrontEnd frontEnd;
+    private final Connections connections;
+    /** Null until the front end listens. */
+    private DrainingListener listener;
+
+    private long lastAcceptMicros;
     /** Time until which new connections are expected; 0 before the start. */
     private long graceEndMicros;
 
     /** Creates a stop that has not begun. */
-    public GracefulStop(EventLoop loop, Clock clock, FrontEnd frontEnd) {
+    public GracefulStop(EventLoop loop, Clock clock, Connections connections) {
         this.loop = loop;
         this.clock = clock;
-        this.frontEnd = frontEnd;
+        this.connections = connections;
     }
 
-    /** The sockets of a front end. */
-    public interface FrontEnd {
-        /** The listen socket; null if there is none yet. */
-        DrainingListener listener();
+    /** The connections of a front end's clients. */
+    public interface Connections {
+        /** Whether none is open. */
+        boolean isEmpty();
 
-        /** Time at which a client last connected. */
-        long lastAcceptMicros();
+        /** Closes those that no call needs any more. Called again and again once the grace time is over. */
+        void closeIdle(long nowMicros);
+    }
 
-        /** Whether any connection of a client is open. */
-        boolean hasConnections();
+    /** Sets the listen socket that the stop closes. */
+    public void listenerOpened(DrainingListener opened) {
+        listener = opened;
+    }
 
-        /** Closes the connections that no call needs any more. Called again and again once the grace time is over. */
-        void closeIdleConnections(long nowMicros);
+    /** Records that a client has connected. */
+    public void connectionAccepted() {
+        lastAcceptMicros = clock.nowMicros();
     }
 
     /** Begins; {@code onStopped} runs when the listener and all connections are closed. */
@@ -65,10 +73,10 @@
         long nowMicros = clock.nowMicros();
         if (nowMicros >= graceEndMicros) {
             if (isListening() && mayCloseListener(nowMicros)) {
-                frontEnd.listener().drainAndClose();
+                listener.drainAndClose();
             }
-            frontEnd.closeIdleConnections(nowMicros);
-            if (!frontEnd.hasConnections() && !isListening()) {
+            connections.closeIdle(nowMicros);
+            if (connections.isEmpty() && !isListening()) {
                 onStopped.run();
                 return;
             }
@@ -77,12 +85,12 @@
     }
 
     private boolean isListening() {
-        return frontEnd.listener() != null && frontEnd.listener().isOpen();
+        return listener != null && listener.isOpen();
     }
 
     /** Closing the listener resets clients that are connecting, so none may have connected for a while. */
     private boolean mayCloseListener(long nowMicros) {
-        return nowMicros - frontEnd.lastAcceptMicros() >= QUIET_PERIOD_MICROS
+        return nowMicros - lastAcceptMicros >= QUIET_PERIOD_MICROS
                 || nowMicros >= graceEndMicros + MAX_LISTEN_OVERRUN_MICROS;
     }
 }
--- a/src/main/java/loadbalancer/grpc/GrpcServer.java
+++ b/src/main/java/loadbalancer/grpc/GrpcServer.java
@@ -51,8 +51,6 @@
     private final RequestClasses classes;
     private final Set<GrpcClientConnection> connections = new HashSet<>();
     private final GracefulStop gracefulStop;
-    private DrainingListener listener;
-    private long lastAcceptMicros;
     private long numbers;
     private final String name;
     private long stopAtUs;
@@ -74,7 +72,7 @@
         this.options = options;
         this.classes = classes;
         this.name = name;
-        gracefulStop = new GracefulStop(loop, clock, new Sockets());
+        gracefulStop = new GracefulStop(loop, clock, new ClientConnections());
         upstreams = new GrpcUpstreams(loop, clock, connIdleUs, dialTimeoutUs, options);
         options.routes().forEach(route -> {
             if (classes.latest(route.requestClass()) == null) {
@@ -86,8 +84,9 @@
 
     /** {@code shared}: another process of this sidecar may listen there too. */
     public InetSocketAddress listen(boolean shared) throws InterruptedException {
-        listener = (DrainingListener)
+        DrainingListener listener = (DrainingListener)
                 ListenSocket.bindTcp(loop, DrainingListener::new, 256, shared, options.listen(), this::accepted);
+        gracefulStop.listenerOpened(listener);
         return listener.localAddress();
     }
 
@@ -97,7 +96,7 @@
 
     private void accepted(Channel channel) {
         ChannelConfig accepting = channel.parent().config();
-        lastAcceptMicros = clock.nowMicros();
+        gracefulStop.connectionAccepted();
         GrpcClientConnection connection = new GrpcClientConnection(channel, clock);
         connections.add(connection);
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
@@ -183,25 +182,15 @@
         gracefulStop.start(stopped);
     }
 
-    /** The sockets that a graceful stop closes. */
-    private final class Sockets implements GracefulStop.FrontEnd {
+    /** The connections that a graceful stop closes. */
+    private final class ClientConnections implements GracefulStop.Connections {
         @Override
-        public DrainingListener listener() {
-            return listener;
+        public boolean isEmpty() {
+            return connections.isEmpty();
         }
 
         @Override
-        public long lastAcceptMicros() {
-            return lastAcceptMicros;
-        }
-
-        @Override
-        public boolean hasConnections() {
-            return !connections.isEmpty();
-        }
-
-        @Override
-        public void closeIdleConnections(long nowMicros) {
+        public void closeIdle(long nowMicros) {
             for (GrpcClientConnection connection : List.copyOf(connections)) {
                 if (nowMicros - stopAtUs >= options.streamDrainMicros()) {
                     connection.cutCallsShort();
--- a/src/main/java/loadbalancer/http1/HttpServer.java
+++ b/src/main/java/loadbalancer/http1/HttpServer.java
@@ -51,7 +51,6 @@
     /** Null except during the warm-up. */
     private Runnable earlyRequestHook;
 
-    private long lastAcceptMicros;
     /** Time at which the server was taken out of service; 0 while it is in service. */
     private long outOfServiceSinceMicros;
     /** Moving average of the fraction of requests that were not the first on their connection. */
@@ -78,7 +77,7 @@
         this.canServe = canServe;
         this.maxConnections = maxConnections;
         admission = new RequestAdmission(clock, requests, upstreams, classes);
-        gracefulStop = new GracefulStop(loop, clock, new Sockets());
+        gracefulStop = new GracefulStop(loop, clock, new ClientConnections());
     }
 
     /**
@@ -91,6 +90,7 @@
         listener = (DrainingListener)
                 ListenSocket.bindTcp(loop, DrainingListener::new, BACKLOG, shared, address, this::onAccept);
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        gracefulStop.listenerOpened(listener);
         return listener.localAddress();
     }
 
@@ -181,11 +181,11 @@
     private void onAccept(Channel channel) {
         // The first clients may connect before listen() has set the listener field, so it can't be used here.
         ChannelConfig accepting = channel.parent().config();
-        lastAcceptMicros = clock.nowMicros();
+        gracefulStop.connectionAccepted();
         ClientConnection connection = new ClientConnection(channel, clock, requests, admission, this);
         connections.add(connection);
         if (connections.size() >= maxConnections) {
-            closeLongestIdle(lastAcceptMicros);
+            closeLongestIdle(clock.nowMicros());
         }
         // Further clients wait in the backlog, as connections to upstreams need file descriptors too.
         accepting.setAutoRead(connections.size() < maxConnections);
@@ -233,26 +233,16 @@
         }
     }
 
-    /** The sockets that a graceful stop closes. */
-    private final class Sockets implements GracefulStop.FrontEnd {
+    /** The connections that a graceful stop closes. */
+    private final class ClientConnections implements GracefulStop.Connections {
         @Override
-        public DrainingListener listener() {
-            return listener;
+        public boolean isEmpty() {
+            return connections.isEmpty();
         }
 
         @Override
-        public long lastAcceptMicros() {
-            return lastAcceptMicros;
-        }
-
-        @Override
-        public boolean hasConnections() {
-            return !connections.isEmpty();
-        }
-
-        @Override
-        public void closeIdleConnections(long nowMicros) {
-            HttpServer.this.closeIdleConnections(nowMicros);
+        public void closeIdle(long nowMicros) {
+            closeIdleConnections(nowMicros);
         }
     }
 }
