Ask the gRPC connection itself whether its client is gone; drop what no one reads

GrpcServer.gone searched the channel's pipeline for the check that GrpcClientConnection now holds; the two parameters of the attempt's notice of writability, and one of the two conditions before a replay, had no effect any more.

Change, behaviour as before: GrpcStream asks its connection's DisconnectCheck; the notice has no parameters; a replay asks only whether the body can start, as each answered call with an attempt has released it.

--- a/src/main/java/loadbalancer/grpc/GrpcAttempt.java
+++ b/src/main/java/loadbalancer/grpc/GrpcAttempt.java
@@ -51,7 +51,7 @@
         void ended(GrpcAttempt from, AttemptEnd ending, Http2Headers trailers);
 
         /** The upstream takes bytes again, or does not for now. */
-        void writable(GrpcAttempt to, boolean is);
+        void writabilityChanged();
     }
 
     private final GrpcUpstreams pool;
@@ -427,7 +427,7 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            caller.writable(GrpcAttempt.this, ctx.channel().isWritable());
+            caller.writabilityChanged();
         }
 
         @Override
--- a/src/main/java/loadbalancer/grpc/GrpcServer.java
+++ b/src/main/java/loadbalancer/grpc/GrpcServer.java
@@ -17,7 +17,6 @@
 import java.util.logging.Logger;
 import loadbalancer.balancing.Balancer.RequestClass;
 import loadbalancer.core.Clock;
-import loadbalancer.core.DisconnectCheck;
 import loadbalancer.core.DrainingListener;
 import loadbalancer.core.EventLoops;
 import loadbalancer.core.GracefulStop;
@@ -132,12 +131,6 @@
                         connection);
     }
 
-    /** Whether the client whose call this is has left, be it unseen so far. */
-    static boolean gone(Channel stream) {
-        DisconnectCheck look = stream.parent().pipeline().get(DisconnectCheck.class);
-        return !stream.isActive() || look == null || look.isClientGone();
-    }
-
     Clock clock() {
         return clock;
     }
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -374,8 +374,8 @@
 
     @Override
     public void replay(GrpcAttempt to) {
-        if (over || !body.canStart()) {
-            // Nothing of the call goes out any more, or not all of it could: it is answered, or bound to an attempt.
+        if (!body.canStart()) {
+            // The call is answered, or bound to an attempt.
             to.cancel();
             return;
         }
@@ -423,7 +423,7 @@
     }
 
     @Override
-    public void writable(GrpcAttempt to, boolean is) {
+    public void writabilityChanged() {
         updateAutoRead();
     }
 
@@ -456,7 +456,7 @@
 
         @Override
         public boolean isClientGone() {
-            return over || GrpcServer.gone(client);
+            return over || !client.isActive() || connection.disconnectCheck().isClientGone();
         }
 
         @Override
