--- a/review/standins-2/GrpcPieces.java
+++ b/review/standins-2/GrpcPieces.java
@@ -14,7 +14,7 @@
 final class GrpcPieces {
     private static final int ROUNDS = 20;
     private static final int ANSWER_BYTES = 600_000;
-    private static final int PIECE_BYTES = 100;
+    private static final int PIECE_BYTES = 75;
     private static final int WHOLE_BYTES = 16_384;
 
     private final Rig rig;
