Review case 7: give the calls 2.8 s, so that it fails under load as well

Change: 80 calls of 2.8 s to 12 nodes in place of 40 of 830 ms to 6; the rule and its slack are as before.

--- a/review/standins-2/GrpcLarge.java
+++ b/review/standins-2/GrpcLarge.java
@@ -15,15 +15,19 @@
 /** Case: many long gRPC answers at a time from slow nodes, beside usual HTTP clients. */
 final class GrpcLarge {
     private static final int ROUNDS = 4;
-    private static final int CALLS = 40;
+    private static final int CALLS = 80;
     private static final int CALLS_PER_CONNECTION = 10;
     private static final int LONG_BYTES = 900_000;
     private static final int SHORT_BYTES = 1_000;
     private static final int FRAME_BYTES = 16_384;
     private static final int HTTP_CLIENTS = 8;
-    private static final int TIME_MS = 830;
+    private static final int HTTP_TIME_MS = 830;
+    /** The longest deadline is 3 s at most. */
+    private static final int CALL_TIME_MS = 2_800;
+    /** Time from an answer's message to its status. */
+    private static final int STATUS_AFTER_MS = 1_500;
     /** The rule's slack: 50 ms on sockets, and half a second in which a late answer only earns nothing. */
-    private static final double LOST_AFTER_S = (TIME_MS + 50 + 500) / 1e3;
+    private static final double SLACK_S = 0.55;
 
     private final Rig rig;
     private final AtomicInteger httpAnswered = new AtomicInteger();
@@ -49,7 +53,7 @@
         System.exit(code);
     }
 
-    /** The message goes out at once, the status 0.4 s later. */
+    /** The message goes out at once, the status later. */
     private void answer(ChannelHandlerContext stream, String node, String id, byte[] answer) {
         rig.log("node %s runs %s", node, id);
         stream.write(GrpcPeers.answerHead());
@@ -60,7 +64,7 @@
         stream.flush();
         stream.channel()
                 .eventLoop()
-                .schedule(() -> stream.writeAndFlush(GrpcPeers.trailers(0)), 400, TimeUnit.MILLISECONDS);
+                .schedule(() -> stream.writeAndFlush(GrpcPeers.trailers(0)), STATUS_AFTER_MS, TimeUnit.MILLISECONDS);
     }
 
     private int run(GrpcPeers peers) throws Exception {
@@ -69,7 +73,7 @@
         byte[] answer = GrpcPeers.message(payload);
         List<Rig.Upstream> upstreams = new ArrayList<>();
         String[] zones = {"nord", "sued", "west"};
-        for (int i = 0; i < 6; i++) {
+        for (int i = 0; i < 12; i++) {
             Rig.Upstream u = rig.new Upstream("s-" + i, zones[i % 3], (c, m) -> {
                 rig.log("upstream %s runs %s", c.upstream.id, m.header("x-txn"));
                 Thread.sleep(30);
@@ -79,7 +83,9 @@
             upstreams.add(u);
         }
         Rig.Discovery discovery = rig.new Discovery(upstreams);
-        Rig.Sidecar sidecar = rig.new Sidecar("n0", discovery, Rig.settings(0, 1, Rig.usualProfiles(), 4));
+        List<String> profiles = new ArrayList<>(Rig.usualProfiles());
+        profiles.set(0, Rig.profile("slot-lookup", "safe", "all", 5_000, 330, CALL_TIME_MS));
+        Rig.Sidecar sidecar = rig.new Sidecar("n0", discovery, Rig.settings(0, 1, profiles, 4));
         int port = Rig.freePort();
         sidecar.operator = GrpcPeers.operator(port);
         sidecar.start();
@@ -125,11 +131,11 @@
             double at = Rig.now();
             rig.log("client sends %s", id);
             try {
-                c.send(Rig.lookup(id, TIME_MS, "usual"));
+                c.send(Rig.lookup(id, HTTP_TIME_MS, "usual"));
                 int status = c.receive(5_000).status();
                 double took = Rig.now() - at;
                 rig.log("client gets %d after %.3f s for %s", status, took, id);
-                (took > LOST_AFTER_S ? httpLost : httpAnswered).incrementAndGet();
+                (took > HTTP_TIME_MS / 1e3 + SLACK_S ? httpLost : httpAnswered).incrementAndGet();
             } catch (IOException e) {
                 rig.log("client gets no answer in %.3f s for %s: %s", Rig.now() - at, id, e);
                 httpLost.incrementAndGet();
@@ -150,7 +156,7 @@
             String id = Rig.id();
             double at = Rig.now();
             rig.log("client calls Find %s", id);
-            ends.add(peers.call(connections.get(connections.size() - 1), "/zahnplan.Slots/Find", id, null, TIME_MS, new byte[20])
+            ends.add(peers.call(connections.get(connections.size() - 1), "/zahnplan.Slots/Find", id, null, CALL_TIME_MS, new byte[20])
                     .thenApply(a -> {
                         double took = Rig.now() - at;
                         rig.log("client gets status %d '%s' after %.3f s for %s", a.status(), a.text(), took, id);
@@ -159,11 +165,11 @@
         }
         for (CompletableFuture<Double> end : ends) {
             try {
-                boolean lost = end.get(6, TimeUnit.SECONDS) > LOST_AFTER_S;
+                boolean lost = end.get(8, TimeUnit.SECONDS) > CALL_TIME_MS / 1e3 + SLACK_S;
                 callsLost += lost ? 1 : 0;
                 callsAnswered += lost ? 0 : 1;
             } catch (TimeoutException e) {
-                rig.log("a call has not ended after 6 s");
+                rig.log("a call has not ended after 8 s");
                 callsLost++;
             }
         }
