--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -48,7 +48,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         // No case may run longer than 120 s, whatever happens to it.
         Thread guard = new Thread(() -> {
-            sleep(115_000);
+            sleep(100_000);
             log("the case ran out of time");
             close();
             Runtime.getRuntime().halt(2);
