Serve long answers to clients that read them slowly but steadily

Cause: both limits on unread answers took "the selector does not report the socket as writable" for "the client takes nothing". The kernel reports it only when a third of its send buffer is free. A probe with plain sockets, a reader at 64 kB/s: by the selector the first gap is 16.8 s (send buffer 2 MB), by trying to write it is 1.9 s; after 20 MB read fast 6.2 s, with a receive buffer of 8 MB up to 11.2 s, as a receiver whose buffer was full announces space in steps of a sixteenth of it.

Candidates: on the code before, the log names "streamed response stalled" (UpstreamConnection.CLIENT_STALL_MICROS), which confirms the claim's place; "response not read" (ConnectionTimeouts) was not it there, but cuts off the end of an answer in the same way (second test). The upstream's pauses and the client's idle time are excluded: neither reason was logged.

Change: WriteProgress asks the kernel to take more when nothing was taken for 2 s, and the pure WriteStall decides: 10 s, and the time that a client at 64 kB/s needs for a sixteenth of what may lie in its buffer. One check, at the client's connection, is for answers that are streamed and for their ends; the upstream is no longer blamed for a client that does not read.

--- a/src/main/java/loadbalancer/http1/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/ClientConnection.java
@@ -354,6 +354,7 @@
         boolean keepsOpen = keepAlive && !shouldCloseAfterResponse() && assembler.largeBody() == null;
         int heldBytes = body.capacity();
         server.responseBudget().add(heldBytes);
+        timeouts.responseWritten(body.readableBytes());
         ChannelFuture written = channel.writeAndFlush(HttpMessages.response(status, body, retryAfterMicros, keepsOpen));
         written.addListener(f -> server.responseBudget().add(-heldBytes));
         responseWritten(keepsOpen, written);
@@ -394,15 +395,30 @@
     }
 
     /** Records that the last response is with the kernel, or will never be read; from now on the connection is idle. */
-    void responseDelivered() {
+    private void responseDelivered() {
         responseWrite = null;
         timeouts.markActive(clock.nowMicros());
     }
 
+    /** Gives up the response that is being sent, as its client does not read it. */
+    void abandonResponse() {
+        if (streamingUpstream != null) {
+            streamingUpstream.clientLeft();
+        } else {
+            responseDelivered();
+        }
+    }
+
+    /** Whether the last response is complete, but not with the kernel yet. */
     boolean isWritingResponse() {
         return responseWrite != null;
     }
 
+    /** Whether a part of a response may not be with the kernel yet. */
+    boolean isSendingResponse() {
+        return streamingUpstream != null || isWritingResponse();
+    }
+
     /** Sets the upstream connection whose response is streamed from now on; null at the end of the stream. */
     void streamingFrom(UpstreamConnection upstream) {
         streamingUpstream = upstream;
--- a/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
@@ -3,6 +3,7 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import loadbalancer.core.EndReasons;
+import loadbalancer.core.WriteProgress;
 
 /** Detects and closes a client connection that is idle or too slow. Times are microseconds of the sidecar's clock. */
 final class ConnectionTimeouts {
@@ -16,7 +17,7 @@
     private static final long MIN_BODY_BYTES_PER_SECOND = 16_000;
     /** A large body that is neither received nor forwarded for this long is abandoned. */
     private static final long BODY_STALL_MICROS = 5_000_000;
-    /** A response that the kernel does not accept for this long, as the client's buffer is full, will never be read. */
+    /** A response of which the client takes nothing for longer than this is not read any more; see {@link WriteProgress}. */
     private static final long UNREAD_RESPONSE_MICROS = 10_000_000;
     /** Idle limit. Clients reopen connections that were idle for 2 s or more when they need them. */
     private static final long IDLE_MICROS = 4_000_000;
@@ -28,6 +29,8 @@
     private long lastActiveMicros;
     /** Time of the first check that found the connection idle too long; 0 or before the last activity if none has. */
     private long idleDetectedMicros;
+    /** Whether the client takes its responses. */
+    private final WriteProgress responseProgress;
 
     ConnectionTimeouts(ClientConnection connection, RequestAssembler assembler, HttpServer server, long openedMicros) {
         this.connection = connection;
@@ -35,6 +38,12 @@
         this.server = server;
         this.openedMicros = openedMicros;
         lastActiveMicros = openedMicros;
+        responseProgress = new WriteProgress(connection.channel(), UNREAD_RESPONSE_MICROS, openedMicros);
+    }
+
+    /** Records that a part of a response was written to the channel. */
+    void responseWritten(int bytes) {
+        responseProgress.add(bytes);
     }
 
     /** Records that something was received or that a response was written or delivered. */
@@ -61,13 +70,13 @@
             recordClose("large body stalled");
             connection.abandonBody(HttpResponseStatus.REQUEST_TIMEOUT);
         }
+        if (responseProgress.isStalled(nowMicros) && connection.isSendingResponse()) {
+            recordClose("response not read");
+            connection.abandonResponse();
+        }
         if (!connection.hasNoPendingResponse()) {
             return;
         }
-        if (connection.isWritingResponse() && nowMicros - lastActiveMicros > UNREAD_RESPONSE_MICROS) {
-            recordClose("response not read");
-            connection.responseDelivered();
-        }
         if (assembler.isReading() && isTooSlow(nowMicros)) {
             recordClose(assembler.isReadingBody() ? "slow body" : "slow head");
             connection.respondAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
--- a/src/main/java/loadbalancer/http1/StreamedResponse.java
+++ b/src/main/java/loadbalancer/http1/StreamedResponse.java
@@ -33,6 +33,7 @@
 
     @Override
     public void write(ByteBuf piece) {
+        connection.timeouts().responseWritten(piece.readableBytes());
         channel.write(new DefaultHttpContent(piece));
     }
 
--- a/src/main/java/loadbalancer/http1/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/http1/UpstreamConnection.java
@@ -34,8 +34,6 @@
     private static final int INITIAL_BODY_BYTES = 256;
     /** Limit for pauses of an upstream in its response, once that has a complete head. Pauses up to 2 s are normal. */
     private static final long STREAM_STALL_MICROS = 5_000_000;
-    /** Limit for pauses of a client that reads a streamed response, since it occupies an upstream's connection. */
-    private static final long CLIENT_STALL_MICROS = 10_000_000;
 
     private final ResponseDecoder decoder = new ResponseDecoder();
     /** Limit for pauses in the head of a response; one that stalls longer is malformed. */
@@ -152,7 +150,7 @@
         return body == null ? 0 : body.readableBytes();
     }
 
-    /** Cancels the call, since the client has disconnected and does not need the rest of the response. */
+    /** Cancels the call, since the client has disconnected or does not read the rest of the response. */
     void clientLeft() {
         if (call != null) {
             call.cancel();
@@ -317,10 +315,12 @@
     }
 
     private long stallLimitMicros() {
-        if (head == null || malformed) {
-            return stallMicros;
-        }
-        return handlerContext.channel().config().isAutoRead() ? STREAM_STALL_MICROS : CLIENT_STALL_MICROS;
+        return head == null || malformed ? stallMicros : STREAM_STALL_MICROS;
+    }
+
+    /** Whether the upstream is not read because the client takes no more; the client's connection limits that time. */
+    private boolean isPausedForClient() {
+        return streaming && !handlerContext.channel().config().isAutoRead();
     }
 
     private void startStallTimer() {
@@ -348,10 +348,15 @@
     /** Fails a response that has stalled for the limit. A slow response that still makes progress is valid. */
     private void checkStall() {
         stallTimer = null;
+        if (!hasPartialResponse()) {
+            return;
+        }
         long remainingMicros = stallLimitMicros() - (System.nanoTime() - lastReadNanos) / 1000;
-        if (hasPartialResponse() && remainingMicros <= 0) {
+        if (isPausedForClient()) {
+            scheduleStallCheck(stallLimitMicros());
+        } else if (remainingMicros <= 0) {
             failMalformed(streaming ? "streamed response stalled" : "response stalled");
-        } else if (hasPartialResponse()) {
+        } else {
             scheduleStallCheck(remainingMicros);
         }
     }
--- /dev/null
+++ b/src/test/java/loadbalancer/sidecar/SlowPeerTest.java
@@ -0,0 +1,67 @@
+package loadbalancer.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Peers that read as slowly as the protocol allows, for longer than a peer may take nothing at all. */
+@Timeout(120)
+class SlowPeerTest {
+    private static final int BYTES_PER_SECOND = 64_000;
+    private static final int READS_PER_SECOND = 10;
+    /** Much more than the kernel holds for a connection. */
+    private static final int BODY_BYTES = 32_000_000;
+
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
+    /** Longer than a peer may take nothing: 10 s, and the time for its part of what the kernels hold. */
+    private static final int SLOW_SECONDS = 25;
+
+    /** Reads steadily at the slowest pace for this time; false if the connection ended before. */
+    private static boolean readSlowly(InputStream in, int seconds) {
+        byte[] piece = new byte[BYTES_PER_SECOND / READS_PER_SECOND];
+        long startNanos = System.nanoTime();
+        try {
+            for (int reads = 1; reads <= seconds * READS_PER_SECOND; reads++) {
+                if (in.readNBytes(piece, 0, piece.length) < piece.length) {
+                    return false;
+                }
+                long dueNanos = startNanos + TimeUnit.SECONDS.toNanos(reads) / READS_PER_SECOND;
+                LockSupport.parkNanos(dueNanos - System.nanoTime());
+            }
+            return true;
+        } catch (IOException exception) {
+            return false;
+        }
+    }
+
+    private static void writeBody(OutputStream out) throws IOException {
+        byte[] piece = new byte[BYTES_PER_SECOND];
+        for (int sent = 0; sent < BODY_BYTES; sent += piece.length) {
+            out.write(piece);
+        }
+    }
+
+    /** Guards against review case 10: a client that reads a long response slowly was taken for one that reads nothing. */
+    @Test
+    void longResponseIsServedToClientThatReadsSlowly() throws Exception {
+        try (SidecarHarness harness = new SidecarHarness()) {
+            harness.addUpstream((m, connection) -> {
+                connection.raw(HEAD);
+                writeBody(connection.socket().getOutputStream());
+            });
+            harness.start();
+            try (ScriptedServer.Client client = harness.client()) {
+                client.send(SidecarHarness.get("slow", 20_000));
+                InputStream in = client.socket.getInputStream();
+                assertTrue(readSlowly(in, SLOW_SECONDS), "the client was cut off");
+                in.skipNBytes(BODY_BYTES - (long) SLOW_SECONDS * BYTES_PER_SECOND);
+            }
+        }
+    }
+}
--- a/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
+++ b/src/test/java/loadbalancer/sidecar/SlowReaderTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -21,10 +22,24 @@
     /** Responses of different lengths, since only some end just when the kernel's buffer is full. */
     private static final int CLIENTS = 6;
 
+    /** Bytes of receive buffers; before the usual one, the sidecar's kernel holds megabytes of a response. */
+    private static final int SMALL_BUFFER = 4_096;
+
+    private static final int USUAL_BUFFER = 64 * 1024;
+
     private static final int MIN_LENGTH = 8 * 1024 * 1024;
     private static final int LENGTH_STEP = 40_000;
+    /** Number of the client whose response, of 2 MB, is surely less than the kernel holds. */
+    private static final int SHORTEST_NUMBER = -160;
+
     /** Longest deadline of all classes, for which a shutdown waits for the rest of a request. */
     private static final long DEADLINE_MILLIS = 2_000;
+    /** The slowest pace at which clients read is 64 kB/s. */
+    private static final int SLOW_PIECE = 6_400;
+
+    private static final long SLOW_INTERVAL_MILLIS = 100;
+    /** More than the 10 s for which a client may take nothing, and the 4 s for which a connection may be idle. */
+    private static final int SLOW_READS = 200;
 
     private static final class SlowClient implements AutoCloseable {
         final Socket socket = new Socket();
@@ -33,10 +48,10 @@
         long read;
         boolean responseComplete;
 
-        SlowClient(SidecarHarness harness, int number) throws IOException {
+        SlowClient(SidecarHarness harness, int number, int receiveBufferBytes) throws IOException {
             id = "long" + number;
             length = MIN_LENGTH + (long) number * LENGTH_STEP;
-            socket.setReceiveBufferSize(4_096);
+            socket.setReceiveBufferSize(receiveBufferBytes);
             socket.setSoTimeout(20_000);
             socket.connect(harness.address());
             OutputStream out = socket.getOutputStream();
@@ -45,7 +60,11 @@
         }
 
         void read() throws IOException {
-            int n = socket.getInputStream().read(new byte[16 * 1024]);
+            read(16 * 1024);
+        }
+
+        void read(int most) throws IOException {
+            int n = socket.getInputStream().read(new byte[most]);
             assertTrue(n > 0, id + " was cut off after " + read + " of " + length);
             read += n;
         }
@@ -89,7 +108,7 @@
     /** Reads until the sidecar has got the whole responses; the rest is then in the sidecar or the kernel. */
     private void startReading(SidecarHarness harness) throws IOException {
         for (int i = 0; i < CLIENTS; i++) {
-            clients.add(new SlowClient(harness, i));
+            clients.add(new SlowClient(harness, i, SMALL_BUFFER));
         }
         while (clients.stream().anyMatch(c -> !c.responseComplete)) {
             for (SlowClient c : clients) {
@@ -127,6 +146,50 @@
         }
     }
 
+    /** Guards against review case 10 at the end of a response: it was dropped while its client read it steadily. */
+    @Test
+    void endOfLongResponseIsSentToClientsThatReadSlowly() throws Exception {
+        try (SidecarHarness harness = new SidecarHarness()) {
+            addUpstream(harness);
+            harness.start();
+            connectUntilBuffersAreFull(harness);
+            for (int i = 0; i < SLOW_READS; i++) {
+                for (SlowClient c : clients) {
+                    c.read(SLOW_PIECE);
+                }
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(SLOW_INTERVAL_MILLIS));
+            }
+            readToEnd();
+        }
+    }
+
+    /**
+     * Adds clients that read nothing, each with a longer response, until the sidecar can't receive one as a whole. The
+     * last ones that it received fill the kernel's buffers, so that their ends are in the sidecar.
+     */
+    private void connectUntilBuffersAreFull(SidecarHarness harness) throws Exception {
+        for (int number = SHORTEST_NUMBER; number < 0; number++) {
+            SlowClient client = new SlowClient(harness, number, USUAL_BUFFER);
+            clients.add(client);
+            if (clients.size() > CLIENTS) {
+                clients.remove(0).close();
+            }
+            if (!isReceived(harness, client)) {
+                return;
+            }
+        }
+    }
+
+    private static boolean isReceived(SidecarHarness harness, SlowClient client) throws InterruptedException {
+        String event = "outcome " + client.id + " 0 OK true -";
+        for (String line; (line = harness.balancerEvents.poll(500, TimeUnit.MILLISECONDS)) != null; ) {
+            if (line.equals(event)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Guards against a shutdown that closes a connection whose response is still being sent. */
     @Test
     void shutdownDoesNotTruncateLongResponse() throws Exception {
