Let uploads go on to upstreams that read them slowly but steadily

Seen by callers: a large upload whose upstream read it at 64 kB/s was answered 408 after 5 to 7 s, though the upstream had not stopped.

A body counted as stalled when its upstream's channel had not become writable for 5 s, which the selector reports only when a third of the send buffer is free.

Change: RequestBodyForwarder watches its upstream by WriteProgress, as the client's connection does for answers. A client that sends nothing for 5 s is ended as before.

Measured: SlowPeerTest.uploadGoesOnToUpstreamThatReadsSlowly failed before (broken pipe after 5.1 s, log: large body stalled) and passes: 200 once the upstream has read on.

--- a/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
@@ -15,8 +15,6 @@
     private static final long BODY_GRACE_MICROS = 4_000_000;
     /** A quarter of the slowest rate at which clients send bodies, 64 kB/s. */
     private static final long MIN_BODY_BYTES_PER_SECOND = 16_000;
-    /** A large body that is neither received nor forwarded for this long is abandoned. */
-    private static final long BODY_STALL_MICROS = 5_000_000;
     /** A response of which the client takes nothing for longer than this is not read any more; see {@link WriteProgress}. */
     private static final long UNREAD_RESPONSE_MICROS = 10_000_000;
     /** Idle limit. Clients reopen connections that were idle for 2 s or more when they need them. */
@@ -65,8 +63,7 @@
     void check(long nowMicros) {
         connection.checkInput(nowMicros);
         RequestBodyForwarder largeBody = assembler.largeBody();
-        if (largeBody != null
-                && nowMicros - Math.max(lastActiveMicros, largeBody.lastProgressMicros()) > BODY_STALL_MICROS) {
+        if (largeBody != null && largeBody.isStalled(nowMicros, lastActiveMicros)) {
             recordClose("large body stalled");
             connection.abandonBody(HttpResponseStatus.REQUEST_TIMEOUT);
         }
--- a/src/main/java/loadbalancer/http1/RequestBodyForwarder.java
+++ b/src/main/java/loadbalancer/http1/RequestBodyForwarder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
 import loadbalancer.core.Clock;
+import loadbalancer.core.WriteProgress;
 
 /**
  * Forwards the body of a large request to an upstream while it is received. The beginning is held, and another attempt
@@ -20,6 +21,8 @@
 final class RequestBodyForwarder {
     /** Limit on held bytes while there is no attempt. It is generous, as a disconnect is noticed only by reading. */
     private static final int MAX_WAITING_BYTES = 1024 * 1024;
+    /** A body of which nothing is received, or taken by its upstream, for this long is abandoned. */
+    private static final long STALL_MICROS = 5_000_000;
 
     private final Clock clock;
     private final BufferBudget budget;
@@ -37,6 +40,7 @@
     private boolean complete;
 
     private long completeAtMicros;
+    /** Time at which a piece was last received, the upstream became writable again, or an attempt started. */
     private long lastProgressMicros;
     /** Whether the held beginning was released, because a later piece was forwarded or the body discarded. */
     private boolean partlyForwarded;
@@ -48,6 +52,8 @@
     private UpstreamCall currentCall;
     /** The connection of {@link #currentCall}. */
     private Channel upstreamChannel;
+    /** Whether the upstream takes the body; null like its channel. */
+    private WriteProgress upstreamProgress;
 
     /** Takes ownership of {@code beginning}; {@code lengthBytes} is -1 if unknown. */
     RequestBodyForwarder(
@@ -78,6 +84,7 @@
             if (last) {
                 lastPiece = piece;
             } else {
+                upstreamProgress.add(piece.readableBytes());
                 upstreamChannel.writeAndFlush(new DefaultHttpContent(piece));
             }
         }
@@ -121,9 +128,13 @@
         return completeAtMicros;
     }
 
-    /** Time at which a piece was last received, the upstream became writable again, or an attempt started. */
-    long lastProgressMicros() {
-        return lastProgressMicros;
+    /** Whether the body no longer moves, though {@code lastReceivedMicros} is when its client last sent anything. */
+    boolean isStalled(long nowMicros, long lastReceivedMicros) {
+        boolean isNotTaken = upstreamProgress != null && upstreamProgress.isStalled(nowMicros);
+        if (upstreamChannel != null && !upstreamChannel.isWritable()) {
+            return isNotTaken;
+        }
+        return nowMicros - Math.max(lastReceivedMicros, lastProgressMicros) > STALL_MICROS;
     }
 
     /** Whether a new attempt can start and would get the whole body. */
@@ -141,6 +152,8 @@
         } else {
             currentCall = call;
             upstreamChannel = channel;
+            upstreamProgress = new WriteProgress(channel, STALL_MICROS, lastProgressMicros);
+            upstreamProgress.add(heldBytes);
             channel.flush();
             onDemandChange.run();
         }
@@ -157,6 +170,7 @@
         if (currentCall == call) {
             currentCall = null;
             upstreamChannel = null;
+            upstreamProgress = null;
             releaseLastPiece();
             onDemandChange.run();
         }
--- a/src/test/java/loadbalancer/sidecar/SlowPeerTest.java
+++ b/src/test/java/loadbalancer/sidecar/SlowPeerTest.java
@@ -1,10 +1,15 @@
 package loadbalancer.sidecar;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
@@ -21,6 +26,8 @@
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
     /** Longer than a peer may take nothing: 10 s, and the time for its part of what the kernels hold. */
     private static final int SLOW_SECONDS = 25;
+    /** Longer than an upload may stand still. */
+    private static final int SLOW_UPLOAD_SECONDS = 12;
 
     /** Reads steadily at the slowest pace for this time; false if the connection ended before. */
     private static boolean readSlowly(InputStream in, int seconds) {
@@ -40,6 +47,10 @@
         }
     }
 
+    private static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    }
+
     private static void writeBody(OutputStream out) throws IOException {
         byte[] piece = new byte[BYTES_PER_SECOND];
         for (int sent = 0; sent < BODY_BYTES; sent += piece.length) {
@@ -64,4 +75,40 @@
             }
         }
     }
+
+    /** Guards against the same in the other direction: an upload was ended whose upstream reads it slowly. */
+    @Test
+    void uploadGoesOnToUpstreamThatReadsSlowly() throws Exception {
+        try (SidecarHarness harness = new SidecarHarness();
+                ServerSocket server = listen()) {
+            harness.addUpstreamAt("127.0.0.1:" + server.getLocalPort());
+            harness.start();
+            Thread upstream = new Thread(() -> readSlowlyAndAnswer(server));
+            upstream.setDaemon(true);
+            upstream.start();
+            try (ScriptedServer.Client client = harness.client()) {
+                client.send(SidecarHarness.post("upload", "k", "key", 20_000)
+                        .replace("Content-Length: 0", "Content-Length: " + BODY_BYTES));
+                writeBody(client.socket.getOutputStream());
+                assertEquals(200, client.status());
+            }
+        }
+    }
+
+    /** Reads the request's head and some of its body slowly, then the rest as fast as it comes. */
+    private static void readSlowlyAndAnswer(ServerSocket server) {
+        try (Socket socket = server.accept()) {
+            InputStream in = socket.getInputStream();
+            for (String head = ""; !head.endsWith("\r\n\r\n"); ) {
+                head += (char) in.read();
+            }
+            readSlowly(in, SLOW_UPLOAD_SECONDS);
+            in.skipNBytes(BODY_BYTES - (long) SLOW_UPLOAD_SECONDS * BYTES_PER_SECOND);
+            socket.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            socket.getInputStream().read();
+        } catch (IOException exception) {
+            // The sidecar has given up.
+        }
+    }
 }
