Wait at a stop for gRPC clients that read their answers slowly

Seen by callers: during a graceful stop a client that read 1.5 MB of answers at 64 kB/s, with a WINDOW_UPDATE for each frame, was reset.

The PING behind the last answer was waited for for 10 s, counted from the PING alone, although the client must read all that the kernel holds before it, and had sent frames meanwhile, which show that it reads.

Change: the 10 s count from the client's last frame, and are longer by the time that a client at 64 kB/s needs for what was sent since then. A client that never acknowledges is given up in the end, whatever it sends.

Measured: GrpcShutdownTest.waitsForClientThatReadsItsResponsesSlowly failed before (connection reset by peer after 12.7 s) and passes, with the five others, among them the client that never reads (stop within 20 s).

--- a/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
+++ b/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
@@ -1,10 +1,13 @@
 package loadbalancer.grpc;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
 import io.netty.handler.codec.http2.DefaultHttp2PingFrame;
 import io.netty.handler.codec.http2.Http2Error;
@@ -27,8 +30,12 @@
  * pipeline it gets the frames of the connection itself.
  */
 final class GrpcClientConnection extends ChannelInboundHandlerAdapter {
-    /** A response that the client does not read on for this long will never be read. */
+    /** Time after which a client that does not read on is given up, beyond that for reading what was sent to it. */
     private static final long UNREAD_RESPONSE_MICROS = 10_000_000;
+    /** Rate of the slowest sound client. */
+    private static final long MIN_READ_BYTES_PER_SECOND = 64_000;
+    /** Bytes that the kernels hold for a connection at the most. */
+    private static final long MAX_KERNEL_BYTES = 32L * 1024 * 1024;
 
     /** Content of the PING that follows the last response; its acknowledgement shows that the client has read all. */
     private static final long DELIVERY_PING = 0x6c617374;
@@ -44,6 +51,8 @@
     private final Set<GrpcStream> calls = new HashSet<>();
     /** Time at which something was last received, or a response was passed to the kernel. */
     private long lastActiveMicros;
+    /** Bytes sent since the client last sent anything, which it may still have to read. */
+    private long sentSinceInputBytes;
 
     private boolean hasCarriedCalls;
     /** Whether the client knows which calls are the last that are served. */
@@ -67,14 +76,21 @@
         return disconnectCheck;
     }
 
-    /** The handler before the codec, which records that bytes arrive. */
-    ChannelInboundHandler byteHandler() {
-        return new ChannelInboundHandlerAdapter() {
+    /** The handler before the codec, which records bytes in both directions. */
+    ChannelHandler byteHandler() {
+        return new ChannelDuplexHandler() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object bytes) {
                 lastActiveMicros = clock.nowMicros();
+                sentSinceInputBytes = 0;
                 context.fireChannelRead(bytes);
             }
+
+            @Override
+            public void write(ChannelHandlerContext context, Object bytes, ChannelPromise promise) {
+                sentSinceInputBytes += ((ByteBuf) bytes).readableBytes();
+                context.write(bytes, promise);
+            }
         };
     }
 
@@ -105,7 +121,7 @@
             announceLastStream(nowMicros);
         } else if (calls.isEmpty()) {
             closeOnceDelivered(nowMicros);
-        } else if (!hasOpenCalls() && nowMicros - lastActiveMicros > UNREAD_RESPONSE_MICROS) {
+        } else if (!hasOpenCalls() && nowMicros - lastActiveMicros > maxReadMicros()) {
             closeNow();
         }
     }
@@ -120,14 +136,24 @@
             channel.writeAndFlush(new DefaultHttp2PingFrame(DELIVERY_PING));
             return;
         }
-        long maxWaitMicros = hasCarriedCalls ? UNREAD_RESPONSE_MICROS : GracefulStop.QUIET_PERIOD_MICROS;
+        long maxWaitMicros = hasCarriedCalls ? maxReadMicros() : GracefulStop.QUIET_PERIOD_MICROS;
+        boolean isSilent = nowMicros - Math.max(pingMicros, lastActiveMicros) > maxWaitMicros;
         if (pingAcknowledged) {
             channel.close();
-        } else if (nowMicros - pingMicros > maxWaitMicros) {
+        } else if (isSilent || nowMicros - pingMicros > maxReadMicros(MAX_KERNEL_BYTES)) {
             closeNow();
         }
     }
 
+    /** Time that the slowest sound client needs to read what was sent since it last sent anything. */
+    private long maxReadMicros() {
+        return maxReadMicros(Math.min(sentSinceInputBytes, MAX_KERNEL_BYTES));
+    }
+
+    private static long maxReadMicros(long bytes) {
+        return UNREAD_RESPONSE_MICROS + bytes * 1_000_000 / MIN_READ_BYTES_PER_SECOND;
+    }
+
     /** Announces it behind all calls that have arrived; the first call of a new connection may still be in transit. */
     private void announceLastStream(long nowMicros) {
         if (nowMicros - openedMicros >= GracefulStop.QUIET_PERIOD_MICROS
--- a/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import loadbalancer.testbed.GrpcRig;
 import loadbalancer.testbed.RawHttp2Client;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +35,10 @@
     private static final long SERVE_ON_MILLIS = 1_500;
     /** The sidecar gives up clients that read nothing for 10 s. */
     private static final long MAX_STOP_SECONDS = 20;
+    /** The slowest pace at which clients read; all these calls' responses take twice 10 s at it. */
+    private static final int SLOW_BYTES_PER_SECOND = 64_000;
+
+    private static final int SLOW_CALLS = 3;
 
     private SidecarHarness harness;
     private CountDownLatch stopped;
@@ -122,6 +127,35 @@
         }
     }
 
+    /** Guards against review case 10 over gRPC: a shutdown gave up a client that reads its responses slowly. */
+    @Test
+    void waitsForClientThatReadsItsResponsesSlowly() throws Exception {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(4_096);
+        try (RawHttp2Client client = new RawHttp2Client(harness.sidecar.grpcAddress(), socket)) {
+            client.openWindows(SLOW_CALLS * 2 * RESPONSE_BYTES);
+            for (int call = 0; call < SLOW_CALLS; call++) {
+                client.call(1 + 2 * call, PATH);
+                harness.await("outcome n0-g" + (call + 1) + " 0 OK");
+            }
+            harness.sidecar.stop(stopped::countDown);
+            int received = 0;
+            int ended = 0;
+            while (ended < SLOW_CALLS) {
+                RawHttp2Client.Frame frame = client.read();
+                if (frame.type() == RawHttp2Client.DATA) {
+                    received += frame.payload().length;
+                    client.frame(RawHttp2Client.WINDOW_UPDATE, 0, 0, 0, 0, 1, 0);
+                    client.flush();
+                }
+                ended += frame.ends(frame.stream()) && frame.stream() > 0 ? 1 : 0;
+                LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(frame.payload().length) / SLOW_BYTES_PER_SECOND);
+            }
+            assertEquals(SLOW_CALLS * (FRAMING_BYTES + RESPONSE_BYTES), received);
+            assertStopped();
+        }
+    }
+
     @Test
     void clientThatNeverReadsDoesNotPreventStop() throws Exception {
         try (RawHttp2Client client = client()) {
