Read a rejected upload to its end, however slowly it is sent

Seen by callers: a client that went on uploading at 64 kB/s after it had been rejected was reset after 9 s, and its answer with it.

Cause: ConnectionTimeouts.check took the rest of a large body for a head that is being read, found it slower than 3 s and stopped reading.

Change: the limits of heads and buffered bodies are not asked while a large body is being read; its own limit, 5 s without any byte, is.

Measured: SlowPeerTest.rejectedUploadThatIsSentSlowlyIsReadToItsEnd failed before (broken pipe after 8.9 s) and passes; BadInputTest and IdleTest, which hold clients that stop in a head or a body to their limits, pass.

--- a/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
@@ -74,7 +74,7 @@
         if (!connection.hasNoPendingResponse()) {
             return;
         }
-        if (assembler.isReading() && isTooSlow(nowMicros)) {
+        if (assembler.isReading() && largeBody == null && isTooSlow(nowMicros)) {
             recordClose(assembler.isReadingBody() ? "slow body" : "slow head");
             connection.respondAndClose(HttpResponseStatus.REQUEST_TIMEOUT);
         } else if (idleMicros(nowMicros) <= idleLimitMicros()) {
--- a/src/test/java/loadbalancer/sidecar/SlowPeerTest.java
+++ b/src/test/java/loadbalancer/sidecar/SlowPeerTest.java
@@ -28,6 +28,8 @@
     private static final int SLOW_SECONDS = 25;
     /** Longer than an upload may stand still. */
     private static final int SLOW_UPLOAD_SECONDS = 12;
+    /** So much of an upload that it is forwarded, or rejected, before it is whole. */
+    private static final int FIRST_BYTES = 100_000;
 
     /** Reads steadily at the slowest pace for this time; false if the connection ended before. */
     private static boolean readSlowly(InputStream in, int seconds) {
@@ -95,6 +97,29 @@
         }
     }
 
+    /** Guards against a rejected upload being reset: the rest of its body, sent slowly, was taken for a slow head. */
+    @Test
+    void rejectedUploadThatIsSentSlowlyIsReadToItsEnd() throws Exception {
+        try (SidecarHarness harness = new SidecarHarness()) {
+            harness.onRequest = (nowMicros, r, out) -> out.reject(r.id(), 0);
+            harness.addUpstream((m, connection) -> {});
+            harness.start();
+            try (ScriptedServer.Client client = harness.client()) {
+                int length = SLOW_UPLOAD_SECONDS * BYTES_PER_SECOND + FIRST_BYTES;
+                client.send(SidecarHarness.post("upload", "k", "key", 20_000)
+                        .replace("Content-Length: 0", "Content-Length: " + length));
+                OutputStream out = client.socket.getOutputStream();
+                out.write(new byte[FIRST_BYTES]);
+                for (int i = 0; i < SLOW_UPLOAD_SECONDS * READS_PER_SECOND; i++) {
+                    out.write(new byte[BYTES_PER_SECOND / READS_PER_SECOND]);
+                    LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(1) / READS_PER_SECOND);
+                }
+                assertEquals(503, client.status());
+                assertTrue(client.awaitClose());
+            }
+        }
+    }
+
     /** Reads the request's head and some of its body slowly, then the rest as fast as it comes. */
     private static void readSlowlyAndAnswer(ServerSocket server) {
         try (Socket socket = server.accept()) {
