Keep every replaced version of the classes valid for its own transition

Cause: RequestClasses.replace kept one former version by name. A second file put the first one's classes over it, though those before bind until 1.2 s after the first signal. gRPC asked for the latest class only.

Change: a bounded queue of replaced versions, each with its own end; a request is bound to the strictest combination of all that it matches. Files that change no class change no transition. Of an idempotent and a keyed version the keyed one binds, not unsafe. gRPC binds by the same call; latest is gone. Beyond 32 versions in 2 s the two oldest are combined.

--- a/src/main/java/loadbalancer/core/RequestClasses.java
+++ b/src/main/java/loadbalancer/core/RequestClasses.java
@@ -1,6 +1,7 @@
 package loadbalancer.core;
 
-import java.util.HashMap;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,18 +10,23 @@
 import loadbalancer.balancing.Balancer.RequestClass;
 
 /**
- * The request classes, which a configuration reload may replace. Clients switch to new classes later than the sidecar,
- * so during a transition a request is bound to whichever of the previous and the current class it matches; if it
- * matches both, to the most restrictive combination. No I/O; time is a parameter.
+ * The request classes, which configuration reloads may replace, several in a row. Clients switch to new classes later
+ * than the sidecar, so each replaced version stays valid for a transition. A request is bound to the versions that it
+ * matches; if it matches several, to the most restrictive combination. No I/O; time is a parameter.
  */
 public final class RequestClasses {
     /** Time for which replaced classes stay valid. Clients switch 1.2 s after the signal, and requests may be late. */
     public static final long TRANSITION_MICROS = 2_000_000;
+    /** Limit on replaced versions that are kept apart; beyond it the two oldest are combined. */
+    static final int MAX_REPLACED_VERSIONS = 32;
 
     private final Map<String, RequestClass> initial;
     private Map<String, RequestClass> current;
-    private Map<String, RequestClass> previous = Map.of();
-    private long previousUntilMicros;
+    /** Replaced versions, the oldest first, which is the first to become invalid. */
+    private final ArrayDeque<Version> replaced = new ArrayDeque<>();
+
+    /** The classes of one configuration that was replaced, valid until this time. */
+    private record Version(Map<String, RequestClass> classes, long untilMicros) {}
 
     /** Starts with the classes of the initial configuration. */
     public RequestClasses(List<RequestClass> classes) {
@@ -34,59 +40,114 @@
         return map;
     }
 
-    /** Replaces the classes. The previous ones stay valid for {@link #TRANSITION_MICROS}. */
+    /** Replaces the classes. The former ones stay valid for {@link #TRANSITION_MICROS}. */
     public void replace(long nowMicros, List<RequestClass> next) {
-        Map<String, RequestClass> before = new HashMap<>(nowMicros < previousUntilMicros ? previous : Map.of());
-        before.putAll(current);
-        previous = before;
-        previousUntilMicros = nowMicros + TRANSITION_MICROS;
-        current = indexByName(next);
+        Map<String, RequestClass> nextByName = indexByName(next);
+        dropInvalidVersions(nowMicros);
+        if (!nextByName.equals(current)) {
+            replaced.add(new Version(current, nowMicros + TRANSITION_MICROS));
+            current = nextByName;
+        }
+        if (replaced.size() > MAX_REPLACED_VERSIONS) {
+            replaced.addFirst(combine(replaced.poll(), replaced.poll()));
+        }
+    }
+
+    private void dropInvalidVersions(long nowMicros) {
+        while (!replaced.isEmpty() && nowMicros >= replaced.peek().untilMicros()) {
+            replaced.poll();
+        }
+    }
+
+    private static Version combine(Version older, Version newer) {
+        Map<String, RequestClass> classes = new LinkedHashMap<>(older.classes());
+        newer.classes().forEach((name, requestClass) -> classes.merge(name, requestClass, (a, b) -> strictest(b, a)));
+        return new Version(classes, newer.untilMicros());
     }
 
     /** The class of this name that the request matches; null if there is none. */
     public RequestClass bind(long nowMicros, String name, Predicate<RequestClass> matches) {
-        RequestClass requestClass = current.get(name);
-        RequestClass previousClass = nowMicros < previousUntilMicros ? previous.get(name) : null;
-        boolean matchesCurrent = requestClass != null && matches.test(requestClass);
-        if (previousClass == null || previousClass.equals(requestClass) || !matches.test(previousClass)) {
-            return matchesCurrent ? requestClass : null;
+        RequestClass bound = null;
+        for (RequestClass version : validVersions(nowMicros, name)) {
+            if (matches.test(version)) {
+                bound = bound == null ? version : strictest(bound, version);
+            }
         }
-        return matchesCurrent ? mostRestrictive(requestClass, previousClass) : previousClass;
+        return bound;
     }
 
-    /** Combines two versions of a class. Retries are allowed only if both versions allow them in the same way. */
-    private static RequestClass mostRestrictive(RequestClass requestClass, RequestClass previousClass) {
-        boolean same = requestClass.idempotency() == previousClass.idempotency()
-                && (requestClass.idempotency() != Idempotency.WITH_KEY
-                        || requestClass.idempotencyScope() == previousClass.idempotencyScope());
+    /**
+     * As {@link #bind}, for front ends whose routes name classes of the initial configuration: if no version of the
+     * class is valid any more, the initial one is.
+     */
+    public RequestClass bindRoute(long nowMicros, String name, Predicate<RequestClass> matches) {
+        if (validVersions(nowMicros, name).isEmpty()) {
+            RequestClass requestClass = initial.get(name);
+            return requestClass != null && matches.test(requestClass) ? requestClass : null;
+        }
+        return bind(nowMicros, name, matches);
+    }
+
+    /** The valid versions of a class that differ, the current one first. */
+    private List<RequestClass> validVersions(long nowMicros, String name) {
+        dropInvalidVersions(nowMicros);
+        List<RequestClass> versions = new ArrayList<>();
+        addIfNew(versions, current.get(name));
+        replaced.descendingIterator()
+                .forEachRemaining(
+                        version -> addIfNew(versions, version.classes().get(name)));
+        return versions;
+    }
+
+    private static void addIfNew(List<RequestClass> versions, RequestClass version) {
+        if (version != null && !versions.contains(version)) {
+            versions.add(version);
+        }
+    }
+
+    /** Combines two versions of a class: a retry is allowed only where both allow it, for as long as both do. */
+    private static RequestClass strictest(RequestClass newer, RequestClass older) {
+        boolean bothWithKey =
+                newer.idempotency() == Idempotency.WITH_KEY && older.idempotency() == Idempotency.WITH_KEY;
+        RequestClass stricter = restriction(older) > restriction(newer) ? older : newer;
+        boolean scopesDiffer = bothWithKey && newer.idempotencyScope() != older.idempotencyScope();
         return new RequestClass(
-                requestClass.name(),
-                same ? requestClass.idempotency() : Idempotency.NOT_IDEMPOTENT,
-                requestClass.idempotencyScope(),
-                Math.min(requestClass.idempotencyWindowMicros(), previousClass.idempotencyWindowMicros()),
-                requestClass.latencyObjectiveMicros(),
-                requestClass.latencyObjectiveWorkMultiple(),
-                Math.min(requestClass.deadlineMicros(), previousClass.deadlineMicros()),
-                requestClass.priorityWeight(),
-                requestClass.lateWeightFraction(),
-                requestClass.streaming());
+                newer.name(),
+                scopesDiffer ? Idempotency.NOT_IDEMPOTENT : stricter.idempotency(),
+                stricter.idempotencyScope(),
+                bothWithKey
+                        ? Math.min(newer.idempotencyWindowMicros(), older.idempotencyWindowMicros())
+                        : stricter.idempotencyWindowMicros(),
+                newer.latencyObjectiveMicros(),
+                newer.latencyObjectiveWorkMultiple(),
+                Math.min(newer.deadlineMicros(), older.deadlineMicros()),
+                newer.priorityWeight(),
+                newer.lateWeightFraction(),
+                newer.streaming());
     }
 
-    /** The current class of this name, or that of the initial configuration if the current one has no such class. */
-    public RequestClass latest(String name) {
-        return current.getOrDefault(name, initial.get(name));
+    private static int restriction(RequestClass requestClass) {
+        return switch (requestClass.idempotency()) {
+            case IDEMPOTENT -> 0;
+            case WITH_KEY -> 1;
+            case NOT_IDEMPOTENT -> 2;
+        };
     }
 
     /** Longest deadline of all valid classes, in microseconds. No client waits longer for a response. */
     public long longestDeadlineMicros(long nowMicros) {
-        long longestMicros = 0;
-        for (RequestClass requestClass : current.values()) {
-            longestMicros = Math.max(longestMicros, requestClass.deadlineMicros());
-        }
-        for (RequestClass requestClass :
-                nowMicros < previousUntilMicros ? previous.values() : List.<RequestClass>of()) {
-            longestMicros = Math.max(longestMicros, requestClass.deadlineMicros());
+        dropInvalidVersions(nowMicros);
+        long longestMicros = longestDeadlineMicros(current);
+        for (Version version : replaced) {
+            longestMicros = Math.max(longestMicros, longestDeadlineMicros(version.classes()));
         }
         return longestMicros;
     }
+
+    private static long longestDeadlineMicros(Map<String, RequestClass> classes) {
+        return classes.values().stream()
+                .mapToLong(RequestClass::deadlineMicros)
+                .max()
+                .orElse(0);
+    }
 }
--- a/src/main/java/loadbalancer/grpc/GrpcServer.java
+++ b/src/main/java/loadbalancer/grpc/GrpcServer.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import loadbalancer.balancing.Balancer.Idempotency;
 import loadbalancer.balancing.Balancer.RequestClass;
 import loadbalancer.core.Clock;
 import loadbalancer.core.DrainingListener;
@@ -23,6 +24,7 @@
 import loadbalancer.core.ListenSocket;
 import loadbalancer.core.RequestClasses;
 import loadbalancer.core.Requests;
+import loadbalancer.grpc.mapping.Route;
 import loadbalancer.membership.Endpoint;
 import loadbalancer.operator.OperatorConfiguration.GrpcOptions;
 
@@ -74,7 +76,7 @@
         gracefulStop = new GracefulStop(loop, clock, new ClientConnections());
         upstreams = new GrpcUpstreams(loop, clock, connIdleUs, dialTimeoutUs, options);
         options.routes().forEach(route -> {
-            if (classes.latest(route.requestClass()) == null) {
+            if (classes.bindRoute(clock.nowMicros(), route.requestClass(), candidate -> true) == null) {
                 throw new IllegalArgumentException(
                         "grpc: the platform's settings have no class '" + route.requestClass() + "'");
             }
@@ -147,8 +149,12 @@
         return options;
     }
 
-    RequestClass requestClass(String name) {
-        return classes.latest(name);
+    /** The class of a call to a route; null if each valid version of the class asks for a key, and the call has none. */
+    RequestClass requestClass(Route route, boolean hasKey) {
+        return classes.bindRoute(
+                clock.nowMicros(),
+                route.requestClass(),
+                candidate -> hasKey || candidate.idempotency() != Idempotency.WITH_KEY);
     }
 
     String nextId() {
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -145,15 +145,8 @@
             status(GrpcStatus.UNIMPLEMENTED, "the path names no method", 0, null);
             return;
         }
-        spec = server.requestClass(route.requestClass());
-        boolean bounded = head.get("grpc-timeout") != null;
-        long timeoutUs = bounded ? GrpcTimeout.parse(head.get("grpc-timeout")) : spec.deadlineMicros();
-        if (timeoutUs < 0) {
-            status(GrpcStatus.INTERNAL, "grpc-timeout is none", 0, null);
-            return;
-        }
-        if (spec.idempotency() == Idempotency.WITH_KEY
-                && word(route.keyHeader()).isEmpty()) {
+        spec = server.requestClass(route, !word(route.keyHeader()).isEmpty());
+        if (spec == null) {
             status(
                     GrpcStatus.INVALID_ARGUMENT,
                     "a call of this class carries its key in " + route.keyHeader(),
@@ -161,6 +154,12 @@
                     null);
             return;
         }
+        boolean bounded = head.get("grpc-timeout") != null;
+        long timeoutUs = bounded ? GrpcTimeout.parse(head.get("grpc-timeout")) : spec.deadlineMicros();
+        if (timeoutUs < 0) {
+            status(GrpcStatus.INTERNAL, "grpc-timeout is none", 0, null);
+            return;
+        }
         String told = word("x-txn");
         id = told.isEmpty() ? server.nextId() : told;
         if (server.requests().contains(id)) {
--- a/src/test/java/loadbalancer/sidecar/SettingsReloadTest.java
+++ b/src/test/java/loadbalancer/sidecar/SettingsReloadTest.java
@@ -3,8 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.balancing.Balancer;
+import loadbalancer.testbed.RawHttp2Client;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -71,6 +75,43 @@
         }
     }
 
+    /** Guards against review case 6 over both protocols: a further reload freed requests from a class that still binds. */
+    @Test
+    void classOfEachFormerConfigurationBindsThroughReloadsInARow() throws Exception {
+        try (SidecarHarness harness = new SidecarHarness().withGrpc()) {
+            BlockingQueue<Balancer.RequestClass> bound = new LinkedBlockingQueue<>();
+            harness.onRequest = (nowMicros, request, out) -> {
+                bound.add(request.classAtAdmission());
+                out.reject(request.id(), 0);
+            };
+            harness.addUpstream((m, connection) -> {});
+            harness.settings = harness.settings.replace("\"semantics\":\"safe\"", "\"semantics\":\"unsafe\"");
+            harness.start();
+            // Both classes are relaxed; two further files change the number of attempts, and their deadlines.
+            harness.settings = SidecarHarness.SETTINGS.replace("\"window_us\":4000000", "\"window_us\":9000000");
+            harness.reload(harness.discovery.address());
+            harness.settings = harness.settings.replace("60000000", "50000000");
+            harness.reload(harness.discovery.address());
+            harness.settings = harness.settings.replace("\"max_attempts\":4", "\"max_attempts\":3");
+            harness.reload(harness.discovery.address());
+            for (int reloads = 0; reloads < 3; reloads++) {
+                harness.await("settings [c, k]");
+            }
+            try (ScriptedServer.Client client = harness.client();
+                    RawHttp2Client grpc = new RawHttp2Client(harness.sidecar.grpcAddress())) {
+                String keyed = SidecarHarness.post("h1", "k", "key", 20_000);
+                assertEquals(503, client.send(keyed).status());
+                Balancer.RequestClass http = bound.poll(20, TimeUnit.SECONDS);
+                assertEquals(4_000_000, http.idempotencyWindowMicros());
+                assertEquals(50_000_000, http.deadlineMicros());
+                grpc.call(1, "/stage.Booking/Lookup");
+                Balancer.RequestClass overGrpc = bound.poll(20, TimeUnit.SECONDS);
+                assertEquals(Balancer.Idempotency.NOT_IDEMPOTENT, overGrpc.idempotency());
+                assertEquals(50_000_000, overGrpc.deadlineMicros());
+            }
+        }
+    }
+
     /** A truncated file, or one that lacks a key of the active file, is invalid. */
     @Test
     void rejectsTruncatedFile() throws Exception {
