Retry within the narrower scope while two scopes of a class both bind

Seen by callers: while the group of a keyed class changes between all and one zone or cell, a failed attempt ended the request at once (502), though both versions allow another one in the same zone.

Cause: RequestClasses combined differing scopes to "not idempotent", also where one lies within the other.

Change: the narrower scope binds. A zone and a cell have none in common, as a cell may have upstreams of several zones: no retry, as before.

--- a/src/main/java/loadbalancer/core/RequestClasses.java
+++ b/src/main/java/loadbalancer/core/RequestClasses.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import loadbalancer.balancing.Balancer.Idempotency;
+import loadbalancer.balancing.Balancer.IdempotencyScope;
 import loadbalancer.balancing.Balancer.RequestClass;
 
 /**
@@ -110,11 +111,13 @@
         boolean bothWithKey =
                 newer.idempotency() == Idempotency.WITH_KEY && older.idempotency() == Idempotency.WITH_KEY;
         RequestClass stricter = restriction(older) > restriction(newer) ? older : newer;
-        boolean scopesDiffer = bothWithKey && newer.idempotencyScope() != older.idempotencyScope();
+        IdempotencyScope scope = bothWithKey
+                ? commonScope(newer.idempotencyScope(), older.idempotencyScope())
+                : stricter.idempotencyScope();
         return new RequestClass(
                 newer.name(),
-                scopesDiffer ? Idempotency.NOT_IDEMPOTENT : stricter.idempotency(),
-                stricter.idempotencyScope(),
+                scope == null ? Idempotency.NOT_IDEMPOTENT : stricter.idempotency(),
+                scope == null ? stricter.idempotencyScope() : scope,
                 bothWithKey
                         ? Math.min(newer.idempotencyWindowMicros(), older.idempotencyWindowMicros())
                         : stricter.idempotencyWindowMicros(),
@@ -126,6 +129,14 @@
                 newer.streaming());
     }
 
+    /** The scope that lies within both; null for a zone and a cell, as a cell may have upstreams of several zones. */
+    private static IdempotencyScope commonScope(IdempotencyScope a, IdempotencyScope b) {
+        if (a == b || b == IdempotencyScope.ALL) {
+            return a;
+        }
+        return a == IdempotencyScope.ALL ? b : null;
+    }
+
     private static int restriction(RequestClass requestClass) {
         return switch (requestClass.idempotency()) {
             case IDEMPOTENT -> 0;
