Answer what becomes complete late in a stop before the earliest SIGKILL

Cause: GracefulStop knew no time of SIGKILL; a request admitted late in a stop had its whole deadline.

Candidates: the answer lost in the close (excluded: the record has no answer of an upstream before SIGKILL for a lost request); the head read late (excluded: upstreams run it within ms of its last byte); the deadline (confirmed: with an upstream that hangs the answer came 1,539 ms after the stop, where SIGKILL may come after 1,300).

Change: the pure ShutdownDeadline ends 0.2 s before the earliest SIGKILL. It limits the deadline of each request and upload admitted in a stop, over both protocols; with under 20 ms left a request is rejected and has not run. Open gRPC streams get their status then. While versions of the classes overlap, the one that waits least counts.

--- a/src/main/java/loadbalancer/core/GracefulStop.java
+++ b/src/main/java/loadbalancer/core/GracefulStop.java
@@ -25,6 +25,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Connections connections;
+    private final ShutdownDeadline deadline = new ShutdownDeadline();
     /** Null until the front end listens. */
     private DrainingListener listener;
 
@@ -58,12 +59,22 @@
         lastAcceptMicros = clock.nowMicros();
     }
 
-    /** Begins; {@code onStopped} runs when the listener and all connections are closed. */
-    public void start(Runnable onStopped) {
+    /**
+     * Begins; {@code onStopped} runs when the listener and all connections are closed.
+     *
+     * @param longestDeadlineMicros longest deadline of a request
+     */
+    public void start(long longestDeadlineMicros, Runnable onStopped) {
         graceEndMicros = clock.nowMicros() + GRACE_MICROS;
+        deadline.begin(clock.nowMicros(), longestDeadlineMicros);
         proceed(onStopped);
     }
 
+    /** The latest time for responses, which is unlimited before the start. */
+    public ShutdownDeadline deadline() {
+        return deadline;
+    }
+
     /** Whether the stop has begun. */
     public boolean isStarted() {
         return graceEndMicros > 0;
--- a/src/main/java/loadbalancer/core/RequestClasses.java
+++ b/src/main/java/loadbalancer/core/RequestClasses.java
@@ -155,6 +155,19 @@
         return longestMicros;
     }
 
+    /**
+     * Longest deadline in the valid version where that is least, in microseconds: whoever goes by any of the versions
+     * waits at least so long.
+     */
+    public long assuredDeadlineMicros(long nowMicros) {
+        dropInvalidVersions(nowMicros);
+        long assuredMicros = longestDeadlineMicros(current);
+        for (Version version : replaced) {
+            assuredMicros = Math.min(assuredMicros, longestDeadlineMicros(version.classes()));
+        }
+        return assuredMicros;
+    }
+
     private static long longestDeadlineMicros(Map<String, RequestClass> classes) {
         return classes.values().stream()
                 .mapToLong(RequestClass::deadlineMicros)
--- a/src/main/java/loadbalancer/core/Requests.java
+++ b/src/main/java/loadbalancer/core/Requests.java
@@ -181,6 +181,18 @@
         endWithoutResponse(exchange, RequestResult.FAILED);
     }
 
+    /** Rejects a request of which nothing can have run, for a reason that only the front end knows. */
+    public void rejectedByFrontEnd(Exchange exchange, String reason) {
+        if (!exchange.answered) {
+            endReasons.record(
+                    Subject.REQUEST_REJECTED, reason, exchange.request().id());
+            finish(exchange, RequestResult.REFUSED, 0);
+            exchange.responder().reject(0);
+            notifyExpired(exchange);
+            cancelUnsentAttempts(exchange);
+        }
+    }
+
     private void endWithoutResponse(Exchange exchange, RequestResult result) {
         if (!exchange.answered) {
             finish(exchange, result, 0);
--- a/src/main/java/loadbalancer/grpc/GrpcServer.java
+++ b/src/main/java/loadbalancer/grpc/GrpcServer.java
@@ -24,6 +24,7 @@
 import loadbalancer.core.ListenSocket;
 import loadbalancer.core.RequestClasses;
 import loadbalancer.core.Requests;
+import loadbalancer.core.ShutdownDeadline;
 import loadbalancer.grpc.mapping.Route;
 import loadbalancer.membership.Endpoint;
 import loadbalancer.operator.OperatorConfiguration.GrpcOptions;
@@ -157,6 +158,11 @@
                 candidate -> hasKey || candidate.idempotency() != Idempotency.WITH_KEY);
     }
 
+    /** The latest time for responses, unlimited unless the server stops. */
+    ShutdownDeadline shutdownDeadline() {
+        return gracefulStop.deadline();
+    }
+
     String nextId() {
         return name + "-g" + ++numbers;
     }
@@ -178,7 +184,7 @@
     public void stop(Runnable stopped) {
         stopAtUs = clock.nowMicros();
         connections.forEach(GrpcClientConnection::announceStop);
-        gracefulStop.start(stopped);
+        gracefulStop.start(classes.assuredDeadlineMicros(stopAtUs), stopped);
     }
 
     /** The connections that a graceful stop closes. */
@@ -191,7 +197,8 @@
         @Override
         public void closeIdle(long nowMicros) {
             for (GrpcClientConnection connection : List.copyOf(connections)) {
-                if (nowMicros - stopAtUs >= options.streamDrainMicros()) {
+                if (nowMicros - stopAtUs >= options.streamDrainMicros()
+                        || shutdownDeadline().hasPassed(nowMicros)) {
                     connection.cutCallsShort();
                 }
                 connection.closeIfIdle(nowMicros);
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -177,7 +177,7 @@
 
     /** Nobody waits longer for the first byte of a response than the class allows; a stream ends at the client's own time. */
     private void setDeadlines(long timeoutUs, boolean bounded) {
-        deadlineUs = sentUs + lessMargin(Math.min(timeoutUs, spec.deadlineMicros()));
+        deadlineUs = server.shutdownDeadline().limit(sentUs + lessMargin(Math.min(timeoutUs, spec.deadlineMicros())));
         if (!route.streams()) {
             endUs = deadlineUs;
         } else if (bounded) {
@@ -236,6 +236,10 @@
     }
 
     private void take() {
+        if (server.shutdownDeadline().isTooLateToServe(server.clock().nowMicros())) {
+            status(GrpcStatus.UNAVAILABLE, "refused: the sidecar ends, and nothing has run", 0, null);
+            return;
+        }
         Request request = new Request(
                 id,
                 customer(),
--- a/src/main/java/loadbalancer/http1/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/ClientConnection.java
@@ -32,6 +32,8 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter implements RequestTurns.Handler {
     private static final String READY_PATH = "/health/ready";
     private static final String API_PATH = "/api";
+    /** Why requests are rejected that become complete late in a stop. */
+    private static final String STOPPING = "no time before the process may be killed";
 
     private final Channel channel;
     private final Clock clock;
@@ -185,6 +187,10 @@
             return;
         }
         boolean complete = content instanceof LastHttpContent;
+        if (complete && assembler.largeBody() == currentBody && currentExchange != null && server.isTooLateToServe()) {
+            // Its last byte has not been forwarded, so it has not run.
+            requests.rejectedByFrontEnd(currentExchange.exchange(), STOPPING);
+        }
         long writtenMicros = input.earliestWriteMicros(timeouts.lastActiveMicros());
         assembler.largeBody().add(content.content().retain(), complete, writtenMicros);
         if (complete) {
@@ -332,6 +338,11 @@
     }
 
     private void admit(PendingRequest pending) {
+        if (server.isTooLateToServe()) {
+            admission.reject(pending, STOPPING);
+            respond(false, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, 0);
+            return;
+        }
         ClientExchange admitted = admission.admit(pending, this);
         if (admitted == null) {
             respond(false, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER, 0);
--- a/src/main/java/loadbalancer/http1/ClientExchange.java
+++ b/src/main/java/loadbalancer/http1/ClientExchange.java
@@ -8,6 +8,7 @@
 import loadbalancer.core.Attempt;
 import loadbalancer.core.ClientPresence;
 import loadbalancer.core.Exchange;
+import loadbalancer.core.ShutdownDeadline;
 import loadbalancer.trace.SpanContext;
 import loadbalancer.trace.Trace;
 
@@ -22,6 +23,7 @@
     private final Trace trace;
 
     private final long responseTimeoutMicros;
+    private final ShutdownDeadline shutdownDeadline;
     private final boolean keepAlive;
     private final boolean clientSupportsChunked;
     private Exchange exchange;
@@ -35,8 +37,10 @@
             PendingRequest pending,
             OutgoingRequest outgoing,
             Trace trace,
-            long responseTimeoutMicros) {
+            long responseTimeoutMicros,
+            ShutdownDeadline shutdownDeadline) {
         this.connection = connection;
+        this.shutdownDeadline = shutdownDeadline;
         this.upstreams = upstreams;
         this.outgoing = outgoing;
         this.trace = trace;
@@ -57,7 +61,7 @@
 
     /** Deadline of a request whose large body was complete at {@code completeAtMicros}. */
     long deadlineAfter(long completeAtMicros) {
-        return completeAtMicros + responseTimeoutMicros;
+        return shutdownDeadline.limit(completeAtMicros + responseTimeoutMicros);
     }
 
     /** Longest time for which the client may still wait, as the deadline of an incomplete body is not known yet. */
--- a/src/main/java/loadbalancer/http1/HttpServer.java
+++ b/src/main/java/loadbalancer/http1/HttpServer.java
@@ -83,8 +83,8 @@
         this.classes = classes;
         this.canServe = canServe;
         this.maxConnections = maxConnections;
-        admission = new RequestAdmission(clock, requests, upstreams, classes);
         gracefulStop = new GracefulStop(loop, clock, new ClientConnections());
+        admission = new RequestAdmission(clock, requests, upstreams, classes, gracefulStop.deadline());
     }
 
     /**
@@ -139,7 +139,7 @@
      * connections, then runs {@code onStopped}.
      */
     public void stop(Runnable onStopped) {
-        gracefulStop.start(onStopped);
+        gracefulStop.start(classes.assuredDeadlineMicros(clock.nowMicros()), onStopped);
     }
 
     /**
@@ -190,6 +190,11 @@
         }
     }
 
+    /** Whether requests that arrive now are rejected, since a stop leaves no time to serve them. */
+    boolean isTooLateToServe() {
+        return gracefulStop.deadline().isTooLateToServe(clock.nowMicros());
+    }
+
     /** Whether connections are closed after their next response. */
     boolean isClosingConnections() {
         return isStopping() || outOfServiceSinceMicros > 0;
--- a/src/main/java/loadbalancer/http1/RequestAdmission.java
+++ b/src/main/java/loadbalancer/http1/RequestAdmission.java
@@ -13,6 +13,7 @@
 import loadbalancer.core.EndReasons;
 import loadbalancer.core.RequestClasses;
 import loadbalancer.core.Requests;
+import loadbalancer.core.ShutdownDeadline;
 import loadbalancer.metrics.Metrics.RequestOutcome;
 import loadbalancer.trace.SpanContext;
 import loadbalancer.trace.Trace;
@@ -29,8 +30,15 @@
     private final Requests requests;
     private final Upstreams upstreams;
     private final RequestClasses classes;
+    private final ShutdownDeadline shutdownDeadline;
 
-    RequestAdmission(Clock clock, Requests requests, Upstreams upstreams, RequestClasses classes) {
+    RequestAdmission(
+            Clock clock,
+            Requests requests,
+            Upstreams upstreams,
+            RequestClasses classes,
+            ShutdownDeadline shutdownDeadline) {
+        this.shutdownDeadline = shutdownDeadline;
         this.clock = clock;
         this.requests = requests;
         this.upstreams = upstreams;
@@ -60,7 +68,7 @@
         long remainingMicros = Math.min(remainingMillis * 1000, requestClass.deadlineMicros());
         long responseTimeoutMicros = remainingMicros - Math.min(RESPONSE_MARGIN_MICROS, remainingMicros / 4);
         long sentMicros = sentMicros(pending);
-        long deadlineMicros = sentMicros + responseTimeoutMicros;
+        long deadlineMicros = shutdownDeadline.limit(sentMicros + responseTimeoutMicros);
         Request request = request(message, id, requestClass, deadlineMicros);
         OutgoingRequest outgoing = new OutgoingRequest(
                 message.method(),
@@ -69,12 +77,22 @@
                 headers.get(HeaderNames.IDEMPOTENCY_KEY),
                 ByteBufUtil.getBytes(message.content()));
         Trace trace = trace(request, outgoing.idempotencyKey(), headers, sentMicros, pending.maxUnreadMicros());
-        ClientExchange exchange =
-                new ClientExchange(connection, upstreams, pending, outgoing, trace, responseTimeoutMicros);
+        ClientExchange exchange = new ClientExchange(
+                connection, upstreams, pending, outgoing, trace, responseTimeoutMicros, shutdownDeadline);
         exchange.begin(request, isBodyIncomplete(pending) ? sentMicros + MAX_BODY_MICROS : deadlineMicros);
         return exchange;
     }
 
+    /** Counts a request that is rejected without being admitted. */
+    void reject(PendingRequest pending, String reason) {
+        HttpHeaders headers = pending.message().headers();
+        String id = RequestFields.singleToken(headers, HeaderNames.REQUEST_ID);
+        requests.metrics()
+                .requestAnsweredWithoutAdmission(
+                        RequestFields.singleToken(headers, HeaderNames.REQUEST_CLASS), RequestOutcome.REJECTED);
+        requests.endReasons().record(EndReasons.Subject.REQUEST_REJECTED, reason, id.isEmpty() ? null : id);
+    }
+
     private static boolean matchesClass(PendingRequest pending, RequestClass requestClass) {
         return RequestFields.matchesClass(pending.message(), requestClass)
                 && !(pending.largeBody() != null && requestClass.idempotency() == Idempotency.IDEMPOTENT);
