Hold a gRPC answer in few buffers, whatever the size of its pieces

Cause: GrpcAttempt joined each frame by a composite buffer around the one before. Traced on the code before: the write of the answer fails with a StackOverflowError in CompositeByteBuf.isDirect or nioBufferCount. With -Xss512k a nesting of 2,000 is written, one of 3,000 is not.

Candidates: HTTP/2's flow control or the limit on empty frames (excluded: the same answer in frames of 1 byte is served as a stream, which is not held); the limit of 1 MiB (excluded: 16 kB frames are served).

Change: PieceBuffer copies pieces into blocks of up to 16 KB, so an answer of 1 MiB is 64 buffers side by side, and no longer keeps the buffers that its frames were read into.

Measured: SmallPiecesTest failed for unary answers in pieces of 1 and 75 bytes (EOF) and passes, twice on one connection each; streams and usual frames passed before and do. PieceBufferTest: drawn pieces, same bytes.

--- a/src/main/java/loadbalancer/grpc/GrpcAttempt.java
+++ b/src/main/java/loadbalancer/grpc/GrpcAttempt.java
@@ -22,6 +22,7 @@
 import loadbalancer.balancing.Balancer.Outcome;
 import loadbalancer.core.Attempt;
 import loadbalancer.core.Clock;
+import loadbalancer.core.PieceBuffer;
 import loadbalancer.grpc.mapping.AttemptEnd;
 import loadbalancer.grpc.mapping.GrpcStatus;
 
@@ -82,7 +83,8 @@
     private Http2Headers headers;
     private Http2Headers trailers;
     private AttemptEnd ending;
-    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    /** What has come of a unary answer; null before its first bytes. */
+    private PieceBuffer body;
 
     GrpcAttempt(
             GrpcUpstreams pool,
@@ -232,8 +234,7 @@
             timeout.cancel(false);
             target.over(this);
         }
-        ByteBuf whole = body;
-        body = Unpooled.EMPTY_BUFFER;
+        ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body.take();
         try {
             if (owns) {
                 caller.ended(this, how, trailers);
@@ -401,21 +402,31 @@
             }
             if (owns) {
                 caller.data(GrpcAttempt.this, frame.content().retain());
-            } else if (body.readableBytes() + frame.content().readableBytes() > GrpcServer.MAX_ANSWER) {
+            } else if (!hold(frame.content())) {
                 reset(Http2Error.CANCEL);
                 end(new AttemptEnd(
                         Outcome.MALFORMED,
                         GrpcStatus.RESOURCE_EXHAUSTED,
                         "the answer is larger than " + GrpcServer.MAX_ANSWER + " bytes"));
                 return;
-            } else if (frame.content().isReadable()) {
-                body = Unpooled.wrappedBuffer(16, body, frame.content().retain());
             }
             if (frame.isEndStream()) {
                 end(AttemptEnd.withoutStatus());
             }
         }
 
+        /** Holds a part of a unary answer; false if that makes it too large. */
+        private boolean hold(ByteBuf part) {
+            if (body == null) {
+                body = new PieceBuffer(stream.alloc()::buffer);
+            }
+            if (body.readableBytes() + part.readableBytes() > GrpcServer.MAX_ANSWER) {
+                return false;
+            }
+            body.add(part);
+            return true;
+        }
+
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (owns && !ended) {
