EmptyEndpointListTest: wait for the first call within its deadline

Cause: the test asked for a served call 500 ms after its clients' start.

Change: the calls are made for 500 ms, as before, and until one has been served, which must be within the deadline of the first. What is checked after that is unchanged.

--- a/src/test/java/loadbalancer/testbed/EmptyEndpointListTest.java
+++ b/src/test/java/loadbalancer/testbed/EmptyEndpointListTest.java
@@ -20,6 +20,12 @@
     private static final long READY_SECONDS = 10;
     /** The grace period of a removed upstream and the slack on sockets, and the service times of the last requests. */
     private static final long GRACE_MILLIS = 500 + 50 + 150;
+    /** Deadline of the requests of a patient testbed. */
+    private static final long DEADLINE_MILLIS = 6_000;
+    /** Time for which calls are made before the upstreams are withdrawn, or longer. */
+    private static final long MIN_PLAY_MILLIS = 500;
+
+    private static final long POLL_MILLIS = 20;
 
     /** Parts of a sidecar that handle the endpoint list in their own way. */
     private enum Setup {
@@ -77,6 +83,17 @@
         return Testbed.list(41, world.nodes().stream().map(Testbed.Listed::of).toList());
     }
 
+    /** Plays until an upstream has had a call, which its client waits for no longer than its deadline. */
+    private static void awaitFirstCall(Setup setup, Testbed world, SidecarProcess sidecar) {
+        long startNanos = System.nanoTime();
+        world.play(MIN_PLAY_MILLIS);
+        while (setup.served(world) == 0) {
+            long playedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            assertTrue(playedMillis < DEADLINE_MILLIS, sidecar.log().toString());
+            world.play(POLL_MILLIS);
+        }
+    }
+
     /** Guards against incident 3e0307: an empty complete list was refused, and its upstreams were used on. */
     @ParameterizedTest
     @EnumSource(Setup.class)
@@ -85,8 +102,7 @@
             SidecarProcess sidecar = setup.sidecar(world);
             world.ready(sidecar.address()).get(30, TimeUnit.SECONDS);
             setup.startClients(world, sidecar);
-            world.play(500);
-            assertTrue(setup.served(world) > 0, sidecar.log().toString());
+            awaitFirstCall(setup, world, sidecar);
 
             world.registry().empty(true);
             world.play(GRACE_MILLIS);
