Take the response that is being sent out of ClientConnection

Change: OutgoingResponse holds the stream and the last write, and knows whether a part may not be with the kernel; nothing else is changed. Two parameters of RequestClasses have whole names.

--- a/src/main/java/loadbalancer/core/RequestClasses.java
+++ b/src/main/java/loadbalancer/core/RequestClasses.java
@@ -130,11 +130,11 @@
     }
 
     /** The scope that lies within both; null for a zone and a cell, as a cell may have upstreams of several zones. */
-    private static IdempotencyScope commonScope(IdempotencyScope a, IdempotencyScope b) {
-        if (a == b || b == IdempotencyScope.ALL) {
-            return a;
+    private static IdempotencyScope commonScope(IdempotencyScope newer, IdempotencyScope older) {
+        if (newer == older || older == IdempotencyScope.ALL) {
+            return newer;
         }
-        return a == IdempotencyScope.ALL ? b : null;
+        return newer == IdempotencyScope.ALL ? older : null;
     }
 
     private static int restriction(RequestClass requestClass) {
--- a/src/main/java/loadbalancer/http1/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/ClientConnection.java
@@ -45,6 +45,8 @@
     private final ConnectionTimeouts timeouts;
     private final ClientInput input;
     private final RequestTurns turns;
+    /** The response that is being sent. While none is, the connection may be idle. */
+    private final OutgoingResponse response;
     /** Whether a request, the end of a body or the final status is to be handled at the end of the read. */
     private boolean hasPendingWork;
     /** Whether a request is being handled or the response with {@link #finalStatus} is being written. */
@@ -55,10 +57,6 @@
     private RequestBodyForwarder currentBody;
     /** The complete body whose held last piece is forwarded at the end of the read; null if there is none. */
     private RequestBodyForwarder completedBody;
-    /** The upstream connection whose response is being streamed; null if there is none. */
-    private UpstreamConnection streamingUpstream;
-    /** The last response's write until it is with the kernel, since a close would truncate it; null otherwise. */
-    private ChannelFuture responseWrite;
     /** Whether the connection has carried a request. */
     private boolean hasRequests;
     /** Status of the last response, which follows the pending ones; null if none. Later input is discarded. */
@@ -77,6 +75,7 @@
         input = new ClientInput(this, clock, assembler, pipeline, () -> hasPendingWork);
         turns = new RequestTurns(channel, this);
         timeouts = new ConnectionTimeouts(this, assembler, server, clock.nowMicros());
+        response = new OutgoingResponse(() -> timeouts.markActive(clock.nowMicros()));
     }
 
     Channel channel() {
@@ -88,6 +87,11 @@
         return timeouts;
     }
 
+    /** The response that is being sent. */
+    OutgoingResponse response() {
+        return response;
+    }
+
     /** What is read from this connection, and when. */
     ClientInput input() {
         return input;
@@ -376,12 +380,7 @@
         currentExchange = null;
         busy = false;
         timeouts.markActive(clock.nowMicros());
-        responseWrite = written;
-        written.addListener(f -> {
-            if (responseWrite == written) {
-                responseDelivered();
-            }
-        });
+        response.written(written);
         if (currentBody != null && currentBody.isComplete()) {
             currentBody.discard();
         } else if (currentBody != null) {
@@ -405,47 +404,15 @@
         }
     }
 
-    /** Records that the last response is with the kernel, or will never be read; from now on the connection is idle. */
-    private void responseDelivered() {
-        responseWrite = null;
-        timeouts.markActive(clock.nowMicros());
-    }
-
-    /** Gives up the response that is being sent, as its client does not read it. */
-    void abandonResponse() {
-        if (streamingUpstream != null) {
-            streamingUpstream.clientLeft();
-        } else {
-            responseDelivered();
-        }
-    }
-
-    /** Whether the last response is complete, but not with the kernel yet. */
-    boolean isWritingResponse() {
-        return responseWrite != null;
-    }
-
-    /** Whether a part of a response may not be with the kernel yet. */
-    boolean isSendingResponse() {
-        return streamingUpstream != null || isWritingResponse();
-    }
-
-    /** Sets the upstream connection whose response is streamed from now on; null at the end of the stream. */
-    void streamingFrom(UpstreamConnection upstream) {
-        streamingUpstream = upstream;
-    }
-
     /** Forgets the current exchange: its streamed response was truncated, and the connection is about to be reset. */
     void streamAborted() {
-        streamingUpstream = null;
+        response.streamFrom(null);
         currentExchange = null;
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        if (streamingUpstream != null && channel.isWritable()) {
-            streamingUpstream.resumeReading();
-        } else if (!busy && channel.isWritable()) {
+        if (channel.isWritable() && !response.resumeStream() && !busy) {
             turns.scheduleSoon();
         }
         context.fireChannelWritabilityChanged();
@@ -470,7 +437,7 @@
 
     /** Whether the connection is between requests: no response is pending or unsent, no request partly received. */
     boolean isIdle() {
-        return hasNoPendingResponse() && !assembler.isReading() && responseWrite == null;
+        return hasNoPendingResponse() && !assembler.isReading() && !response.isWriting();
     }
 
     /** Whether no request is being handled or waiting. */
@@ -496,9 +463,7 @@
             ClientExchange abandoned = currentExchange;
             currentExchange = null;
             requests.clientLeft(abandoned.exchange());
-            if (streamingUpstream != null) {
-                streamingUpstream.clientLeft();
-            }
+            response.clientLeft();
         }
         if (assembler.largeBody() != null) {
             assembler.largeBody().abort();
--- a/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/http1/ConnectionTimeouts.java
@@ -67,9 +67,9 @@
             recordClose("large body stalled");
             connection.abandonBody(HttpResponseStatus.REQUEST_TIMEOUT);
         }
-        if (responseProgress.isStalled(nowMicros) && connection.isSendingResponse()) {
+        if (responseProgress.isStalled(nowMicros) && connection.response().isSending()) {
             recordClose("response not read");
-            connection.abandonResponse();
+            connection.response().abandon();
         }
         if (!connection.hasNoPendingResponse()) {
             return;
@@ -95,7 +95,7 @@
         if (connection.isIdle() && lastActiveMicros < idleSinceMicros) {
             closeIfStillIdle("shutdown");
         } else if (connection.hasNoPendingResponse()
-                && !connection.isWritingResponse()
+                && !connection.response().isWriting()
                 && lastActiveMicros < partialSinceMicros) {
             recordClose("shutdown within a request");
             connection.channel().close();
--- a/src/main/java/loadbalancer/http1/StreamedResponse.java
+++ b/src/main/java/loadbalancer/http1/StreamedResponse.java
@@ -22,7 +22,7 @@
 
     @Override
     public void begin(UpstreamConnection upstream, long lengthBytes) {
-        connection.streamingFrom(upstream);
+        connection.response().streamFrom(upstream);
         boolean keepsOpen =
                 keepAlive && !connection.shouldCloseAfterResponse() && (lengthBytes >= 0 || clientSupportsChunked);
         if (!keepsOpen) {
@@ -49,7 +49,7 @@
 
     @Override
     public void complete() {
-        connection.streamingFrom(null);
+        connection.response().streamFrom(null);
         boolean keepsOpen = !connection.isClosingAfterResponse();
         connection.responseWritten(keepsOpen, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
