Bound a stop's wait for gRPC clients that only send, and shorten the other

A client without calls that sent PINGs could hold a stop for minutes, and one that read nothing for 10 s and its answer's reading time together.

--- a/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
+++ b/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
@@ -30,10 +30,10 @@
  * pipeline it gets the frames of the connection itself.
  */
 final class GrpcClientConnection extends ChannelInboundHandlerAdapter {
-    /** Time after which a client that does not read on is given up, beyond that for reading what was sent to it. */
+    /** Time after which a client that does not read on is given up, or later if reading what it was sent takes longer. */
     private static final long UNREAD_RESPONSE_MICROS = 10_000_000;
-    /** Rate of the slowest sound client. */
-    private static final long MIN_READ_BYTES_PER_SECOND = 64_000;
+    /** Four fifths of the rate of the slowest sound client, 64 kB/s. */
+    private static final long MIN_READ_BYTES_PER_SECOND = 51_200;
     /** Bytes that the kernels hold for a connection at the most. */
     private static final long MAX_KERNEL_BYTES = 32L * 1024 * 1024;
 
@@ -136,22 +136,29 @@
             channel.writeAndFlush(new DefaultHttp2PingFrame(DELIVERY_PING));
             return;
         }
-        long maxWaitMicros = hasCarriedCalls ? maxReadMicros() : GracefulStop.QUIET_PERIOD_MICROS;
-        boolean isSilent = nowMicros - Math.max(pingMicros, lastActiveMicros) > maxWaitMicros;
         if (pingAcknowledged) {
             channel.close();
-        } else if (isSilent || nowMicros - pingMicros > maxReadMicros(MAX_KERNEL_BYTES)) {
+        } else if (hasStoppedReading(nowMicros)) {
             closeNow();
         }
     }
 
+    /** Whether the acknowledgement of the PING is not waited for any longer, whatever else the client sends. */
+    private boolean hasStoppedReading(long nowMicros) {
+        if (!hasCarriedCalls) {
+            return nowMicros - pingMicros > GracefulStop.QUIET_PERIOD_MICROS;
+        }
+        return nowMicros - Math.max(pingMicros, lastActiveMicros) > maxReadMicros()
+                || nowMicros - pingMicros > maxReadMicros(MAX_KERNEL_BYTES);
+    }
+
     /** Time that the slowest sound client needs to read what was sent since it last sent anything. */
     private long maxReadMicros() {
         return maxReadMicros(Math.min(sentSinceInputBytes, MAX_KERNEL_BYTES));
     }
 
     private static long maxReadMicros(long bytes) {
-        return UNREAD_RESPONSE_MICROS + bytes * 1_000_000 / MIN_READ_BYTES_PER_SECOND;
+        return Math.max(UNREAD_RESPONSE_MICROS, bytes * 1_000_000 / MIN_READ_BYTES_PER_SECOND);
     }
 
     /** Announces it behind all calls that have arrived; the first call of a new connection may still be in transit. */
--- a/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcShutdownTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.grpc.Metadata;
@@ -39,6 +40,8 @@
     private static final int SLOW_BYTES_PER_SECOND = 64_000;
 
     private static final int SLOW_CALLS = 3;
+    /** More often than a quiet connection is closed. */
+    private static final long PING_MILLIS = 50;
 
     private SidecarHarness harness;
     private CountDownLatch stopped;
@@ -166,6 +169,23 @@
         }
     }
 
+    /** Guards against a stop that waits for a client without calls, as long as it sends anything. */
+    @Test
+    void clientThatOnlySendsPingsDoesNotPreventStop() throws Exception {
+        try (RawHttp2Client client = client()) {
+            client.flush();
+            harness.sidecar.stop(stopped::countDown);
+            assertThrows(IOException.class, () -> {
+                for (long sent = 0; sent * PING_MILLIS < TimeUnit.SECONDS.toMillis(MAX_STOP_SECONDS); sent++) {
+                    client.frame(RawHttp2Client.PING, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8);
+                    client.flush();
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(PING_MILLIS));
+                }
+            });
+            assertStopped();
+        }
+    }
+
     /** Guards against a call being lost that arrives right before the check that closes its idle connection. */
     @Test
     void servesCallThatCrossesCloseOfIdleConnection() throws Exception {
