Bound the memory of gRPC messages, and stream what is too long to be held

Cause: GrpcAttempt held each unary response whole, in pooled direct memory, without a budget. At 40 MiB the next buffer waits in Bits.reserveMemory, on the one event loop; jstack showed it in 12 of 14 samples, below reads of any socket and below the copies of response pieces. The processor was idle. One unread stream also used up the window of its upstream's connection, and requests whose end does not come filled the heap, with no deadline.

Change: budgets in shares of the JVM's limits (GrpcMemory). A unary response is held for a retry while its budget lasts, and else forwarded as it arrives (StreamRelay), one block at a time; the sender's window opens by what the receiver has taken. Windows begin at 4 KiB and belong to streams only (ReceiveWindow). Uploads over that get a grant for the whole request, in order (UploadQueue). Clients that read nothing for 10 s lose their calls, 2 s if others wait for streams. A forwarded unary response ends at its deadline unless only its client is slow. Responses over 1 MiB are served.

RawHttp2Node ignored SETTINGS_INITIAL_WINDOW_SIZE, which peers must keep to (RFC 9113, 6.9.2); it keeps to it now, and checks as before.

--- a/src/main/java/loadbalancer/core/PieceBuffer.java
+++ b/src/main/java/loadbalancer/core/PieceBuffer.java
@@ -74,6 +74,16 @@
         take().release();
     }
 
+    /** Removes the first block and returns it, which the caller releases; null if there is none. */
+    public ByteBuf poll() {
+        ByteBuf block = blocks.poll();
+        if (block != null) {
+            readableBytes -= block.readableBytes();
+            capacity -= block.capacity();
+        }
+        return block;
+    }
+
     /** Returns all bytes as one buffer, which the caller releases, and is empty from then on. */
     public ByteBuf take() {
         readableBytes = 0;
--- a/src/main/java/loadbalancer/grpc/GrpcAttempt.java
+++ b/src/main/java/loadbalancer/grpc/GrpcAttempt.java
@@ -22,13 +22,13 @@
 import loadbalancer.balancing.Balancer.Outcome;
 import loadbalancer.core.Attempt;
 import loadbalancer.core.Clock;
-import loadbalancer.core.PieceBuffer;
 import loadbalancer.grpc.mapping.AttemptEnd;
 import loadbalancer.grpc.mapping.GrpcStatus;
 
 /**
- * One try of a call at one node: one stream. A unary answer is put together here and told whole; a streaming one is handed on
- * from its first byte, after which this attempt owns the call to its end.
+ * One attempt of a call at one upstream: one stream. A unary response is held until its status has come, so that the
+ * call can be retried, as far as the memory for that reaches; beyond that, and if the method streams, it is forwarded as
+ * it arrives, after which this attempt owns the call to its end.
  */
 final class GrpcAttempt implements Attempt {
     /** Who made the call, and takes what a stream brings. */
@@ -39,22 +39,16 @@
         /** The request's bytes so far, in order; the attempt writes what is there now and is handed the rest. */
         void replay(GrpcAttempt to);
 
-        /** The first of the answer. From now on all of it comes through here, to its end. */
-        void headers(GrpcAttempt from, Http2Headers headers);
+        /** The response begins to be forwarded: its head, and the relay of its messages, which the caller starts. */
+        void headers(GrpcAttempt from, Http2Headers headers, StreamRelay messages);
 
-        /** Takes over {@code data}. */
-        void data(GrpcAttempt from, ByteBuf data);
-
-        /** All of the stream's read so far has been handed on. */
-        void readComplete(GrpcAttempt from);
-
-        /** The stream's end; {@code trailers} is null where none came. */
+        /** The end of a forwarded response; {@code trailers} is null where none came. */
         void ended(GrpcAttempt from, AttemptEnd ending, Http2Headers trailers);
-
-        /** The upstream takes bytes again, or does not for now. */
-        void writabilityChanged();
     }
 
+    /** The largest unary response that is held until its status has come. */
+    private static final int MAX_HELD_RESPONSE_BYTES = 1024 * 1024;
+
     private final GrpcUpstreams pool;
     private final Clock clock;
     private final String upstream;
@@ -83,8 +77,8 @@
     private Http2Headers headers;
     private Http2Headers trailers;
     private AttemptEnd ending;
-    /** What has come of a unary answer; null before its first bytes. */
-    private PieceBuffer body;
+    /** The response's messages; null before its head. */
+    private StreamRelay messages;
 
     GrpcAttempt(
             GrpcUpstreams pool,
@@ -234,17 +228,22 @@
             timeout.cancel(false);
             target.over(this);
         }
-        ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body.take();
-        try {
-            if (owns) {
-                caller.ended(this, how, trailers);
-            }
-            result.onEnd(this, how.outcome(), report, how.outcome() == Outcome.OK && !owns ? whole : null);
-        } finally {
-            whole.release();
+        if (owns) {
+            caller.ended(this, how, trailers);
+        }
+        result.onEnd(this, how.outcome(), report, how.outcome() == Outcome.OK && !owns ? Unpooled.EMPTY_BUFFER : null);
+        if (!owns && messages != null) {
+            messages.release();
         }
     }
 
+    /** Hands over the messages of a unary response that was served; null if it has none. */
+    StreamRelay takeMessages() {
+        StreamRelay taken = messages;
+        messages = null;
+        return taken;
+    }
+
     ChannelHandler handler() {
         return new Handler();
     }
@@ -258,10 +257,6 @@
             return;
         }
         begun = true;
-        if (streams) {
-            stream.config().setAutoRead(false);
-            stream.read();
-        }
         caller.replay(this);
     }
 
@@ -285,19 +280,18 @@
         write(new DefaultHttp2DataFrame(data, last), last);
     }
 
-    boolean writable() {
-        return stream == null || stream.isWritable();
+    /** Ends a request whose messages were all written. */
+    void sendEnd() {
+        send(Unpooled.EMPTY_BUFFER, true);
     }
 
-    boolean begun() {
-        return begun;
+    /** The stream on which requests are sent; null before it is open. */
+    Channel stream() {
+        return stream;
     }
 
-    /** Reads on, when the client has taken what came. */
-    void read() {
-        if (stream != null && !ended) {
-            stream.read();
-        }
+    boolean begun() {
+        return begun;
     }
 
     private void write(Object frame, boolean mayRunThen) {
@@ -358,14 +352,9 @@
                     return;
                 }
                 headers = h;
+                messages = pool.relay(stream);
                 if (streams) {
-                    owns = result.beginStreaming(GrpcAttempt.this);
-                    if (owns) {
-                        timeout.cancel(false);
-                        caller.headers(GrpcAttempt.this, h);
-                    } else {
-                        cancel();
-                    }
+                    forward();
                 }
                 return;
             }
@@ -400,47 +389,44 @@
                 end(AttemptEnd.withoutStatus());
                 return;
             }
-            if (owns) {
-                caller.data(GrpcAttempt.this, frame.content().retain());
-            } else if (!hold(frame.content())) {
-                reset(Http2Error.CANCEL);
-                end(new AttemptEnd(
-                        Outcome.MALFORMED,
-                        GrpcStatus.RESOURCE_EXHAUSTED,
-                        "the answer is larger than " + GrpcServer.MAX_ANSWER + " bytes"));
-                return;
+            messages.add(frame.content(), frame.initialFlowControlledBytes());
+            if (!owns) {
+                hold();
             }
-            if (frame.isEndStream()) {
+            if (!ended && frame.isEndStream()) {
                 end(AttemptEnd.withoutStatus());
             }
         }
 
-        /** Holds a part of a unary answer; false if that makes it too large. */
-        private boolean hold(ByteBuf part) {
-            if (body == null) {
-                body = new PieceBuffer(stream.alloc()::buffer);
+        /** Holds a unary response until its status comes, unless it is too large for that. */
+        private void hold() {
+            int heldBytes = messages.heldBytes();
+            if (heldBytes <= ReceiveWindow.INITIAL_BYTES
+                    || heldBytes <= MAX_HELD_RESPONSE_BYTES && pool.mayHoldResponses()) {
+                messages.openWindow();
+            } else {
+                forward();
             }
-            if (body.readableBytes() + part.readableBytes() > GrpcServer.MAX_ANSWER) {
-                return false;
+        }
+
+        /** Forwards the response from now on, as it arrives; the call can't be retried after that. */
+        private void forward() {
+            owns = result.beginStreaming(GrpcAttempt.this);
+            if (owns) {
+                timeout.cancel(false);
+                caller.headers(GrpcAttempt.this, headers, messages);
+            } else {
+                cancel();
             }
-            body.add(part);
-            return true;
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
             if (owns && !ended) {
-                caller.readComplete(GrpcAttempt.this);
-            } else if (streams && !ended) {
-                read();
+                messages.write();
             }
         }
 
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            caller.writabilityChanged();
-        }
-
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             if (event instanceof Http2ResetFrame r) {
--- a/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
+++ b/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
@@ -32,11 +32,18 @@
 final class GrpcClientConnection extends ChannelInboundHandlerAdapter {
     /** Time after which a client that does not read on is given up, or later if reading what it was sent takes longer. */
     private static final long UNREAD_RESPONSE_MICROS = 10_000_000;
+    /** Replaces {@link #UNREAD_RESPONSE_MICROS} while others wait. */
+    private static final long MIN_UNREAD_MICROS = 2_000_000;
+
+    private static final long MICROS_PER_SECOND = 1_000_000;
     /** Four fifths of the rate of the slowest sound client, 64 kB/s. */
     private static final long MIN_READ_BYTES_PER_SECOND = 51_200;
     /** Bytes that the kernels hold for a connection at the most. */
     private static final long MAX_KERNEL_BYTES = 32L * 1024 * 1024;
 
+    /** Bytes of a response that are written at once. */
+    private static final long MAX_BLOCK_BYTES = 16 * 1024;
+
     /** Content of the PING that follows the last response; its acknowledgement shows that the client has read all. */
     private static final long DELIVERY_PING = 0x6c617374;
 
@@ -54,6 +61,9 @@
     /** Bytes sent since the client last sent anything, which it may still have to read. */
     private long sentSinceInputBytes;
 
+    /** Whether a call was ended because its response was not read, and nothing has been received since. */
+    private boolean hasStoppedReading;
+
     private boolean hasCarriedCalls;
     /** Whether the client knows which calls are the last that are served. */
     private boolean lastStreamAnnounced;
@@ -83,6 +93,7 @@
             public void channelRead(ChannelHandlerContext context, Object bytes) {
                 lastActiveMicros = clock.nowMicros();
                 sentSinceInputBytes = 0;
+                hasStoppedReading = false;
                 context.fireChannelRead(bytes);
             }
 
@@ -115,10 +126,32 @@
         List.copyOf(calls).forEach(GrpcStream::cutShort);
     }
 
+    /** Ends calls whose client has stopped reading their responses, sooner while others wait for their streams. */
+    void endUnreadCalls(long nowMicros, boolean othersWait) {
+        long behind = calls.stream().filter(GrpcStream::isBehind).count();
+        if (behind == 0) {
+            return;
+        }
+        // The client may read all of them in turn.
+        long unreadBytes = Math.min(MAX_KERNEL_BYTES, sentSinceInputBytes + behind * MAX_BLOCK_BYTES);
+        long limitMicros = Math.max(
+                othersWait ? MIN_UNREAD_MICROS : UNREAD_RESPONSE_MICROS,
+                unreadBytes * MICROS_PER_SECOND / MIN_READ_BYTES_PER_SECOND);
+        for (GrpcStream call : List.copyOf(calls)) {
+            if (call.isBehind() && nowMicros - call.progressMicros() > limitMicros) {
+                endReasons.record(EndReasons.Subject.REQUEST_ABANDONED, "response not read", call.id());
+                hasStoppedReading = true;
+                call.endUnread();
+            }
+        }
+    }
+
     /** Announces the last stream, and closes once no call is left, or its client does not read any more. */
     void closeIfIdle(long nowMicros) {
         if (!lastStreamAnnounced) {
             announceLastStream(nowMicros);
+        } else if (calls.isEmpty() && hasStoppedReading) {
+            closeNow();
         } else if (calls.isEmpty()) {
             closeOnceDelivered(nowMicros);
         } else if (!hasOpenCalls() && nowMicros - lastActiveMicros > maxReadMicros()) {
@@ -138,13 +171,13 @@
         }
         if (pingAcknowledged) {
             channel.close();
-        } else if (hasStoppedReading(nowMicros)) {
+        } else if (leavesPingUnread(nowMicros)) {
             closeNow();
         }
     }
 
     /** Whether the acknowledgement of the PING is not waited for any longer, whatever else the client sends. */
-    private boolean hasStoppedReading(long nowMicros) {
+    private boolean leavesPingUnread(long nowMicros) {
         if (!hasCarriedCalls) {
             return nowMicros - pingMicros > GracefulStop.QUIET_PERIOD_MICROS;
         }
@@ -158,7 +191,7 @@
     }
 
     private static long maxReadMicros(long bytes) {
-        return Math.max(UNREAD_RESPONSE_MICROS, bytes * 1_000_000 / MIN_READ_BYTES_PER_SECOND);
+        return Math.max(UNREAD_RESPONSE_MICROS, bytes * MICROS_PER_SECOND / MIN_READ_BYTES_PER_SECOND);
     }
 
     /** Announces it behind all calls that have arrived; the first call of a new connection may still be in transit. */
--- a/src/main/java/loadbalancer/grpc/GrpcRequestBody.java
+++ b/src/main/java/loadbalancer/grpc/GrpcRequestBody.java
@@ -2,32 +2,67 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import java.util.List;
+import loadbalancer.core.MemoryBudget;
 import loadbalancer.core.PieceBuffer;
 
 /**
- * The messages of one call. They are held from the first byte on, so that each attempt gets all of them, until more has
- * been forwarded than is held: from then on they are bound to the attempt that receives them. While no attempt receives
- * them, because none has started yet or the last one has ended, everything is held and the client is not read further.
+ * The messages of one call's request. They are held from the first byte on, so that each attempt gets all of them, until
+ * more has been forwarded than is held: from then on they are bound to the attempt that receives them. While no attempt
+ * receives them, because none has started yet or the last one has ended, everything is held, and the client can send no
+ * more than its window allows.
  */
-final class GrpcRequestBody {
-    /** Bytes after which the client is not read further while no attempt receives them. */
-    private static final int PAUSE_BYTES = GrpcServer.MAX_REQUEST / 4;
-    /** Limit without a receiver: what an ended attempt has left, and what was in transit when reading was paused. */
+final class GrpcRequestBody implements UploadQueue.Upload {
+    /** Limit without a receiver: what an ended attempt has left, and what was in transit. */
     private static final int MAX_HELD_WITHOUT_RECEIVER = 2 * GrpcServer.MAX_REQUEST;
 
+    private final GrpcServer server;
+    private final Channel client;
+    private final Runnable onRejected;
+    private final ReceiveWindow window;
+    private final long begunMicros;
     private final PieceBuffer held = new PieceBuffer(Unpooled::buffer);
+    /** Held memory of a streaming request, which is counted in the budget for replays. */
+    private int countedBytes;
+
+    private boolean streaming;
     private boolean complete;
     /** Whether what was held is released, after which no other attempt can start. */
     private boolean released;
+
+    private long receivedMicros;
+    /** Bytes that no attempt has been sent, for which the window was not opened again. */
+    private int unconsumedBytes;
     /** The attempt that gets each message as it arrives; null if there is none. */
     private GrpcAttempt receiver;
+    /** Forwards the messages that arrive to the receiver; null if there is none. */
+    private StreamRelay forwarding;
+
+    /** {@code onRejected} ends the call, as the memory for its request is needed by others. */
+    GrpcRequestBody(GrpcServer server, Channel client, Runnable onRejected) {
+        this.server = server;
+        this.client = client;
+        this.onRejected = onRejected;
+        begunMicros = server.clock().nowMicros();
+        window = new ReceiveWindow(client);
+    }
 
-    /** Holds and forwards a part of the request, which the caller releases. Returns false if it is too large to hold. */
-    boolean add(ByteBuf content, boolean last) {
+    /** Sets whether messages are forwarded as they arrive, or all at once when the last one has come. */
+    void setStreaming(boolean isStreaming) {
+        streaming = isStreaming;
+    }
+
+    /**
+     * Holds and forwards a part of the request, which the caller releases. Returns false if it is too large to hold.
+     *
+     * @param windowBytes size in the window, with padding
+     */
+    boolean add(ByteBuf content, int windowBytes, boolean last) {
         complete |= last;
         int size = held.readableBytes() + content.readableBytes();
-        if (receiver != null && size > GrpcServer.MAX_REQUEST) {
+        if (receiver != null
+                && (size > GrpcServer.MAX_REQUEST || !server.memory().replays().hasCapacity())) {
             release();
         }
         if (!released) {
@@ -35,16 +70,69 @@
                 return false;
             }
             held.add(content);
+            count();
         }
         if (receiver != null) {
-            // A duplicate, as writing it consumes the bytes.
-            receiver.send(content.retainedDuplicate(), last);
+            forwarding.add(content, windowBytes);
+        } else {
+            unconsumedBytes += content.readableBytes();
+            window.consume(windowBytes - content.readableBytes());
+        }
+        receivedMicros = server.clock().nowMicros();
+        return streaming || released || reserve(size);
+    }
+
+    /** Reserves memory for a unary request of more than the initial window. Returns false if it must not be held. */
+    private boolean reserve(int size) {
+        if (size > ReceiveWindow.INITIAL_BYTES) {
+            return server.uploads().requestAtOnce(this);
+        }
+        if (size > ReceiveWindow.INITIAL_BYTES / 2 && !complete) {
+            server.uploads().request(this);
         }
         return true;
     }
 
-    /** Whether the last byte of the request was received. */
-    boolean isComplete() {
+    /** Lets the client send on after a part that nobody needs. */
+    void discard(int windowBytes) {
+        window.consume(windowBytes);
+    }
+
+    @Override
+    public void grant() {
+        window.grow(UploadQueue.GRANT_BYTES);
+    }
+
+    @Override
+    public long receivedMicros() {
+        return receivedMicros;
+    }
+
+    @Override
+    public long begunMicros() {
+        return begunMicros;
+    }
+
+    @Override
+    public void reject() {
+        onRejected.run();
+    }
+
+    /** Forwards what has arrived since the last call. */
+    void forward() {
+        if (forwarding == null) {
+            return;
+        }
+        if (complete) {
+            GrpcAttempt attempt = receiver;
+            forwarding.finish(attempt::sendEnd);
+        } else {
+            forwarding.write();
+        }
+    }
+
+    @Override
+    public boolean isComplete() {
         return complete;
     }
 
@@ -66,25 +154,54 @@
             // An attempt that has ended releases what it gets.
             attempt.send(blocks.get(i), i == blocks.size() - 1 && complete);
         }
+        if (attempt.hasEnded() || complete) {
+            return;
+        }
         // Only now: a message that is read while the held ones are sent must not overtake them.
-        receiver = attempt.hasEnded() ? null : attempt;
+        receiver = attempt;
+        forwarding =
+                new StreamRelay(server.clock(), server.memory(), server.memory().responses(), window, client);
+        forwarding.start(attempt.stream());
+        int sentBytes = unconsumedBytes;
+        unconsumedBytes = 0;
+        window.consume(sentBytes);
     }
 
     /** Stops forwarding to an attempt that has ended. */
     void attemptEnded(GrpcAttempt attempt) {
         if (receiver == attempt) {
             receiver = null;
+            unconsumedBytes += forwarding.stop();
+            forwarding = null;
         }
     }
 
     /** Releases what is held, as no other attempt will need it. */
     void release() {
+        if (released) {
+            return;
+        }
         released = true;
+        server.memory().replays().add(-countedBytes);
+        countedBytes = 0;
         held.release();
+        server.uploads().withdraw(this);
     }
 
-    /** Whether to read more from the client: the receiver accepts it or, without a receiver, it can be held. */
-    boolean wantsMore() {
-        return receiver != null ? receiver.writable() : released || held.readableBytes() < PAUSE_BYTES;
+    /** Releases everything, as the call is over. */
+    void close() {
+        release();
+        if (forwarding != null) {
+            forwarding.release();
+        }
+        window.release();
+    }
+
+    private void count() {
+        if (streaming) {
+            MemoryBudget replays = server.memory().replays();
+            replays.add(held.capacity() - countedBytes);
+            countedBytes = held.capacity();
+        }
     }
 }
--- a/src/main/java/loadbalancer/grpc/GrpcServer.java
+++ b/src/main/java/loadbalancer/grpc/GrpcServer.java
@@ -37,17 +37,19 @@
     /** The most that a unary call's message may hold, and what is kept of a stream for another attempt. */
     static final int MAX_REQUEST = 64 * 1024;
 
-    static final int MAX_ANSWER = 1024 * 1024;
     private static final int HEADER_LIST = 8 * 1024;
-    private static final int WINDOW = 64 * 1024;
     /** Streams that a client may reset in so many seconds, and control frames that may wait for it to read them. */
     private static final int RESETS = 200, RESETS_S = 30, CONTROL_FRAMES = 1_000;
+
+    private static final long STALL_CHECK_MILLIS = 500;
     /** Kept, or the level is forgotten with it. What a client does to a connection is no line of the log, however often. */
     private static final Logger CODEC = Logger.getLogger("io.netty.handler.codec.http2");
 
     private final EventLoop loop;
     private final Clock clock;
     private final Requests requests;
+    private final GrpcMemory memory;
+    private final UploadQueue uploads;
     private final GrpcUpstreams upstreams;
     private final GrpcOptions options;
     private final RequestClasses classes;
@@ -75,7 +77,11 @@
         this.classes = classes;
         this.name = name;
         gracefulStop = new GracefulStop(loop, clock, new ClientConnections());
-        upstreams = new GrpcUpstreams(loop, clock, connIdleUs, dialTimeoutUs, options);
+        memory = new GrpcMemory(requests.endReasons());
+        uploads = new UploadQueue(memory.uploads());
+        upstreams = new GrpcUpstreams(loop, clock, connIdleUs, dialTimeoutUs, options, memory);
+        loop.scheduleWithFixedDelay(
+                this::endStalledCalls, STALL_CHECK_MILLIS, STALL_CHECK_MILLIS, TimeUnit.MILLISECONDS);
         options.routes().forEach(route -> {
             if (classes.bindRoute(clock.nowMicros(), route.requestClass(), candidate -> true) == null) {
                 throw new IllegalArgumentException(
@@ -109,7 +115,7 @@
         });
         Http2Settings settings = new Http2Settings()
                 .maxHeaderListSize(HEADER_LIST)
-                .initialWindowSize(WINDOW)
+                .initialWindowSize(ReceiveWindow.INITIAL_BYTES)
                 .maxConcurrentStreams(options.maxStreams());
         if (requests.latency() != null) {
             channel.pipeline().addLast(EventLoops.latencyHandler(requests.latency()));
@@ -118,16 +124,17 @@
                 .addLast(
                         connection.disconnectCheck(),
                         connection.byteHandler(),
-                        Http2FrameCodecBuilder.forServer()
+                        ReceiveWindow.withoutConnectionWindow(Http2FrameCodecBuilder.forServer()
                                 .initialSettings(settings)
                                 .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_S)
                                 .decoderEnforceMaxConsecutiveEmptyDataFrames(2)
                                 .encoderEnforceMaxQueuedControlFrames(CONTROL_FRAMES)
                                 .autoAckPingFrame(true)
-                                .build(),
+                                .build()),
                         new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel stream) {
+                                ReceiveWindow.configure(stream);
                                 stream.pipeline().addLast(new GrpcStream(GrpcServer.this, connection, stream));
                             }
                         }),
@@ -142,6 +149,14 @@
         return requests;
     }
 
+    GrpcMemory memory() {
+        return memory;
+    }
+
+    UploadQueue uploads() {
+        return uploads;
+    }
+
     GrpcUpstreams upstreams() {
         return upstreams;
     }
@@ -158,6 +173,13 @@
                 candidate -> hasKey || candidate.idempotency() != Idempotency.WITH_KEY);
     }
 
+    private void endStalledCalls() {
+        long nowMicros = clock.nowMicros();
+        boolean othersWait = upstreams.hasCallsWaitingForStreams();
+        List.copyOf(connections).forEach(connection -> connection.endUnreadCalls(nowMicros, othersWait));
+        uploads.rejectStalled(nowMicros);
+    }
+
     /** The latest time for responses, unlimited unless the server stops. */
     ShutdownDeadline shutdownDeadline() {
         return gracefulStop.deadline();
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -5,12 +5,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
 import io.netty.handler.codec.http2.DefaultHttp2Headers;
-import io.netty.handler.codec.http2.DefaultHttp2HeadersFrame;
-import io.netty.handler.codec.http2.DefaultHttp2ResetFrame;
 import io.netty.handler.codec.http2.Http2DataFrame;
-import io.netty.handler.codec.http2.Http2Error;
 import io.netty.handler.codec.http2.Http2Headers;
 import io.netty.handler.codec.http2.Http2HeadersFrame;
 import io.netty.handler.codec.http2.Http2ResetFrame;
@@ -48,6 +44,10 @@
     private static final long MARGIN_US = 15_000;
 
     private static final long NO_END = Long.MAX_VALUE;
+    /** Interval at which a unary response that is forwarded past its deadline is checked. */
+    private static final long SLOW_CLIENT_CHECK_MICROS = 50_000;
+    /** Time for which an upstream may send nothing after the deadline, while its client has taken all it has sent. */
+    private static final long MAX_UPSTREAM_PAUSE_MICROS = 200_000;
     /** Metadata that belongs to one hop, or that this hop writes itself. */
     private static final Set<String> OWN = Set.of(
             "grpc-timeout",
@@ -77,9 +77,14 @@
     private long endUs = NO_END;
     /** Module time by which an answer has begun. */
     private long deadlineUs;
+    /** Time at which the client gives up by its own word; {@link #NO_END} if it has set no time. */
+    private long clientEndMicros = NO_END;
 
+    /** Ends the call at a time of its own; null if there is none. */
     private Future<?> end;
-    private final GrpcRequestBody body = new GrpcRequestBody();
+
+    private final GrpcRequestBody body;
+    private final ClientResponse response;
     /** To be taken at the end of the reading. */
     private boolean due;
 
@@ -88,13 +93,16 @@
     private GrpcAttempt winner;
     private AttemptEnd lastEnding;
     private Http2Headers lastTrailers;
-    private boolean headersSent;
     private boolean over;
+    /** Time since which a unary response that is forwarded past its deadline waits for its upstream; 0 if it does not. */
+    private long waitingSinceMicros;
 
     GrpcStream(GrpcServer server, GrpcClientConnection connection, Channel client) {
         this.server = server;
         this.connection = connection;
         this.client = client;
+        body = new GrpcRequestBody(server, client, this::rejectIncompleteRequest);
+        response = new ClientResponse(client, body::isComplete, () -> connection.callEnded(this));
         sentUs = server.clock().nowMicros();
         unreadUs = server.requests().maxUnreadMicros();
     }
@@ -105,12 +113,15 @@
     public void channelRead(ChannelHandlerContext ctx, Object frame) {
         try {
             if (over) {
+                if (frame instanceof Http2DataFrame unneeded) {
+                    body.discard(unneeded.initialFlowControlledBytes());
+                }
                 return;
             }
             if (frame instanceof Http2HeadersFrame h) {
                 headers(h);
             } else if (frame instanceof Http2DataFrame d) {
-                data(d.content(), d.isEndStream());
+                data(d.content(), d.initialFlowControlledBytes(), d.isEndStream());
             } else if (frame instanceof Http2ResetFrame) {
                 left();
             }
@@ -122,7 +133,7 @@
     private void headers(Http2HeadersFrame frame) {
         if (head != null) {
             // A client's trailers: gRPC knows none.
-            data(Unpooled.EMPTY_BUFFER, true);
+            data(Unpooled.EMPTY_BUFFER, 0, true);
             return;
         }
         head = frame.headers();
@@ -133,51 +144,47 @@
                 || type == null
                 || !type.toString().startsWith("application/grpc")) {
             over();
-            Http2Headers h = new DefaultHttp2Headers()
-                    .status("415")
-                    .set("grpc-status", "" + GrpcStatus.INTERNAL.number())
-                    .set("grpc-message", "no gRPC");
-            writeLast(h);
+            response.notGrpc();
             return;
         }
         route = server.options().route(head.path());
         if (route == null) {
-            status(GrpcStatus.UNIMPLEMENTED, "the path names no method", 0, null);
+            status(GrpcStatus.UNIMPLEMENTED, "the path names no method", 0);
             return;
         }
         spec = server.requestClass(route, !word(route.keyHeader()).isEmpty());
         if (spec == null) {
-            status(
-                    GrpcStatus.INVALID_ARGUMENT,
-                    "a call of this class carries its key in " + route.keyHeader(),
-                    0,
-                    null);
+            status(GrpcStatus.INVALID_ARGUMENT, "a call of this class carries its key in " + route.keyHeader(), 0);
             return;
         }
         boolean bounded = head.get("grpc-timeout") != null;
         long timeoutUs = bounded ? GrpcTimeout.parse(head.get("grpc-timeout")) : spec.deadlineMicros();
         if (timeoutUs < 0) {
-            status(GrpcStatus.INTERNAL, "grpc-timeout is none", 0, null);
+            status(GrpcStatus.INTERNAL, "grpc-timeout is none", 0);
             return;
         }
         String told = word("x-txn");
         id = told.isEmpty() ? server.nextId() : told;
         if (server.requests().contains(id)) {
-            status(GrpcStatus.INVALID_ARGUMENT, "x-txn is in use", 0, null);
+            status(GrpcStatus.INVALID_ARGUMENT, "x-txn is in use", 0);
             return;
         }
         if (timeoutUs < 1_000) {
-            status(GrpcStatus.DEADLINE_EXCEEDED, "no time is left", 0, null);
+            status(GrpcStatus.DEADLINE_EXCEEDED, "no time is left", 0);
             return;
         }
         setDeadlines(timeoutUs, bounded);
-        body.add(Unpooled.EMPTY_BUFFER, frame.isEndStream());
+        body.setStreaming(route.streams());
+        body.add(Unpooled.EMPTY_BUFFER, 0, frame.isEndStream());
         due = body.isComplete() || route.streams();
     }
 
     /** Nobody waits longer for the first byte of a response than the class allows; a stream ends at the client's own time. */
     private void setDeadlines(long timeoutUs, boolean bounded) {
         deadlineUs = server.shutdownDeadline().limit(sentUs + lessMargin(Math.min(timeoutUs, spec.deadlineMicros())));
+        if (bounded) {
+            clientEndMicros = server.shutdownDeadline().limit(sentUs + lessMargin(timeoutUs));
+        }
         if (!route.streams()) {
             endUs = deadlineUs;
         } else if (bounded) {
@@ -196,9 +203,29 @@
                 take();
             }
         }
+        if (!over) {
+            body.forward();
+            limitIncompleteRequest();
+        }
         ctx.fireChannelReadComplete();
     }
 
+    /** A unary request must be complete by the call's deadline, which nothing else watches before it is taken. */
+    private void limitIncompleteRequest() {
+        if (route != null && !route.streams() && exchange == null && end == null) {
+            end = server.at(deadlineUs, () -> {
+                if (exchange == null) {
+                    endHere(GrpcStatus.DEADLINE_EXCEEDED, "the request was not complete in time");
+                }
+            });
+        }
+    }
+
+    /** The memory for the request is needed by others. */
+    private void rejectIncompleteRequest() {
+        status(GrpcStatus.UNAVAILABLE, "refused: nothing has run", 0);
+    }
+
     private static long lessMargin(long us) {
         return us - Math.min(MARGIN_US, us / 4);
     }
@@ -214,15 +241,16 @@
                 : "";
     }
 
-    private void data(ByteBuf content, boolean last) {
-        boolean held = body.add(content, last);
+    private void data(ByteBuf content, int windowBytes, boolean last) {
+        boolean held = body.add(content, windowBytes, last);
         if (!route.streams() && body.heldBytes() > GrpcServer.MAX_REQUEST) {
             tooLarge("a message of more than " + GrpcServer.MAX_REQUEST + " bytes");
-        } else if (!held) {
+        } else if (!held && route.streams()) {
             tooLarge("more came than is held while no upstream receives it");
+        } else if (!held) {
+            rejectIncompleteRequest();
         } else {
             due |= last && exchange == null;
-            updateAutoRead();
         }
     }
 
@@ -230,14 +258,9 @@
         endHere(GrpcStatus.RESOURCE_EXHAUSTED, message);
     }
 
-    /** Stops reading a streaming client while its messages can neither be forwarded nor held; all others are read. */
-    private void updateAutoRead() {
-        client.config().setAutoRead(over || !route.streams() || body.wantsMore());
-    }
-
     private void take() {
         if (server.shutdownDeadline().isTooLateToServe(server.clock().nowMicros())) {
-            status(GrpcStatus.UNAVAILABLE, "refused: the sidecar ends, and nothing has run", 0, null);
+            status(GrpcStatus.UNAVAILABLE, "refused: the sidecar ends, and nothing has run", 0);
             return;
         }
         Request request = new Request(
@@ -305,7 +328,6 @@
         public void onEnd(Attempt attempt, Outcome outcome, Balancer.LoadReport report, ByteBuf response) {
             GrpcAttempt ended = (GrpcAttempt) attempt;
             body.attemptEnded(ended);
-            updateAutoRead();
             lastEnding = ended.ending();
             lastTrailers = ended.trailers();
             if (outcome == Outcome.OK) {
@@ -389,31 +411,40 @@
             return;
         }
         body.start(to);
-        updateAutoRead();
     }
 
     @Override
-    public void headers(GrpcAttempt from, Http2Headers headers) {
-        headersSent = true;
+    public void headers(GrpcAttempt from, Http2Headers headers, StreamRelay messages) {
         body.release();
         current = from;
-        client.writeAndFlush(new DefaultHttp2HeadersFrame(copy(headers, "200"), false));
+        response.begin(headers, messages);
+        if (!route.streams()) {
+            end = server.at(deadlineUs, this::limitForwardedResponse);
+        }
     }
 
-    @Override
-    public void data(GrpcAttempt from, ByteBuf data) {
+    /**
+     * Ends a unary response that is forwarded at its deadline, unless it is only its client that takes it slowly. After
+     * that it goes on until the upstream is waited for again, or the client stops reading or reaches its own end.
+     */
+    private void limitForwardedResponse() {
         if (over) {
-            data.release();
-        } else {
-            client.write(new DefaultHttp2DataFrame(data, false));
+            return;
         }
-    }
-
-    @Override
-    public void readComplete(GrpcAttempt from) {
-        client.flush();
-        if (client.isWritable()) {
-            from.read();
+        long nowMicros = server.clock().nowMicros();
+        boolean behind = response.isBehind();
+        if (behind) {
+            waitingSinceMicros = 0;
+        } else if (waitingSinceMicros == 0 && nowMicros - deadlineUs >= SLOW_CLIENT_CHECK_MICROS) {
+            waitingSinceMicros = nowMicros;
+        }
+        boolean clientAwaits = nowMicros < clientEndMicros;
+        boolean upstreamDelivers =
+                behind || waitingSinceMicros > 0 && nowMicros - waitingSinceMicros < MAX_UPSTREAM_PAUSE_MICROS;
+        if (clientAwaits && upstreamDelivers) {
+            end = server.at(nowMicros + SLOW_CLIENT_CHECK_MICROS, this::limitForwardedResponse);
+        } else {
+            endHere(GrpcStatus.DEADLINE_EXCEEDED, "no complete answer in time");
         }
     }
 
@@ -423,44 +454,29 @@
             return;
         }
         over();
-        Http2Headers h = trailers != null && ending.outcome() != Outcome.MALFORMED
-                ? copy(trailers, null)
-                : new DefaultHttp2Headers()
-                        .set("grpc-status", "" + failure(ending.code()).number())
-                        .set("grpc-message", text(ending.message()));
-        writeLast(h);
-    }
-
-    @Override
-    public void writabilityChanged() {
-        updateAutoRead();
+        response.end(
+                trailers != null && ending.outcome() != Outcome.MALFORMED
+                        ? ClientResponse.copy(trailers, null)
+                        : ClientResponse.failure(failure(ending.code()), ending.message()));
     }
 
     // ---- to the client ---------------------------------------------------------------------------
 
     private final class Final implements Exchange.Responder {
         @Override
-        public void serve(ByteBuf response) {
+        public void serve(ByteBuf empty) {
+            empty.release();
             if (over) {
-                response.release();
                 return;
             }
             over();
             body.release();
-            if (winner.headers() == null) {
-                // A stream that ended well before it said anything: head and trailers in one.
-                response.release();
-                writeLast(copy(winner.trailers(), "200"));
-                return;
-            }
-            client.write(new DefaultHttp2HeadersFrame(copy(winner.headers(), "200"), false));
-            client.write(new DefaultHttp2DataFrame(response, false));
-            writeLast(copy(winner.trailers(), null));
+            response.send(winner.headers(), winner.takeMessages(), winner.trailers());
         }
 
         @Override
         public void reject(long retryAfterUs) {
-            status(GrpcStatus.UNAVAILABLE, "refused: nothing has run", retryAfterUs, null);
+            status(GrpcStatus.UNAVAILABLE, "refused: nothing has run", retryAfterUs);
         }
 
         @Override
@@ -484,17 +500,6 @@
         }
     }
 
-    /** Writes the last frame of the response; flow control may hold it back, behind the message, until the client reads. */
-    private void writeLast(Http2Headers headers) {
-        client.writeAndFlush(new DefaultHttp2HeadersFrame(headers, true)).addListener(f -> {
-            if (!body.isComplete() && client.isActive()) {
-                // What the client still sends is for nobody (RFC 9113, section 8.1).
-                client.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.NO_ERROR));
-            }
-            connection.callEnded(this);
-        });
-    }
-
     /** Whether the response is decided, if not yet sent, or no client waits for it any more. */
     boolean isOver() {
         return over;
@@ -503,7 +508,6 @@
     /** Nothing more goes to the client after what is written next. */
     private void over() {
         over = true;
-        updateAutoRead();
         if (end != null) {
             end.cancel(false);
         }
@@ -511,8 +515,13 @@
 
     /** A failure passes on what the service said for what it was asked, with its details; else it says what is known. */
     private void finish(GrpcStatus code, String message, Http2Headers trailers) {
-        boolean services = trailers != null && lastEnding != null && lastEnding.outcome() == Outcome.INVALID;
-        status(services ? code : failure(code), message, 0, services ? trailers : null);
+        if (trailers == null || lastEnding == null || lastEnding.outcome() != Outcome.INVALID) {
+            status(failure(code), message, 0);
+        } else if (!over) {
+            over();
+            response.serviceStatus(trailers);
+            body.release();
+        }
     }
 
     /** UNAVAILABLE is this sidecar's refusal, a promise that nothing ran: a failure must not sound like one. */
@@ -521,46 +530,33 @@
     }
 
     /** The one final status, in a head that is the trailer too where no head has gone before. */
-    private void status(GrpcStatus code, String message, long retryAfterUs, Http2Headers details) {
-        if (over) {
-            return;
-        }
-        over();
-        Http2Headers h;
-        if (details != null) {
-            h = copy(details, headersSent ? null : "200");
-        } else {
-            h = new DefaultHttp2Headers();
-            if (!headersSent) {
-                h.status("200").set("content-type", "application/grpc");
-            }
-            h.set("grpc-status", "" + code.number()).set("grpc-message", text(message));
-        }
-        if (retryAfterUs > 0) {
-            h.set("grpc-retry-pushback-ms", String.valueOf((retryAfterUs + 999) / 1000));
+    private void status(GrpcStatus code, String message, long retryAfterUs) {
+        if (!over) {
+            over();
+            response.status(code, message, retryAfterUs);
+            body.release();
         }
-        writeLast(h);
-        body.release();
     }
 
-    /** Without what belongs to one hop; {@code status} is null for trailers. */
-    private static Http2Headers copy(Http2Headers from, String status) {
-        // The decoder has looked at each of them.
-        Http2Headers h = new DefaultHttp2Headers(false);
-        if (status != null) {
-            h.status(status);
-        }
-        for (Map.Entry<CharSequence, CharSequence> e : from) {
-            if (e.getKey().length() > 0 && e.getKey().charAt(0) != ':' && !"connection".contentEquals(e.getKey())) {
-                h.add(e.getKey(), e.getValue());
-            }
-        }
-        return h;
+    /** The call's id; null before its head was read. */
+    String id() {
+        return id;
+    }
+
+    /** Whether the client has not taken all of the response that has arrived. */
+    boolean isBehind() {
+        return response.isBehind();
+    }
+
+    /** Time at which the client last took a part of the response. Requires {@link #isBehind}. */
+    long progressMicros() {
+        return response.progressMicros();
     }
 
-    /** grpc-message is percent-encoded; these messages are this program's own, so what is odd in them is left out. */
-    private static String text(String message) {
-        return message.replaceAll("[^\\x20-\\x24\\x26-\\x7e]", "?");
+    /** Ends the call, as its client does not read the response. */
+    void endUnread() {
+        response.reset();
+        left();
     }
 
     /** The sidecar ends and can't wait for this stream any longer. */
@@ -575,7 +571,7 @@
                 server.requests().failedByFrontEnd(exchange);
             }
             GrpcAttempt a = current;
-            status(code, message, 0, null);
+            status(code, message, 0);
             if (a != null) {
                 a.cancel();
             }
@@ -584,7 +580,8 @@
 
     private void left() {
         connection.callEnded(this);
-        body.release();
+        body.close();
+        response.release();
         if (over) {
             return;
         }
@@ -605,13 +602,6 @@
         }
     }
 
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        if (headersSent && current != null && client.isWritable()) {
-            current.read();
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         left();
--- a/src/main/java/loadbalancer/grpc/GrpcUpstreams.java
+++ b/src/main/java/loadbalancer/grpc/GrpcUpstreams.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http2.Http2Settings;
 import io.netty.handler.codec.http2.Http2SettingsFrame;
 import io.netty.handler.codec.http2.Http2StreamChannelBootstrap;
+import io.netty.handler.codec.http2.Http2StreamChannelOption;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -59,6 +60,7 @@
     private final long idleUs;
     private final long dialTimeoutUs;
     private final GrpcOptions options;
+    private final GrpcMemory memory;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
 
@@ -249,6 +251,7 @@
             streams.add(attempt);
             usedUs = clock.nowMicros();
             new Http2StreamChannelBootstrap(channel)
+                    .option(Http2StreamChannelOption.AUTO_STREAM_FLOW_CONTROL, false)
                     .handler(attempt.handler())
                     .open()
                     .addListener(f -> {
@@ -366,21 +369,23 @@
         }
     }
 
-    GrpcUpstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, GrpcOptions options) {
+    GrpcUpstreams(
+            EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, GrpcOptions options, GrpcMemory memory) {
         this.loop = loop;
         this.clock = clock;
+        this.memory = memory;
         this.options = options;
         this.dialTimeoutUs = dialTimeoutUs;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - 2_000_000);
         bootstrap = Connector.tcpBootstrap(loop, (int) Math.max(1, dialTimeoutUs / 1000), channel -> channel.pipeline()
                 .addLast(
-                        Http2FrameCodecBuilder.forClient()
+                        ReceiveWindow.withoutConnectionWindow(Http2FrameCodecBuilder.forClient()
                                 .initialSettings(new Http2Settings()
                                         .maxHeaderListSize(HEADER_LIST)
                                         .pushEnabled(false)
-                                        .initialWindowSize(64 * 1024))
+                                        .initialWindowSize(ReceiveWindow.INITIAL_BYTES))
                                 .autoAckPingFrame(true)
-                                .build(),
+                                .build()),
                         new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
                             @Override
                             protected void initChannel(Channel pushed) {
@@ -448,6 +453,21 @@
         }
     }
 
+    /** A relay for the messages of a response that arrives on this stream. */
+    StreamRelay relay(Channel stream) {
+        return new StreamRelay(clock, memory, memory.responses(), new ReceiveWindow(stream), stream);
+    }
+
+    /** Whether more than the initial window of a response may be held until its status has come. */
+    boolean mayHoldResponses() {
+        return memory.responses().hasCapacity();
+    }
+
+    /** Whether calls wait at an upstream whose streams are all in use. */
+    boolean hasCallsWaitingForStreams() {
+        return targets.values().stream().anyMatch(target -> !target.waiting.isEmpty() && target.crowded());
+    }
+
     int connections() {
         return leaving.size()
                 + targets.values().stream().mapToInt(t -> t.connections.size()).sum();
--- a/src/test/java/loadbalancer/sidecar/SidecarHarness.java
+++ b/src/test/java/loadbalancer/sidecar/SidecarHarness.java
@@ -125,7 +125,13 @@
 
     /** Turns gRPC on, on any free port; all methods have class {@code c}; {@code Lookup} is unary, others stream. */
     SidecarHarness withGrpc() throws ConfigurationException {
-        operator = OperatorFile.read(ConfigurationTable.parse("operator", GRPC_TABLE, Map.of()));
+        return withGrpc("");
+    }
+
+    /** As the other method, with more options of the table. */
+    SidecarHarness withGrpc(String options) throws ConfigurationException {
+        String table = GRPC_TABLE.replaceFirst("\n\\[\\[", "\n" + options + "\n[[");
+        operator = OperatorFile.read(ConfigurationTable.parse("operator", table, Map.of()));
         return this;
     }
 
--- a/src/test/java/loadbalancer/testbed/RawHttp2Client.java
+++ b/src/test/java/loadbalancer/testbed/RawHttp2Client.java
@@ -27,7 +27,7 @@
     public static final int END_HEADERS = 4;
 
     private static final int TIMEOUT_MILLIS = 20_000;
-    private static final int SETTINGS_INITIAL_WINDOW_SIZE = 4;
+    static final int SETTINGS_INITIAL_WINDOW_SIZE = 4;
 
     final Socket socket;
     final DataOutputStream out;
@@ -66,6 +66,14 @@
         frame(WINDOW_UPDATE, 0, 0, size[0], size[1], size[2], size[3]);
     }
 
+    /** Opens the windows of the connection and of one stream by this many bytes, and sends that. */
+    public void openWindow(int stream, int bytes) throws IOException {
+        byte[] size = {(byte) (bytes >> 24), (byte) (bytes >> 16), (byte) (bytes >> 8), (byte) bytes};
+        frame(WINDOW_UPDATE, 0, 0, size[0], size[1], size[2], size[3]);
+        frame(WINDOW_UPDATE, 0, stream, size[0], size[1], size[2], size[3]);
+        flush();
+    }
+
     /** Writes a frame. */
     public void frame(int type, int flags, int stream, int... payload) throws IOException {
         out.write(new byte[] {
--- a/src/test/java/loadbalancer/testbed/RawHttp2Node.java
+++ b/src/test/java/loadbalancer/testbed/RawHttp2Node.java
@@ -11,7 +11,10 @@
 /** A node whose HTTP/2 frames a test cuts itself, as no library writes pieces of any size. One call at a time. */
 public final class RawHttp2Node implements AutoCloseable {
     private static final int PREFACE_BYTES = 24;
-    private static final int INITIAL_WINDOW_BYTES = 65_535;
+    /** Window of a connection, and of its streams until the settings of the peer name another size. */
+    private static final int DEFAULT_WINDOW_BYTES = 65_535;
+
+    private static final int SETTING_BYTES = 6;
     /** Fields of the static table (RFC 7541): {@code :status 200}, and the name {@code content-type}. */
     private static final int STATUS_200 = 0x88;
 
@@ -22,7 +25,7 @@
     private final byte[] answer;
     private final int pieceBytes;
 
-    /** Answers each call with this gRPC message, in DATA frames of this size. */
+    /** Answers each call with this gRPC message, in DATA frames of this size or, if the windows have less room, smaller ones. */
     public RawHttp2Node(byte[] message, int pieceBytes) throws IOException {
         this.pieceBytes = pieceBytes;
         answer = framed(message);
@@ -64,7 +67,8 @@
     private final class Peer {
         private final DataInputStream in;
         private final DataOutputStream out;
-        private long connectionWindow = INITIAL_WINDOW_BYTES;
+        private int initialStreamWindow = DEFAULT_WINDOW_BYTES;
+        private long connectionWindow = DEFAULT_WINDOW_BYTES;
         private long streamWindow;
 
         private Peer(Socket socket) throws IOException {
@@ -93,6 +97,9 @@
             int stream = in.readInt();
             byte[] payload = in.readNBytes(length);
             boolean endsStream = (flags & RawHttp2Client.END_STREAM) != 0;
+            if (type == RawHttp2Client.SETTINGS) {
+                readSettings(java.nio.ByteBuffer.wrap(payload));
+            }
             if (type == RawHttp2Client.SETTINGS && !endsStream || type == RawHttp2Client.PING && !endsStream) {
                 write(type, RawHttp2Client.ACK, 0, payload, 0, type == RawHttp2Client.PING ? length : 0);
                 flush();
@@ -108,6 +115,14 @@
             }
         }
 
+        private synchronized void readSettings(java.nio.ByteBuffer settings) {
+            while (settings.remaining() >= SETTING_BYTES) {
+                boolean isInitialWindow = settings.getShort() == RawHttp2Client.SETTINGS_INITIAL_WINDOW_SIZE;
+                int value = settings.getInt();
+                initialStreamWindow = isInitialWindow ? value : initialStreamWindow;
+            }
+        }
+
         private synchronized void open(int stream, int bytes) {
             connectionWindow += stream == 0 ? bytes : 0;
             streamWindow += stream == 0 ? 0 : bytes;
@@ -116,7 +131,7 @@
 
         private synchronized void answer(int stream) {
             try {
-                streamWindow = INITIAL_WINDOW_BYTES;
+                streamWindow = initialStreamWindow;
                 byte[] type = "application/grpc".getBytes();
                 byte[] head = new byte[4 + type.length];
                 head[0] = (byte) STATUS_200;
@@ -144,14 +159,20 @@
             }
         }
 
+        /** Writes a piece in one frame, or in more if the windows have less room. */
         private synchronized void writePiece(int stream, int at, int size) throws IOException, InterruptedException {
-            while (connectionWindow < size || streamWindow < size) {
-                flush();
-                wait();
+            for (int written = 0; written < size; ) {
+                int length = (int) Math.min(size - written, Math.min(connectionWindow, streamWindow));
+                if (length <= 0) {
+                    flush();
+                    wait();
+                    continue;
+                }
+                connectionWindow -= length;
+                streamWindow -= length;
+                write(RawHttp2Client.DATA, 0, stream, answer, at + written, length);
+                written += length;
             }
-            connectionWindow -= size;
-            streamWindow -= size;
-            write(RawHttp2Client.DATA, 0, stream, answer, at, size);
         }
 
         private synchronized void flush() throws IOException {
