Reject an upload that is incomplete late in a stop, not only at its last byte

What callers saw: 502 in place of 503 for an upload that had not run, if the check each 0.1 s came between the latest time for answers and its last byte.

Cause: ClientConnection.checkInput took the limited deadline of a stop for that of an upload which the kernel may hold whole, and failed it. The rejection stood only where the last byte is read.

Change: both places ask rejectIfTooLate. Nothing of the request has run, as its last byte has not been forwarded.

--- a/src/main/java/loadbalancer/http1/ClientConnection.java
+++ b/src/main/java/loadbalancer/http1/ClientConnection.java
@@ -128,12 +128,21 @@
                 && isReceivingCurrentBody()
                 && currentBody.mayBeWritten(InputBacklog.MAX_KERNEL_BYTES)) {
             long writtenMicros = input.earliestWriteMicros(nowMicros);
-            if (nowMicros >= currentExchange.deadlineAfter(writtenMicros)) {
+            if (nowMicros >= currentExchange.deadlineAfter(writtenMicros) && !rejectIfTooLate()) {
                 requests.deadlinePassed(currentExchange.exchange());
             }
         }
     }
 
+    /** Rejects the request whose body is being received if a stop leaves no time to serve it: it has not run. */
+    private boolean rejectIfTooLate() {
+        boolean tooLate = server.isTooLateToServe();
+        if (tooLate) {
+            requests.rejectedByFrontEnd(currentExchange.exchange(), STOPPING);
+        }
+        return tooLate;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -191,9 +200,8 @@
             return;
         }
         boolean complete = content instanceof LastHttpContent;
-        if (complete && assembler.largeBody() == currentBody && currentExchange != null && server.isTooLateToServe()) {
-            // Its last byte has not been forwarded, so it has not run.
-            requests.rejectedByFrontEnd(currentExchange.exchange(), STOPPING);
+        if (complete && assembler.largeBody() == currentBody && currentExchange != null) {
+            rejectIfTooLate();
         }
         long writtenMicros = input.earliestWriteMicros(timeouts.lastActiveMicros());
         assembler.largeBody().add(content.content().retain(), complete, writtenMicros);
