End the event loop of a failed start before the reason is logged

Cause: the balancer asks for discovery as soon as the engine starts, before the operators' address is bound. When that fails, the main thread logs the reason while the event loop still runs and may log the failed call behind it.

Change: Sidecar.abortStart ends the loop, for at most 1 s, before the line.

MainTest passes.

--- a/src/main/java/loadbalancer/sidecar/Sidecar.java
+++ b/src/main/java/loadbalancer/sidecar/Sidecar.java
@@ -40,6 +40,8 @@
 
     /** Lower bound on the pause that is allowed within the head of a response. */
     private static final long MIN_STALL_MICROS = 10_000;
+    /** Upper bound on the time for which a failed start waits for the event loop to end. */
+    private static final long MAX_ABORT_MILLIS = 1_000;
 
     /** Upper bound on the time a restarted sidecar waits to learn the agreed configuration before it reports ready. */
     private static final long MAX_LEARN_WAIT_MILLIS = 2_000;
@@ -305,6 +307,11 @@
         }));
     }
 
+    /** Ends the event loop after a failed start, so that it logs nothing behind the reason for the failure. */
+    void abortStart() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).awaitUninterruptibly(MAX_ABORT_MILLIS);
+    }
+
     /** Shuts down at once, without waiting for requests in progress. */
     void shutdownNow() {
         loop.execute(() -> {
--- a/src/main/java/loadbalancer/sidecar/SidecarMain.java
+++ b/src/main/java/loadbalancer/sidecar/SidecarMain.java
@@ -85,7 +85,7 @@
         try {
             sidecar.start();
         } catch (Exception exception) { // Netty throws checked exceptions that it doesn't declare.
-            return reportStartFailure(exception);
+            return reportStartFailure(sidecar, exception);
         }
         shutdownHook.sidecarStarted();
         if (sidecar.listenAddress() != null) {
@@ -102,7 +102,7 @@
         try {
             sidecar.endWarmUp();
         } catch (Exception exception) { // Netty's checked exceptions, as above.
-            return reportStartFailure(exception);
+            return reportStartFailure(sidecar, exception);
         }
         logReady((System.nanoTime() - startNanos) / 1_000_000, cpuMillis, CpuTime.usedMillis());
         new CountDownLatch(1).await();
@@ -141,7 +141,8 @@
         return shutdownHook.startFailed(EXIT_CONFIGURATION);
     }
 
-    private int reportStartFailure(Exception exception) {
+    private int reportStartFailure(Sidecar sidecar, Exception exception) {
+        sidecar.abortStart();
         if (exception instanceof BindException) {
             return rejectStart("an address can't be listened on: " + exception.getMessage());
         }
