Let gRPC streams pause, and bound those sent before their window is known

A streaming client that did not read for 10 s lost its call, though its window bounds what is held and streams may live on. And a client that has not yet acknowledged the settings may send 64 KiB a stream (RFC 9113, 6.9.2), which nothing counted for streaming calls.

Change: only unary calls end when their client does not read. A streaming call that has sent more than its window ends with RESOURCE_EXHAUSTED while the budget is used up.

No test provokes the second fault; it was found by reading.

--- a/src/main/java/loadbalancer/grpc/GrpcRequestBody.java
+++ b/src/main/java/loadbalancer/grpc/GrpcRequestBody.java
@@ -79,7 +79,13 @@
             window.consume(windowBytes - content.readableBytes());
         }
         receivedMicros = server.clock().nowMicros();
-        return streaming || released || reserve(size);
+        return streaming ? !isOverrun() : released || reserve(size);
+    }
+
+    /** Whether a client that does not know its window yet has sent more than the memory has room for. */
+    private boolean isOverrun() {
+        int unconsumed = receiver == null ? unconsumedBytes : forwarding.unconsumedBytes();
+        return unconsumed > window.sizeBytes() && !server.memory().responses().hasCapacity();
     }
 
     /** Reserves memory for a unary request of more than the initial window. Returns false if it must not be held. */
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -543,9 +543,9 @@
         return id;
     }
 
-    /** Whether the client has not taken all of the response that has arrived. */
+    /** Whether the client has not taken all that has arrived of a unary response; a stream may pause for any time. */
     boolean isBehind() {
-        return response.isBehind();
+        return response.isBehind() && !route.streams();
     }
 
     /** Time at which the client last took a part of the response. Requires {@link #isBehind}. */
--- a/src/main/java/loadbalancer/grpc/ReceiveWindow.java
+++ b/src/main/java/loadbalancer/grpc/ReceiveWindow.java
@@ -64,6 +64,11 @@
         }
     }
 
+    /** Bytes that a peer which knows the window has in transit at the most. */
+    int sizeBytes() {
+        return INITIAL_BYTES + reservedBytes;
+    }
+
     /** Lets the peer send so much more, for the rest of the stream, if the budget allows it. At most once a stream. */
     void grow(int bytes, MemoryBudget budget) {
         if (reservedFrom == null && budget.tryReserve(bytes)) {
--- a/src/main/java/loadbalancer/grpc/StreamRelay.java
+++ b/src/main/java/loadbalancer/grpc/StreamRelay.java
@@ -62,6 +62,11 @@
         }
     }
 
+    /** Bytes for which the window was not opened again. */
+    int unconsumedBytes() {
+        return unconsumedBytes;
+    }
+
     /** Bytes that are held and not being written. */
     int heldBytes() {
         return held.readableBytes();
