Take the head of a call and the forwarding deadline out of GrpcStream

Times are named in micros. A forwarded response may pause for its upstream only after its client was behind, as before; nothing else is changed.

--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -5,18 +5,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http2.DefaultHttp2Headers;
 import io.netty.handler.codec.http2.Http2DataFrame;
 import io.netty.handler.codec.http2.Http2Headers;
 import io.netty.handler.codec.http2.Http2HeadersFrame;
 import io.netty.handler.codec.http2.Http2ResetFrame;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import loadbalancer.balancing.Balancer;
-import loadbalancer.balancing.Balancer.Idempotency;
 import loadbalancer.balancing.Balancer.Outcome;
 import loadbalancer.balancing.Balancer.Request;
 import loadbalancer.balancing.Balancer.RequestClass;
@@ -26,7 +21,6 @@
 import loadbalancer.core.Log;
 import loadbalancer.grpc.mapping.AttemptEnd;
 import loadbalancer.grpc.mapping.GrpcStatus;
-import loadbalancer.grpc.mapping.GrpcTimeout;
 import loadbalancer.grpc.mapping.Route;
 import loadbalancer.trace.SpanContext;
 import loadbalancer.trace.Trace;
@@ -41,32 +35,16 @@
  */
 final class GrpcStream extends ChannelInboundHandlerAdapter implements GrpcAttempt.Caller {
     /** As for the other protocol: an answer leaves this long before its client gives up. */
-    private static final long MARGIN_US = 15_000;
+    private static final long RESPONSE_MARGIN_MICROS = 15_000;
 
     private static final long NO_END = Long.MAX_VALUE;
-    /** Interval at which a unary response that is forwarded past its deadline is checked. */
-    private static final long SLOW_CLIENT_CHECK_MICROS = 50_000;
-    /** Time for which an upstream may send nothing after the deadline, while its client has taken all it has sent. */
-    private static final long MAX_UPSTREAM_PAUSE_MICROS = 200_000;
-    /** Metadata that belongs to one hop, or that this hop writes itself. */
-    private static final Set<String> OWN = Set.of(
-            "grpc-timeout",
-            "grpc-previous-rpc-attempts",
-            "connection",
-            "te",
-            "x-remaining-ms",
-            "x-txn",
-            "transfer-encoding",
-            "keep-alive",
-            "proxy-connection",
-            "upgrade");
 
     private final GrpcServer server;
     private final GrpcClientConnection connection;
     private final Channel client;
-    private final long sentUs;
-    private final long unreadUs;
-    private Http2Headers head;
+    private final long receivedMicros;
+    private final long maxUnreadMicros;
+    private CallHead head;
     private Route route;
     private RequestClass spec;
     private String id;
@@ -74,9 +52,9 @@
     /** Null where calls are not traced: then what their clients said of traces goes on as it is. */
     private Trace trace;
     /** Module time by which the client hears the end of a call, or of a stream that it gave a time; else {@link #NO_END}. */
-    private long endUs = NO_END;
+    private long upstreamEndMicros = NO_END;
     /** Module time by which an answer has begun. */
-    private long deadlineUs;
+    private long deadlineMicros;
     /** Time at which the client gives up by its own word; {@link #NO_END} if it has set no time. */
     private long clientEndMicros = NO_END;
 
@@ -94,8 +72,6 @@
     private AttemptEnd lastEnding;
     private Http2Headers lastTrailers;
     private boolean over;
-    /** Time since which a unary response that is forwarded past its deadline waits for its upstream; 0 if it does not. */
-    private long waitingSinceMicros;
 
     GrpcStream(GrpcServer server, GrpcClientConnection connection, Channel client) {
         this.server = server;
@@ -103,8 +79,8 @@
         this.client = client;
         body = new GrpcRequestBody(server, client, this::rejectIncompleteRequest);
         response = new ClientResponse(client, body::isComplete, () -> connection.callEnded(this));
-        sentUs = server.clock().nowMicros();
-        unreadUs = server.requests().maxUnreadMicros();
+        receivedMicros = server.clock().nowMicros();
+        maxUnreadMicros = server.requests().maxUnreadMicros();
     }
 
     // ---- from the client -------------------------------------------------------------------------
@@ -136,13 +112,9 @@
             data(Unpooled.EMPTY_BUFFER, 0, true);
             return;
         }
-        head = frame.headers();
+        head = new CallHead(frame.headers());
         connection.callBegun(this);
-        CharSequence type = head.get("content-type");
-        if (head.method() == null
-                || !"POST".contentEquals(head.method())
-                || type == null
-                || !type.toString().startsWith("application/grpc")) {
+        if (!head.isGrpc()) {
             over();
             response.notGrpc();
             return;
@@ -152,45 +124,47 @@
             status(GrpcStatus.UNIMPLEMENTED, "the path names no method", 0);
             return;
         }
-        spec = server.requestClass(route, !word(route.keyHeader()).isEmpty());
+        spec = server.requestClass(route, !head.value(route.keyHeader()).isEmpty());
         if (spec == null) {
             status(GrpcStatus.INVALID_ARGUMENT, "a call of this class carries its key in " + route.keyHeader(), 0);
             return;
         }
-        boolean bounded = head.get("grpc-timeout") != null;
-        long timeoutUs = bounded ? GrpcTimeout.parse(head.get("grpc-timeout")) : spec.deadlineMicros();
-        if (timeoutUs < 0) {
+        boolean bounded = head.hasTimeout();
+        long timeoutMicros = bounded ? head.timeoutMicros() : spec.deadlineMicros();
+        if (timeoutMicros < 0) {
             status(GrpcStatus.INTERNAL, "grpc-timeout is none", 0);
             return;
         }
-        String told = word("x-txn");
+        String told = head.value("x-txn");
         id = told.isEmpty() ? server.nextId() : told;
         if (server.requests().contains(id)) {
             status(GrpcStatus.INVALID_ARGUMENT, "x-txn is in use", 0);
             return;
         }
-        if (timeoutUs < 1_000) {
+        if (timeoutMicros < 1_000) {
             status(GrpcStatus.DEADLINE_EXCEEDED, "no time is left", 0);
             return;
         }
-        setDeadlines(timeoutUs, bounded);
+        setDeadlines(timeoutMicros, bounded);
         body.setStreaming(route.streams());
         body.add(Unpooled.EMPTY_BUFFER, 0, frame.isEndStream());
         due = body.isComplete() || route.streams();
     }
 
     /** Nobody waits longer for the first byte of a response than the class allows; a stream ends at the client's own time. */
-    private void setDeadlines(long timeoutUs, boolean bounded) {
-        deadlineUs = server.shutdownDeadline().limit(sentUs + lessMargin(Math.min(timeoutUs, spec.deadlineMicros())));
+    private void setDeadlines(long timeoutMicros, boolean bounded) {
+        deadlineMicros = server.shutdownDeadline()
+                .limit(receivedMicros + lessMargin(Math.min(timeoutMicros, spec.deadlineMicros())));
         if (bounded) {
-            clientEndMicros = server.shutdownDeadline().limit(sentUs + lessMargin(timeoutUs));
+            clientEndMicros = server.shutdownDeadline().limit(receivedMicros + lessMargin(timeoutMicros));
         }
         if (!route.streams()) {
-            endUs = deadlineUs;
+            upstreamEndMicros = deadlineMicros;
         } else if (bounded) {
-            endUs = sentUs + lessMargin(timeoutUs);
+            upstreamEndMicros = receivedMicros + lessMargin(timeoutMicros);
             end = server.at(
-                    endUs, () -> endHere(GrpcStatus.DEADLINE_EXCEEDED, "the client's time for the stream is over"));
+                    upstreamEndMicros,
+                    () -> endHere(GrpcStatus.DEADLINE_EXCEEDED, "the client's time for the stream is over"));
         }
     }
 
@@ -213,7 +187,7 @@
     /** A unary request must be complete by the call's deadline, which nothing else watches before it is taken. */
     private void limitIncompleteRequest() {
         if (route != null && !route.streams() && exchange == null && end == null) {
-            end = server.at(deadlineUs, () -> {
+            end = server.at(deadlineMicros, () -> {
                 if (exchange == null) {
                     endHere(GrpcStatus.DEADLINE_EXCEEDED, "the request was not complete in time");
                 }
@@ -227,18 +201,7 @@
     }
 
     private static long lessMargin(long us) {
-        return us - Math.min(MARGIN_US, us / 4);
-    }
-
-    /** The one value of a metadata key, or empty. */
-    private String word(String key) {
-        if (key == null) {
-            return "";
-        }
-        List<CharSequence> values = head.getAll(key);
-        return values.size() == 1 && values.get(0).length() <= 128
-                ? values.get(0).toString()
-                : "";
+        return us - Math.min(RESPONSE_MARGIN_MICROS, us / 4);
     }
 
     private void data(ByteBuf content, int windowBytes, boolean last) {
@@ -263,53 +226,27 @@
             status(GrpcStatus.UNAVAILABLE, "refused: the sidecar ends, and nothing has run", 0);
             return;
         }
-        Request request = new Request(
-                id,
-                customer(),
-                false,
-                false,
-                0,
-                Math.max(1, deadlineUs - server.clock().nowMicros()),
-                word(server.options().tenantHeader()),
-                spec.name(),
-                Balancer.GRPC,
-                route.streams(),
-                spec.idempotency() == Idempotency.WITH_KEY ? word(route.keyHeader()) : null,
-                spec);
+        long leftMicros = Math.max(1, deadlineMicros - server.clock().nowMicros());
+        Request request = head.toRequest(id, route, spec, server.options(), leftMicros);
         Tracer tracer = server.requests().tracer();
         if (tracer != null) {
-            String key = word(route.keyHeader());
             trace = tracer.begin(
-                    SpanContext.parse(head.getAll("traceparent"), head.getAll("tracestate")),
-                    new Tracer.Start(
-                            request,
-                            spec.idempotency(),
-                            "grpc",
-                            key.isEmpty() ? null : key,
-                            false,
-                            spec.latencyObjectiveMicros(),
-                            sentUs,
-                            unreadUs));
-        }
-        exchange = new Exchange(request, deadlineUs, this::attempt, new Final(), trace);
+                    head.traceContext(), head.traceStart(request, route, spec, receivedMicros, maxUnreadMicros));
+        }
+        exchange = new Exchange(request, deadlineMicros, this::attempt, new Final(), trace);
         server.requests().admit(exchange);
     }
 
-    private long customer() {
-        String key = word(server.options().customerHeader());
-        return key.isEmpty() ? -1 : Integer.toUnsignedLong(key.hashCode());
-    }
-
-    private Attempt attempt(String upstream, long untilUs, Attempt.Listener result) {
+    private Attempt attempt(String upstream, long attemptDeadlineMicros, Attempt.Listener result) {
         int before = attempts++;
         SpanContext span = trace == null ? null : trace.latestAttemptContext();
         GrpcAttempt made = new GrpcAttempt(
                 server.upstreams(),
                 server.clock(),
                 upstream,
-                untilUs,
+                attemptDeadlineMicros,
                 route.streams(),
-                left -> out(left, before, span),
+                left -> forwardedHead(left, before, span),
                 this,
                 new AttemptObserver(result));
         current = made;
@@ -317,11 +254,9 @@
     }
 
     /** Listens to an attempt for this call, before the request's own listener. */
-    private final class AttemptObserver implements Attempt.Listener {
-        private final Attempt.Listener result;
-
+    private final class AttemptObserver extends ForwardingAttemptListener {
         AttemptObserver(Attempt.Listener result) {
-            this.result = result;
+            super(result);
         }
 
         @Override
@@ -338,62 +273,15 @@
                 finish(lastEnding.code(), lastEnding.message(), lastTrailers);
                 server.requests().failedByFrontEnd(exchange);
             }
-            result.onEnd(attempt, outcome, report, response);
-        }
-
-        @Override
-        public boolean isWanted() {
-            return result.isWanted();
-        }
-
-        @Override
-        public long responseDeadlineMicros() {
-            return result.responseDeadlineMicros();
-        }
-
-        @Override
-        public void onWritten(Attempt attempt) {
-            result.onWritten(attempt);
+            super.onEnd(attempt, outcome, report, response);
         }
+    }
 
-        @Override
-        public boolean beginStreaming(Attempt attempt) {
-            return result.beginStreaming(attempt);
-        }
-    }
-
-    /** The head that a node gets: the client's, but for what belongs to a hop. */
-    private Http2Headers out(long leftUs, int before, SpanContext span) {
-        Http2Headers h = new DefaultHttp2Headers(false)
-                .method("POST")
-                .path(head.path())
-                .scheme("http")
-                .authority(head.authority() == null ? "api.internal" : head.authority());
-        for (Map.Entry<CharSequence, CharSequence> e : head) {
-            if (e.getKey().length() > 0
-                    && e.getKey().charAt(0) != ':'
-                    && !OWN.contains(e.getKey().toString())) {
-                h.add(e.getKey(), e.getValue());
-            }
-        }
-        h.set("te", "trailers").set("x-txn", id);
-        // A node ends a call at this time, streams too: what bounds the wait for their first byte is none of its
-        // business.
-        long left = route.streams() ? endUs - server.clock().nowMicros() : leftUs;
-        if (endUs != NO_END) {
-            h.set("grpc-timeout", GrpcTimeout.format(Math.max(1_000, left)));
-        }
-        if (span != null) {
-            h.set("traceparent", span.traceparent());
-            h.remove("tracestate");
-            if (!span.traceState().isEmpty()) {
-                h.set("tracestate", span.traceState());
-            }
-        }
-        if (before > 0) {
-            h.set("grpc-previous-rpc-attempts", String.valueOf(before));
-        }
-        return h;
+    /** The head that an upstream gets, told how long an answer is waited for, or how long the client keeps a stream. */
+    private Http2Headers forwardedHead(long leftMicros, int previousAttempts, SpanContext span) {
+        long timeoutMicros =
+                route.streams() ? upstreamEndMicros - server.clock().nowMicros() : leftMicros;
+        return head.forwarded(id, upstreamEndMicros == NO_END ? Long.MAX_VALUE : timeoutMicros, previousAttempts, span);
     }
 
     // ---- from an attempt -------------------------------------------------------------------------
@@ -419,32 +307,21 @@
         current = from;
         response.begin(headers, messages);
         if (!route.streams()) {
-            end = server.at(deadlineUs, this::limitForwardedResponse);
+            ForwardingDeadline deadline = new ForwardingDeadline(deadlineMicros, clientEndMicros);
+            end = server.at(deadlineMicros, () -> checkForwardedResponse(deadline));
         }
     }
 
-    /**
-     * Ends a unary response that is forwarded at its deadline, unless it is only its client that takes it slowly. After
-     * that it goes on until the upstream is waited for again, or the client stops reading or reaches its own end.
-     */
-    private void limitForwardedResponse() {
+    private void checkForwardedResponse(ForwardingDeadline deadline) {
         if (over) {
             return;
         }
         long nowMicros = server.clock().nowMicros();
-        boolean behind = response.isBehind();
-        if (behind) {
-            waitingSinceMicros = 0;
-        } else if (waitingSinceMicros == 0 && nowMicros - deadlineUs >= SLOW_CLIENT_CHECK_MICROS) {
-            waitingSinceMicros = nowMicros;
-        }
-        boolean clientAwaits = nowMicros < clientEndMicros;
-        boolean upstreamDelivers =
-                behind || waitingSinceMicros > 0 && nowMicros - waitingSinceMicros < MAX_UPSTREAM_PAUSE_MICROS;
-        if (clientAwaits && upstreamDelivers) {
-            end = server.at(nowMicros + SLOW_CLIENT_CHECK_MICROS, this::limitForwardedResponse);
-        } else {
+        if (deadline.hasPassed(nowMicros, response.isBehind())) {
             endHere(GrpcStatus.DEADLINE_EXCEEDED, "no complete answer in time");
+        } else {
+            long nextMicros = Math.max(deadline.deadlineMicros(), nowMicros + ForwardingDeadline.CHECK_MICROS);
+            end = server.at(nextMicros, () -> checkForwardedResponse(deadline));
         }
     }
 
@@ -475,8 +352,8 @@
         }
 
         @Override
-        public void reject(long retryAfterUs) {
-            status(GrpcStatus.UNAVAILABLE, "refused: nothing has run", retryAfterUs);
+        public void reject(long retryAfterMicros) {
+            status(GrpcStatus.UNAVAILABLE, "refused: nothing has run", retryAfterMicros);
         }
 
         @Override
@@ -492,7 +369,7 @@
 
         @Override
         public void fail() {
-            if (lastEnding == null || server.clock().nowMicros() >= deadlineUs - 1_000) {
+            if (lastEnding == null || server.clock().nowMicros() >= deadlineMicros - 1_000) {
                 finish(GrpcStatus.DEADLINE_EXCEEDED, "no answer in time", null);
             } else {
                 finish(lastEnding.code(), lastEnding.message(), lastTrailers);
@@ -530,10 +407,10 @@
     }
 
     /** The one final status, in a head that is the trailer too where no head has gone before. */
-    private void status(GrpcStatus code, String message, long retryAfterUs) {
+    private void status(GrpcStatus code, String message, long retryAfterMicros) {
         if (!over) {
             over();
-            response.status(code, message, retryAfterUs);
+            response.status(code, message, retryAfterMicros);
             body.release();
         }
     }
