GrpcLongMessagesTest: enough upstreams for the calls and for other clients

Traced: the 80 calls of 1.5 s fill what the balancer allows 48 upstreams of one core. With answers of 1 kB, which need no memory, 4 to 17 of 17 to 53 were rejected in six runs of the method, and one failed alike. So the rejections show capacity, not memory.

Change: 120 upstreams, so that rejections can't come from capacity. The checks are as they were, with less excuse.

--- a/src/test/java/loadbalancer/sidecar/GrpcLongMessagesTest.java
+++ b/src/test/java/loadbalancer/sidecar/GrpcLongMessagesTest.java
@@ -33,8 +33,8 @@
 class GrpcLongMessagesTest {
     private static final String LOOKUP = "stage.Booking/Lookup";
     private static final String ECHO = "stage.Booking/Echo";
-    /** So many that the balancer, which knows nothing of them yet, admits most of the calls. */
-    private static final int UPSTREAMS = 48;
+    /** So many that the balancer, which knows nothing of them yet, has capacity for all calls and for others. */
+    private static final int UPSTREAMS = 120;
 
     private static final int CALLS = 80;
     /** All these calls' responses together are longer than the memory for them. */
