One rule for reading times and statuses in gRPC's client side

Cause: reading the change again: endUnreadCalls computed the time to read what was sent beside maxReadMicros, the size of a block stood twice, and a status was written in three places. Two comments were no longer true.

Change: maxReadMicros takes the least time, PieceBuffer.MAX_BLOCK_BYTES and ClientResponse.setStatus serve all; behaviour is the same. The comments of GrpcMemory and GrpcStream say what holds.

--- a/src/main/java/loadbalancer/core/PieceBuffer.java
+++ b/src/main/java/loadbalancer/core/PieceBuffer.java
@@ -12,8 +12,8 @@
  * would take many times the piece's memory. Must be used on the event loop only.
  */
 public final class PieceBuffer {
-    /** The largest size that the event loop's pooled memory serves without an allocation of its own. */
-    private static final int MAX_BLOCK_BYTES = 16 * 1024;
+    /** Largest block, which is the largest size that the event loop's pooled memory serves without an allocation of its own. */
+    public static final int MAX_BLOCK_BYTES = 16 * 1024;
 
     private static final int INITIAL_BLOCK_BYTES = 256;
 
--- a/src/main/java/loadbalancer/grpc/ClientResponse.java
+++ b/src/main/java/loadbalancer/grpc/ClientResponse.java
@@ -66,7 +66,7 @@
         if (!headSent) {
             headers.status("200").set("content-type", "application/grpc");
         }
-        headers.set("grpc-status", "" + code.number()).set("grpc-message", printable(message));
+        setStatus(headers, code, message);
         if (retryAfterMicros > 0) {
             headers.set("grpc-retry-pushback-ms", String.valueOf((retryAfterMicros + 999) / 1000));
         }
@@ -80,10 +80,7 @@
 
     /** Sends the one frame that answers a request which is not gRPC. */
     void notGrpc() {
-        writeLast(new DefaultHttp2Headers()
-                .status("415")
-                .set("grpc-status", "" + GrpcStatus.INTERNAL.number())
-                .set("grpc-message", "no gRPC"));
+        writeLast(setStatus(new DefaultHttp2Headers().status("415"), GrpcStatus.INTERNAL, "no gRPC"));
     }
 
     private void replaceMessages(Http2Headers last) {
@@ -142,7 +139,11 @@
 
     /** The trailers of a response that failed on its way. */
     static Http2Headers failure(GrpcStatus code, String message) {
-        return new DefaultHttp2Headers().set("grpc-status", "" + code.number()).set("grpc-message", printable(message));
+        return setStatus(new DefaultHttp2Headers(), code, message);
+    }
+
+    private static Http2Headers setStatus(Http2Headers headers, GrpcStatus code, String message) {
+        return headers.set("grpc-status", "" + code.number()).set("grpc-message", printable(message));
     }
 
     /** grpc-message is percent-encoded; these messages are this program's own, so other characters are replaced. */
--- a/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
+++ b/src/main/java/loadbalancer/grpc/GrpcClientConnection.java
@@ -24,6 +24,7 @@
 import loadbalancer.core.EndReasons;
 import loadbalancer.core.GracefulStop;
 import loadbalancer.core.Log;
+import loadbalancer.core.PieceBuffer;
 
 /**
  * One connection of a gRPC client: its calls, and its end in a graceful stop. As the last handler of the channel's
@@ -41,9 +42,6 @@
     /** Bytes that the kernels hold for a connection at the most. */
     private static final long MAX_KERNEL_BYTES = 32L * 1024 * 1024;
 
-    /** Bytes of a response that are written at once. */
-    private static final long MAX_BLOCK_BYTES = 16 * 1024;
-
     /** Content of the PING that follows the last response; its acknowledgement shows that the client has read all. */
     private static final long DELIVERY_PING = 0x6c617374;
 
@@ -133,10 +131,9 @@
             return;
         }
         // The client may read all of them in turn.
-        long unreadBytes = Math.min(MAX_KERNEL_BYTES, sentSinceInputBytes + behind * MAX_BLOCK_BYTES);
-        long limitMicros = Math.max(
+        long limitMicros = maxReadMicros(
                 othersWait ? MIN_UNREAD_MICROS : UNREAD_RESPONSE_MICROS,
-                unreadBytes * MICROS_PER_SECOND / MIN_READ_BYTES_PER_SECOND);
+                sentSinceInputBytes + behind * PieceBuffer.MAX_BLOCK_BYTES);
         for (GrpcStream call : List.copyOf(calls)) {
             if (call.isBehind() && nowMicros - call.progressMicros() > limitMicros) {
                 endReasons.record(EndReasons.Subject.REQUEST_ABANDONED, "response not read", call.id());
@@ -182,16 +179,17 @@
             return nowMicros - pingMicros > GracefulStop.QUIET_PERIOD_MICROS;
         }
         return nowMicros - Math.max(pingMicros, lastActiveMicros) > maxReadMicros()
-                || nowMicros - pingMicros > maxReadMicros(MAX_KERNEL_BYTES);
+                || nowMicros - pingMicros > maxReadMicros(UNREAD_RESPONSE_MICROS, MAX_KERNEL_BYTES);
     }
 
     /** Time that the slowest sound client needs to read what was sent since it last sent anything. */
     private long maxReadMicros() {
-        return maxReadMicros(Math.min(sentSinceInputBytes, MAX_KERNEL_BYTES));
+        return maxReadMicros(UNREAD_RESPONSE_MICROS, sentSinceInputBytes);
     }
 
-    private static long maxReadMicros(long bytes) {
-        return Math.max(UNREAD_RESPONSE_MICROS, bytes * MICROS_PER_SECOND / MIN_READ_BYTES_PER_SECOND);
+    private static long maxReadMicros(long minMicros, long unreadBytes) {
+        long kernelBytes = Math.min(unreadBytes, MAX_KERNEL_BYTES);
+        return Math.max(minMicros, kernelBytes * MICROS_PER_SECOND / MIN_READ_BYTES_PER_SECOND);
     }
 
     /** Announces it behind all calls that have arrived; the first call of a new connection may still be in transit. */
--- a/src/main/java/loadbalancer/grpc/GrpcMemory.java
+++ b/src/main/java/loadbalancer/grpc/GrpcMemory.java
@@ -5,8 +5,8 @@
 import loadbalancer.core.MemoryBudget;
 
 /**
- * The memory for the messages of all gRPC calls together, in shares of what the JVM may use. Beyond a share nothing is
- * rejected: responses are streamed instead of held, and senders wait for flow control.
+ * The memory for the messages of all gRPC calls together, in shares of what the JVM may use. Beyond a share responses
+ * are forwarded instead of held, and senders wait for flow control.
  */
 final class GrpcMemory {
     /** Share of the JVM's limit on direct memory, or on the heap, for each budget. */
--- a/src/main/java/loadbalancer/grpc/GrpcStream.java
+++ b/src/main/java/loadbalancer/grpc/GrpcStream.java
@@ -29,7 +29,8 @@
 /**
  * One call of a client: its request is held until no other attempt can need it, its answer is one status, told once.
  *
- * <p>A unary call is taken when its last byte has come, and answered whole. A streaming one is taken with its head; it may be
+ * <p>A unary call is taken when its last byte has come, and answered whole, unless its response is
+ * too long to be held. A streaming one is taken with its head; it may be
  * tried again until the first byte of an answer has gone to the client, or more of it was forwarded than is held. Its class's
  * deadline is for that first byte; after it the client's own time alone ends it, if it has set any.
  */
@@ -51,7 +52,7 @@
     private Exchange exchange;
     /** Null where calls are not traced: then what their clients said of traces goes on as it is. */
     private Trace trace;
-    /** Module time by which the client hears the end of a call, or of a stream that it gave a time; else {@link #NO_END}. */
+    /** Time of the end that upstreams are told; {@link #NO_END} for a stream whose client has set none. */
     private long upstreamEndMicros = NO_END;
     /** Module time by which an answer has begun. */
     private long deadlineMicros;
